Write the module's statistics and the node's counts to the log each second

The node's log told only of ejections, so a node that refused half of its requests did not say what its limit stood at, what its attempts came to or how many connections it opened. One line a second gives the module's statistics, under the source's names, and counts since the start.

--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from hashlib import blake2b
 from time import monotonic_ns, time_ns
@@ -26,6 +26,7 @@
 GUARD = 10_000  # after the deadline: a request that the module has left open is failed
 FULL_ADVICE = 500_000  # after so long there may be room again for a client that found none
 PUSH_RETRY = 0.1  # seconds before an agent that did not answer is asked again
+STATS_EVERY = 1.0  # seconds between two lines of statistics
 # Headers that end at this hop or are written anew for the next.
 HOP = frozenset(
     b"connection keep-alive proxy-connection proxy-authorization te trailer transfer-encoding upgrade expect"
@@ -79,6 +80,7 @@
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
         self.balancer = Balancer(config.settings, config.seed, self)
         self.listed = False
+        self.counts: Counter[str] = Counter()  # attempts by outcome and answers by status, in all
 
     async def start(self) -> None:
         """Begins to serve. An OSError if an address cannot be had."""
@@ -90,6 +92,19 @@
             self.told(self.config.known)
         if not self.config.settings.list_on_request:
             self.discovery.watch(True)
+        c = self.config
+        self.log_lines.line(
+            f"start tier={c.settings.tier} instances={c.settings.instances} connections={c.connections}"
+            f" idle={c.idle_time} connect_timeout={c.connect_timeout}"
+            f" aims={[k.aim // 1000 for k in c.settings.classes]}"
+        )
+        self.loop.call_later(STATS_EVERY, self.write_stats)
+
+    def write_stats(self) -> None:
+        """One line of figures: the module's as they stand, the node's counted since the start."""
+        figures = {**self.balancer.stats(), **self.counts, "dialled": self.pool.dialled}
+        self.log_lines.line("stats " + " ".join(f"{name}={value:.4g}" for name, value in figures.items()))
+        self.loop.call_later(STATS_EVERY, self.write_stats)
 
     async def drain(self) -> None:
         """Answers what has been taken, and ends."""
@@ -258,6 +273,7 @@
         request = self.requests.get(number)
         if request is not None and request.caller is not None:
             caller = request.caller
+            self.counts[f"answered_{status}"] += 1
             self.release(request)
             caller.answer(status, body, headers)
 
@@ -309,6 +325,7 @@
     ) -> None:
         """An attempt's end: an answer goes to the client at once, then the module hears of it."""
         r.out = None
+        self.counts[f"attempts_{outcome.name.lower()}"] += 1
         report: tuple[float, ...] = ()
         if answer is not None:
             if self.config.inline_reports:
--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -275,6 +275,7 @@
         self.connect_timeout = connect_timeout
         self.idle_time = max(idle_time - IDLE_MARGIN, idle_time / 2)
         self.open = 0
+        self.dialled = 0  # connections opened in all
         self.endpoints: dict[int, Endpoint] = {}
         self.sweeping = False
 
@@ -323,6 +324,7 @@
         """Counts a connection that is being opened."""
         connection.counted = True
         self.open += 1
+        self.dialled += 1
 
     def lost(self, connection: Connection) -> None:
         """Counts a connection's end, once."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -732,6 +732,31 @@
     assert 0 < sum("stray" in line for line in lines) < 100
 
 
+def test_the_log_tells_the_module_s_statistics_and_the_node_s_counts(capsys):
+    """Failure prevented: a node refuses for minutes, and its log does not say what its limit stood at."""
+
+    async def scene():
+        bench = await Bench(Server(always(FULL, OK, BROKEN))).start()
+        assert (await bench.once(call()))[0] == 200
+        assert (await bench.once(call("invite")))[0] == 502
+        bench.node.write_stats()
+
+    play(scene)
+    start, *_, stats = capsys.readouterr().err.splitlines()
+    assert start.startswith("n0: start tier=0 instances=1 ") and stats.startswith("n0: stats ")
+    figures = dict(pair.split("=") for pair in stats.split()[2:])
+    assert {"concurrency_limit", "gradient", "in_flight", "rq_blocked"} <= figures.keys()
+    counted = {k: v for k, v in figures.items() if k.startswith(("attempts_", "answered_")) or k == "dialled"}
+    assert counted == {
+        "attempts_rejected": "1",
+        "attempts_ok": "1",
+        "attempts_error": "1",
+        "answered_200": "1",
+        "answered_502": "1",
+        "dialled": "1",
+    }
+
+
 def test_clients_beyond_the_budget_are_refused_and_idle_ones_make_room():
     """Failure prevented: more clients than descriptors end the process or stop it from taking anyone."""
 
