Failed attempts add no sample to the gradient's windows

One front box in four answers errors at once. The value 2 comes from GradientController.failure(): once more than 5% of the calls were lost, each further failed call was booked as a round-trip of twice the target, so a tenth of quick errors made the p90 "slow" and halved the limit window after window. The design gives a sample to a time-out only; other failed or refused attempts add none.

At fault: balance.py, failure() and its call in settle(). Both are gone; what `lost` does to the floor stays.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -254,13 +254,6 @@
         self.latency_sum += latency
         self.roll(now)
 
-    def failure(self, now: int, klass: int) -> None:
-        """A failed call while the whole subset fails: overload in a window, no measure of min_rtt."""
-        if not self.in_pass:
-            self.sample(now, klass, int(2 * self.target[klass]))
-        elif now >= self.pass_until:
-            self.end_pass(now)
-
     def roll(self, now: int) -> None:
         """Closes the window when it has lasted and holds enough; an empty window changes nothing."""
         age = now - self.window_start
@@ -799,10 +792,6 @@
         self.fail_rate += SMOOTH_ALL * (bad - self.fail_rate)
         if not srv.ejected and outcome != Outcome.REJECTED:
             ctl.lost += SMOOTH_ALL * ((0.0 if ok else 1.0) - ctl.lost)
-            if bad and r is not None and ctl.lost > LOST_MOST:
-                # Failure prevented: the tiers below have lost servers, most calls sink work and come back as
-                # errors, and errors that add no sample leave the limit where it was.
-                ctl.failure(now, r.klass)
         if ok:
             srv.fails_in_row = 0
             if srv.ejected and (srv.trial_out or srv.silent):
