Send a further attempt to a server that the request has not tried

Symptom: after the windows were mended, seconds 10 to 19 still answer 502 to alerts, and 55 to 90 attempts a window are turned away ("full").

Evidence: counters by server and class, and then a line for each call that was turned away, show that all of the 108 rejections are alert-set calls to the last tier; 32 were second or third attempts, and several of those went to the very box that had just turned the call away (3269, 2255, 4454, 6047 within two seconds). It then holds fewer of this copy's calls than the others and wins the draw. The source advises retries on another host. Ruled out: new against kept connections (fresh 50 of 149 turned away, kept 59 of 217) and the size of the body.

At fault: balance.py, draw(): a further attempt drew from all members. It now leaves out those that the request has been sent to, unless there is no other.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -440,6 +440,7 @@
         "begun",
         "held",
         "sent_at",
+        "tried",
     )
 
     def __init__(self, request: int, klass: int, effect: Effect, useful_until: int) -> None:
@@ -454,6 +455,12 @@
         self.begun = False
         self.held = False
         self.sent_at = 0
+        self.tried: list[Server] = []
+
+
+def untried(pool: list[Server], r: Request) -> list[Server]:
+    """Those of the pool that the request has not been sent to; all of them if there is no other."""
+    return [m for m in pool if m not in r.tried] or pool if r.tried else pool
 
 
 class Balancer:
@@ -669,6 +676,7 @@
         if srv.cold_until <= now:
             self.warm_sent += 1
         r.out = srv
+        r.tried.append(srv)
         r.sent_at = now
         r.attempts += 1
         self.actions.send(r.id, srv.id, timeout)
@@ -951,7 +959,11 @@
         self.near = [m for m in self.able if m.zone == self.settings.zone]
 
     def draw(self, now: int, r: Request) -> Server | None:
-        """Two random members; the one with less in flight takes the call."""
+        """Two random members; the one with less in flight takes the call, a further attempt as well.
+
+        Failure prevented: a member that has just turned a call away holds few, wins the draw for its next
+        attempt too and turns it away again. The source, too, tries again on another host where it can.
+        """
         effect = r.effect
         if r.ran_on is not None and effect == Effect.KEYED:
             return self.draw_in_group(now, r)
@@ -964,10 +976,10 @@
                     trial.trial_at = now + EJECT_TIME
                     return trial
         if self.zoned and self.near and self.rng.random() >= self.spill:
-            srv = self.draw_two(now, self.near)
+            srv = self.draw_two(now, untried(self.near, r))
             if srv is not None:
                 return srv
-        return self.draw_two(now, self.able)
+        return self.draw_two(now, untried(self.able, r))
 
     def draw_two(self, now: int, pool: list[Server]) -> Server | None:
         n = len(pool)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -66,6 +66,24 @@
     assert action == "refuse"
 
 
+@pytest.mark.parametrize("outcome", [Outcome.REJECTED, Outcome.ERROR])
+def test_a_further_attempt_goes_to_a_server_not_tried_before(outcome):
+    """The one that has just turned the call away holds the fewest calls and would win the next draw too."""
+    for seed in range(20):
+        node, rec = balancer(4, seed=seed)
+        tried = [ask(node, rec, 0, 1)[2]]
+        for attempt in range(3):
+            ((_, _, server, _),) = end(node, rec, 1000, 1, attempt, tried[-1], outcome)
+            tried.append(server)
+        assert len(set(tried)) == 4
+
+
+def test_with_no_other_server_a_further_attempt_goes_to_the_same():
+    node, rec = balancer(1)
+    _, _, server, _ = ask(node, rec, 0, 1)
+    assert end(node, rec, 1000, 1, 0, server, Outcome.REJECTED)[0][2] == server
+
+
 def test_keyed_repeats_stay_in_the_group_and_window():
     for group, field in ((Group.CELL, "cell"), (Group.ZONE, "zone")):
         entries = [ServerEntry(i + 1, **{field: i % 2}) for i in range(8)]
