Weigh what a server turns away, class by class, in the draw

Evidence: from second 8 to 19 some ten of the twenty boxes of the last tier turn alert-set calls away, each after 515 ms (503, X-Rejected: 1), and serve tile-get as before; the others serve both. By box in that window: 2255 21 turned away of 29, 3181 14 of 17, 3468 19 of 22, 4454 12 of 17; 6488 0 of 48, 2798 0 of 30, 9582 0 of 25. A rejection counted for nothing: not as a failure, not in the round-trip, so these boxes held few alert calls and went on winning draws. The budget for further attempts was spent on them: 45 alerts were given up for want of a token after a rejection and no tile was, each of them an error that the two tiers above try again whole.

Ruled out: a full queue (the same boxes serve tiles at their usual speed), the limit of that tier (nothing refused there), ejection (the boxes are more than a third of the members, and two thirds of their calls are well).

At fault: balance.py, settle() and Server.slowness(). Each server now keeps the smoothed share of calls it turned away for each class, which counts in the draw for that class as a failure rate does.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -345,6 +345,7 @@
         "kind",
         "deviation",
         "fail_rate",
+        "turned_away",
         "fails_in_row",
         "calls",
         "quiet_since",
@@ -379,6 +380,7 @@
         self.ready_at = entry.ready_at
         self.deviation = Average(1.0, PRIOR, SMOOTH)  # this server's round-trips, relative to its kind's
         self.fail_rate = 0.0
+        self.turned_away: dict[int, float] = {}  # by class, the share of calls rejected unseen, smoothed
         self.fails_in_row = 0
         self.calls = 0
         self.silent = False
@@ -388,23 +390,25 @@
         self.tokens = 0.0
         self.tokens_at = 0
 
-    def slowness(self, now: int, mean_rtt: float) -> float:
+    def slowness(self, now: int, klass: int, mean_rtt: float) -> float:
         """The round-trip expected of it, relative to the mean: by its kind, its own past and its failures.
 
         Failure prevented: a member once found slow is never drawn again, so its estimate is never renewed.
         What is its own fades while no outcome comes.
+        Failure prevented: a member that turns away one class alone holds few of its calls and wins draws.
         """
         fade = max(0.0, 1 - (now - self.quiet_since) / FADE)
-        own = self.deviation.value * (1 + FAIL_WEIGHT * self.fail_rate)
+        failing = self.fail_rate + self.turned_away.get(klass, 0.0)
+        own = self.deviation.value * (1 + FAIL_WEIGHT * failing)
         slowness = self.kind.value * (1 + (own - 1) * fade)
         if self.in_flight and now - self.quiet_since > mean_rtt:
             # Failure prevented: a member that has just turned slow looks as before until its calls come back.
             slowness *= (now - self.quiet_since) / mean_rtt
         return slowness
 
-    def load(self, now: int, mean_rtt: float) -> float:
+    def load(self, now: int, klass: int, mean_rtt: float) -> float:
         """Calls in flight, this one included, in expected time: the draw's measure."""
-        return (self.in_flight + 1) * self.slowness(now, mean_rtt)
+        return (self.in_flight + 1) * self.slowness(now, klass, mean_rtt)
 
 
 class Tenant:
@@ -794,6 +798,9 @@
             self.mean_rtt[klass] = self.rtt[klass].value
             if now - self.spill_at >= WINDOW:
                 self.each_window(now)
+        if r is not None:
+            away = srv.turned_away.get(r.klass, 0.0)
+            srv.turned_away[r.klass] = away + SMOOTH * (float(outcome == Outcome.REJECTED) - away)
         srv.calls += 1
         bad = 0.0 if ok or outcome in (Outcome.TIMEOUT, Outcome.REJECTED) else 1.0
         srv.fail_rate += SMOOTH * (bad - srv.fail_rate)
@@ -976,12 +983,12 @@
                     trial.trial_at = now + EJECT_TIME
                     return trial
         if self.zoned and self.near and self.rng.random() >= self.spill:
-            srv = self.draw_two(now, untried(self.near, r))
+            srv = self.draw_two(now, r.klass, untried(self.near, r))
             if srv is not None:
                 return srv
-        return self.draw_two(now, untried(self.able, r))
+        return self.draw_two(now, r.klass, untried(self.able, r))
 
-    def draw_two(self, now: int, pool: list[Server]) -> Server | None:
+    def draw_two(self, now: int, klass: int, pool: list[Server]) -> Server | None:
         n = len(pool)
         if n == 0:
             return None
@@ -989,9 +996,9 @@
             return pool[0] if self.may_send(now, pool[0]) else None
         mean = min(self.mean_rtt)
         for _ in range(3):
-            a = self.pick(now, pool, mean)
-            b = self.pick(now, pool, mean, a)
-            if b.load(now, mean) < a.load(now, mean):
+            a = self.pick(now, klass, pool, mean)
+            b = self.pick(now, klass, pool, mean, a)
+            if b.load(now, klass, mean) < a.load(now, klass, mean):
                 a, b = b, a
             b_silent = self.is_silent(now, b)
             if not self.is_silent(now, a) and self.may_send(now, a):
@@ -1003,7 +1010,9 @@
                 return a
         return None
 
-    def pick(self, now: int, pool: list[Server], mean: float, other: Server | None = None) -> Server:
+    def pick(
+        self, now: int, klass: int, pool: list[Server], mean: float, other: Server | None = None
+    ) -> Server:
         """A random member but `other`. One slower than the mean is passed over as often as it is slower.
 
         Failure prevented: of few members two slow ones are drawn together each few calls, and what one of
@@ -1012,7 +1021,7 @@
         while True:
             for _ in range(PICK_TRIES):
                 srv = pool[int(self.rng.random() * len(pool))]
-                if srv is not other and self.rng.random() * srv.slowness(now, mean) < 1:
+                if srv is not other and self.rng.random() * srv.slowness(now, klass, mean) < 1:
                     return srv
             if srv is not other:
                 return srv
@@ -1036,7 +1045,7 @@
                 and m.cell == first.cell
             )
         ]
-        return self.draw_two(now, pool)
+        return self.draw_two(now, r.klass, pool)
 
     def is_silent(self, now: int, srv: Server) -> bool:
         """Ejects a member that holds calls and has answered none for several mean round-trips.
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -389,8 +389,8 @@
     slow, quick = node.members
     slow.in_flight, slow.quiet_since = 1, 0
     quick.in_flight, quick.quiet_since = 2, 900_000
-    assert slow.load(300_000, 250_000.0) < quick.load(1_000_000, 250_000.0)
-    assert slow.load(1_000_000, 250_000.0) > quick.load(1_000_000, 250_000.0)
+    assert slow.load(300_000, 0, 250_000.0) < quick.load(1_000_000, 0, 250_000.0)
+    assert slow.load(1_000_000, 0, 250_000.0) > quick.load(1_000_000, 0, 250_000.0)
 
 
 @pytest.mark.usefixtures("wide")
@@ -458,7 +458,24 @@
     node, rec = balancer(4)
     node.servers[1].fail_rate = 0.25
     node.servers[1].quiet_since = 0
-    assert node.servers[1].load(0, 100_000.0) == pytest.approx(3 * node.servers[2].load(0, 100_000.0))
+    assert node.servers[1].load(0, 0, 100_000.0) == pytest.approx(3 * node.servers[2].load(0, 0, 100_000.0))
+
+
+def test_a_member_that_turns_away_one_class_loses_its_draws_and_keeps_the_others():
+    """It holds few calls of that class, so own calls in flight alone would send it most of them."""
+    node, rec = balancer(4)
+    hits = [0, 0]
+    for i in range(600):
+        now, klass = i * 10_000, i % 2
+        _, _, server, _ = ask(node, rec, now, i, klass)
+        if server == 1 and klass == 1:
+            for action in end(node, rec, now + 100, i, 0, 1, Outcome.REJECTED):
+                if action[0] == "send":
+                    end(node, rec, now + 5_000, i, 1, action[2], Outcome.OK, 250_000)
+        else:
+            end(node, rec, now + 5_000, i, 0, server, Outcome.OK, 250_000)
+        hits[klass] += server == 1 and i >= 100
+    assert hits[1] < 15 and hits[0] > 45  # of 250 each; an equal part is 62
 
 
 def test_a_slow_member_does_not_speak_for_the_subset():
@@ -578,7 +595,7 @@
         server = ask(node, rec, now, i)[2]
         end(node, rec, now, i, 0, server, Outcome.OK, 300_000 if server % 2 == 0 else 100_000)
     node.server_list(now, ListKind.CHANGES, [ServerEntry(9, kind=0), ServerEntry(10, kind=1)])
-    assert node.servers[10].load(now, 1e6) > 1.5 * node.servers[9].load(now, 1e6)
+    assert node.servers[10].load(now, 0, 1e6) > 1.5 * node.servers[9].load(now, 0, 1e6)
 
 
 def test_a_keyed_repeat_finds_its_group_beyond_the_subset():
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -246,7 +246,7 @@
 
 
 def repeats_outside_the_group(monkeypatch):
-    monkeypatch.setattr(Balancer, "draw_in_group", lambda self, now, r: self.draw_two(now, self.able))
+    monkeypatch.setattr(Balancer, "draw_in_group", lambda self, now, r: self.draw_two(now, 0, self.able))
 
 
 def ignores_drains(monkeypatch):
