Follow SIGHUP to the discovery address that the replaced file names

Evidence: 129 is 128 + SIGHUP. The platform may replace the configuration file and signal the program; nothing handled the signal, so its default ended the node with what it had taken.

At fault: __main__.py, serve(): only SIGTERM and SIGINT were handled. The file's `discovery` is now read again, past LB_DISCOVERY, which holds at the start only, and the watch goes on at the new address from the version in hand. A file that cannot be read leaves all as it is and writes a line.

--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -21,6 +21,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)  # a second one changes nothing
     node = Node(config, loop)
+    loop.add_signal_handler(signal.SIGHUP, node.reload, os.environ)
 
     def failed(_: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
         node.log_lines.line(f"{context.get('message')}: {context.get('exception')!r}")
--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -55,8 +55,8 @@
     raise ConfigError(f"{what}: not an address of the form host:port")
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Reads `LB_CONFIG`; `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` override what stands there."""
+def read_file(environ: Mapping[str, str]) -> dict[str, Any]:
+    """The object in the file that `LB_CONFIG` names."""
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
@@ -69,6 +69,12 @@
         raise ConfigError("LB_CONFIG: not JSON") from None
     if not isinstance(table, dict):
         raise ConfigError("LB_CONFIG: not an object")
+    return table
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Reads `LB_CONFIG`; `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` override what stands there."""
+    table = read_file(environ)
     for key in ("name", "listen", "discovery"):
         table[key] = environ.get(f"LB_{key.upper()}") or table.get(key)
     try:
@@ -77,6 +83,11 @@
         raise ConfigError(str(e)) from None
 
 
+def load_discovery(environ: Mapping[str, str]) -> Address:
+    """Where discovery is by the file as it stands now; `LB_DISCOVERY` tells only what held at the start."""
+    return read_address(read_file(environ).get("discovery"), "discovery")
+
+
 def read(table: dict[str, Any]) -> Config:
     """A Config from the decoded file. What is missing or impossible is a ValueError or a ConfigError."""
     name, seed = table.get("name"), table.get("seed", "0")
--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -165,6 +165,17 @@
         if self.watching is call:
             self.renew(call)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Goes on at another address at once: the new one tells all that was missed."""
+        self.address = address
+        if self.watching is not None:
+            self.watch(False)
+            self.watch(True)
+        if self.fetching is not None:
+            self.fetching.end()
+            self.fetching = None
+            self.fetch()
+
     def fetch(self) -> None:
         """Asks for the whole list, unless such a call is out already."""
         if self.fetching is None:
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from hashlib import blake2b
 from time import monotonic_ns, time_ns
 from typing import Any
@@ -16,7 +16,7 @@
 from brackenladder.balance import Balancer
 from brackenladder.interface import Effect, ListKind, Outcome, ServerEntry, State
 from brackenladder.net.callers import Caller, Callers, Message
-from brackenladder.net.config import Config
+from brackenladder.net.config import Config, ConfigError, load_discovery
 from brackenladder.net.discovery import Discovery
 from brackenladder.net.listing import Line, Listing
 from brackenladder.net.log import LINES_A_SECOND, STRAYS_A_SECOND, Log
@@ -106,6 +106,16 @@
         self.log_lines.line("stats " + " ".join(f"{name}={value:.4g}" for name, value in figures.items()))
         self.loop.call_later(STATS_EVERY, self.write_stats)
 
+    def reload(self, environ: Mapping[str, str]) -> None:
+        """The configuration file was replaced: of what it tells, only discovery's address can change."""
+        try:
+            address = load_discovery(environ)
+        except ConfigError as e:
+            self.log_lines.line(f"reload: {e}")
+            return
+        self.log_lines.line(f"reload discovery={address[0]}:{address[1]}")
+        self.discovery.move(address)
+
     async def drain(self) -> None:
         """Answers what has been taken, and ends."""
         await self.callers.drain()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -907,6 +907,39 @@
     play(scene)
 
 
+def test_sighup_moves_the_watch_to_the_address_in_the_file(tmp_path, monkeypatch):
+    """Failure prevented: the signal ends the node, or it goes on watching an address that is given up."""
+
+    async def scene():
+        await (old := Server()).start()
+        await (new := Server()).start()
+        await (first := Discovery()).start()
+        await (second := Discovery()).start()
+        monkeypatch.setenv("LB_DISCOVERY", f"127.0.0.1:{first.port}")  # holds at the start only
+        listen = f"127.0.0.1:{(port := free_port())}"
+        limits = settings(discovery="push")
+        process = await spawn(tmp_path, node_table(first.port, limits, listen, old.entry("s0")))
+        await connected(client := Client(port))
+        await until(lambda: bool(first.requests))
+        file = tmp_path / "config.json"
+        for text in ("{", json.dumps(node_table(second.port, limits, listen, old.entry("s0")))):
+            file.write_text(text)
+            process.send_signal(signal.SIGHUP)
+            assert process.stderr is not None
+            line = b"not yet"
+            while line and b" reload" not in line:  # an empty line: it has ended
+                line = await asyncio.wait_for(process.stderr.readline(), 20)
+            assert line
+        await until(lambda: bool(second.requests))
+        second.say(50, True, new.entry("s1"))
+        await until(lambda: len(second.requests) == 2)  # the list was taken and the watch renewed
+        assert (await client.ask(call()))[0] == 200 and len(new.requests) == 1
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), 20) == 0
+
+    play(scene)
+
+
 def test_a_killed_node_starts_again_under_its_address(tmp_path):
     """Failure prevented: what is left of the old process's connections keeps the new one from listening."""
 
