--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -19,7 +19,7 @@
 MOST_HELD = 32 << 20  # bytes of the whole requests that wait or are open, on all connections
 PIPELINED = 8  # whole requests that wait on one connection while an earlier one is open
 REFUSING = 16  # connections at most, of the budget, that are open only to be told that it is spent
-SLOW = 10.0  # seconds in which a request that has begun must have come whole
+SLOW = 2.2  # seconds in which a new connection's request, or one that has begun, must have come whole
 LINGER = 1.0  # seconds in which the client may read a last answer while it is still sending
 BACKLOG = 512
 ACCEPTS = 64  # connections taken in one go
@@ -88,6 +88,7 @@
         self.full = False  # it does not read its answers
         self.paused = False
         self.active = owner.loop.time()
+        self.due: float | None = self.active + SLOW  # when a whole request must have come, if one must
         self.lost = False
 
     # ---- reading --------------------------------------------------------------------------------------
@@ -122,6 +123,8 @@
     def on_message_begin(self) -> None:
         self.partial = Message()
         self.head = 0
+        if self.due is None:
+            self.due = self.owner.loop.time() + SLOW
 
     def on_url(self, url: bytes) -> None:
         if self.partial is not None:
@@ -149,6 +152,7 @@
 
     def on_message_complete(self) -> None:
         message, self.partial = self.partial, None
+        self.due = None
         if message is None or self.deaf:
             return
         message.method = self.parser.get_method()
@@ -288,7 +292,7 @@
         listener.listen(BACKLOG)
         self.listener = listener
         self.listen()
-        self.loop.call_later(SLOW / 4, self.sweep)
+        self.loop.call_later(SLOW / 8, self.sweep)
 
     def listen(self) -> None:
         """Takes connections while there is room for them."""
@@ -358,16 +362,20 @@
             longest.transport.abort()
 
     def sweep(self) -> None:
-        """Ends connections whose request has begun long ago and not come whole."""
+        """Ends connections on which no whole request has come in its time, however busily they send.
+
+        Failure prevented: peers that send nothing, or a request byte by byte, hold descriptors for good.
+        """
         now = self.loop.time()
         for caller in list(self.callers):
-            if now - caller.active > SLOW and caller.open is None and not caller.deaf:
-                if caller.partial is not None:
-                    caller.reject(408)
-                    caller.next()
-                elif caller.refusing and caller.transport is not None:
-                    caller.transport.abort()
-        self.loop.call_later(SLOW / 4, self.sweep)
+            if caller.due is None or now < caller.due or caller.open is not None or caller.deaf:
+                continue
+            if caller.partial is not None:
+                caller.reject(408)
+                caller.next()
+            elif caller.transport is not None and caller.idle():
+                caller.transport.abort()
+        self.loop.call_later(SLOW / 8, self.sweep)
 
     async def drain(self) -> None:
         """Ends the service: all that was taken is answered, and no connection outlives its answer."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,6 +13,7 @@
 from loopback import MOMENT, OK, Bench, Client, Discovery, Server, call, play, settings, until
 
 from brackenladder.interface import ListKind, Outcome
+from brackenladder.net.callers import SLOW
 from brackenladder.net.config import ConfigError, load, read
 from brackenladder.net.servers import Connection, Exchange
 
@@ -24,6 +25,20 @@
 HELD: list[socket.socket] = []
 
 
+class Clock:
+    """An event loop that a test has set to another time."""
+
+    def __init__(self, loop, now):
+        self.loop = loop
+        self.now = now
+
+    def time(self):
+        return self.now
+
+    def __getattr__(self, name):
+        return getattr(self.loop, name)
+
+
 def always(*answers: bytes | None):
     """A handle that gives these answers in turn, the last one for good."""
     left = list(answers)
@@ -1099,13 +1114,34 @@
         client.send(b"GET /view HTTP/1.1\r\nX-Call-Id: 1\r\n")
         await until(lambda: any(c.partial for c in bench.node.callers.callers))
         (caller,) = bench.node.callers.callers
-        caller.active -= 1000  # as if it were long ago
+        client.send(b"X-More: 1\r\n")  # it is still at it
+        caller.due -= 1000  # as if it were long ago
         bench.node.callers.sweep()
         assert (await client.receive())[0] == 408 and await client.ended()
 
     play(scene)
 
 
+def test_a_peer_that_sends_nothing_is_closed_within_three_seconds_and_a_client_is_kept(monkeypatch):
+    """Failure prevented: whoever connects and says nothing holds a descriptor for good."""
+    assert SLOW + SLOW / 8 < 3  # what a peer is owed, counted from its connecting
+
+    async def scene():
+        bench = await Bench(Server()).start()
+        callers = bench.node.callers
+        kept = await bench.client()
+        assert (await kept.ask(call()))[0] == 200
+        silent = await bench.client()
+        await until(lambda: len(callers.callers) == 2 and all(c.transport for c in callers.callers))
+        now = bench.node.loop.time()
+        monkeypatch.setattr(callers, "loop", Clock(bench.node.loop, now + SLOW))
+        callers.sweep()
+        assert await silent.ended()
+        assert (await kept.ask(call()))[0] == 200
+
+    play(scene)
+
+
 def test_now_never_goes_back_and_is_unix_time():
     async def scene():
         bench = await Bench().start()
