Time an attempt out while there is time left for another

Evidence: a line for each attempt that timed out shows them from second 5 to 24 in every tier, on 30 boxes, one at a time ("infl 1") while the same box answers others in 60 to 300 ms; nearly all are first attempts that lasted 1.9 to 2.5 s, that is all of the time left. In 27 of 80 a part of the answer had come (4 to 1,120 bytes) and then nothing. About 1% of the attempts stall so, which in a chain of tiers is a request in fifteen.

Ruled out: the connection (kept ones stall as often as new ones: 63 of 6,066 and 12 of 677), an unwritten rest of the request (unsent is never set), slow or crowded boxes (the same box answers at once meanwhile).

At fault: balance.py, attempt(): the time-out was all the time left, so the further attempt that the class allows never had time. An attempt now has half of the time left, four mean round-trips at the least, as long as a further attempt may follow; the last one has it all.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -668,10 +668,7 @@
         if srv is None:
             self.finish(r, refuse=r.ran_on is None)
             return
-        timeout = r.useful_until - now
-        if srv.aside and r.effect != Effect.UNSAFE:
-            # A trial of an ejected server must not cost the request its whole time.
-            timeout = min(timeout, max(self.settings.tick, int(SILENT_FACTOR * self.mean_rtt[r.klass])))
+        timeout = self.time_out(now, r, srv)
         if srv.in_flight == 0:
             srv.quiet_since = now
         srv.in_flight += 1
@@ -685,6 +682,21 @@
         r.attempts += 1
         self.actions.send(r.id, srv.id, timeout)
 
+    def time_out(self, now: int, r: Request, srv: Server) -> int:
+        """How long this attempt may take: the time left, or less where that leaves room for another.
+
+        Failure prevented: an answer that never comes costs the request its whole time.
+        """
+        left = r.useful_until - now
+        if r.effect == Effect.UNSAFE:
+            return left
+        patience = max(self.settings.tick, int(SILENT_FACTOR * self.mean_rtt[r.klass]))
+        if srv.aside:  # a trial of an ejected server
+            return min(left, patience)
+        if r.attempts + 1 < self.settings.max_attempts and self.retry_tokens >= 1:
+            return min(left, max(left // 2, patience))
+        return left
+
     def after_failure(self, now: int, r: Request, srv: Server | None, outcome: Outcome) -> None:
         """A further attempt where class, time, budget and attempt cap allow it; a final answer otherwise."""
         s = self.settings
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -120,7 +120,7 @@
 
 def test_time_out_at_the_deadline_gets_the_final_answer():
     for klass, answer in ((0, "refuse"), (1, "fail"), (2, "fail")):
-        node, rec = balancer()
+        node, rec = balancer(max_attempts=1)
         _, _, server, timeout = ask(node, rec, 0, 1, klass)
         assert timeout == 3 * SEC
         ((action, *_),) = end(node, rec, timeout, 1, 0, server, Outcome.TIMEOUT, timeout)
@@ -128,6 +128,26 @@
         assert not node.requests
 
 
+def test_an_answer_that_never_comes_leaves_time_for_another_attempt():
+    """Answers that stall on an open connection cost a request its whole time, and then it is failed."""
+    for klass in (0, 1):
+        node, rec = balancer()
+        _, _, first, timeout = ask(node, rec, 0, 1, klass)
+        assert timeout == 3 * SEC // 2
+        ((_, _, second, rest),) = end(node, rec, timeout, 1, 0, first, Outcome.TIMEOUT, timeout)
+        assert second != first and rest == 3 * SEC - timeout
+
+
+def test_an_attempt_has_the_whole_time_where_no_other_can_follow_or_calls_are_long():
+    node, rec = balancer()
+    assert ask(node, rec, 0, 1, 2)[3] == 3 * SEC  # unsafe: never sent again once it may have run
+    node.retry_tokens = 0.0
+    assert ask(node, rec, 0, 2)[3] == 3 * SEC  # the budget is spent
+    node.retry_tokens = 3.0
+    node.mean_rtt[0] = 700_000.0
+    assert ask(node, rec, 0, 3)[3] == 2_800_000  # four means: it may well be on its way
+
+
 def test_a_class_without_late_worth_is_not_waited_for_beyond_its_aim():
     """Late work is waste."""
     klass = ClassSettings(Effect.SAFE, aim=SEC, deadline=3 * SEC, worth=1)
