Tell every refused client when to come back

The protocol lets every 429 and 503 carry the header, and the operators ask that a client that is refused at once be told when to come back.

At fault: config.py, read(), and Node.beyond(). On sockets the module's advice is always written.

The reason is the protocol's.

--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from brackenladder.interface import ListKind, Settings
@@ -117,7 +117,8 @@
         peers=tuple(read_address(p, "peers") for p in fields.items("peers")),
         peers_all=read_address(peers_all, "peers_all") if peers_all else None,
         known=read_listing(known, ListKind.CACHED) if known else None,
-        settings=settings_of(settings.table),
+        # `retry_after` is about the simulator's clients: a 503 on a socket may always carry the header.
+        settings=replace(settings_of(settings.table), retry_after=True),
         classes=tuple(c.text("name") for c in settings.tables("classes")),
         tenants=tuple(t.text("name") for t in settings.tables("tenants", optional=True)),
         zones=tuple(str(z) for z in settings.items("dcs")),
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -259,8 +259,7 @@
 
         Failure prevented: a client that is not told when to come back does so at once.
         """
-        s = self.config.settings
-        caller.answer(503, headers=advice(min(FULL_ADVICE, s.max_retry_after) if s.retry_after else 0))
+        caller.answer(503, headers=advice(min(FULL_ADVICE, self.config.settings.max_retry_after)))
 
     def left(self, caller: Caller) -> None:
         """A client closed its connection with its request open."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -478,6 +478,24 @@
     play(scene)
 
 
+def test_every_refusal_on_a_socket_says_when_to_come_back():
+    """Failure prevented: a client that is refused and told nothing comes back at once."""
+
+    async def scene():
+        limits = {"retry_after": False, "max_open": 1}  # what the simulator's clients hear binds no socket
+        bench = await Bench(server := Server(always(None)), policy_limits=limits).start()
+        (first := await bench.client()).send(call())
+        await until(lambda: len(server.requests) == 1)
+        assert float((await bench.once(call()))[1]["retry-after"]) > 0  # by the node
+        first.writer.close()
+        await until(lambda: not bench.node.requests)
+        bench.node.balancer.controller.in_flight = 1000
+        status, headers, _ = await bench.once(call())  # by the module
+        assert status == 503 and float(headers["retry-after"]) > 0
+
+    play(scene)
+
+
 def test_a_request_without_time_is_not_sent():
     async def scene():
         bench = await Bench(server := Server()).start()
