--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -298,8 +298,11 @@
 
         Failure prevented: a limit that calls never reach is not measured by their latency; it grows without
         end in quiet times, and a burst then meets no limit. It stays near twice the usual calls.
+        Failure prevented: what one copy alone could do with idle members, each of many does, and together
+        they crowd every server. They burst by chance, so the sum grows with the root of their number.
         """
-        return max(self.pass_limit, USUAL_MOST * self.usual + MIN_LIMIT)
+        part = PASS_MEMBER * self.members / sqrt(max(1.0, self.copies))
+        return max(part, USUAL_MOST * self.usual + MIN_LIMIT)
 
     def least(self, age: int) -> float:
         """How far the limit may fall: to what this copy carried while latency was good.
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -125,6 +125,26 @@
     assert c.limit == pytest.approx(2 * 20 + MIN_LIMIT)
 
 
+@pytest.mark.parametrize("copies", [7, 40])
+def test_the_limits_of_many_copies_do_not_add_up_to_a_crowd(copies):
+    """Failure prevented: latency is good for some seconds, and then forty calls a server are let in."""
+    fleet = [controller(1000 * WINDOW, members=10) for _ in range(copies)]
+    usual = 120 / copies  # calls in flight that each carries: twelve a server, all together
+    for c in fleet:
+        c.resize(10, copies)
+        run_pass(c, WINDOW, 1000)
+        c.in_flight = int(usual)
+        for window in range(40):
+            fill(c, WINDOW, start=c.pass_until + window * WINDOW)
+    together = sum(c.limit for c in fleet)
+    assert 120 < together < 1 + max(10 * PASS_MEMBER * sqrt(copies), 2 * 120 + MIN_LIMIT * copies)
+    alone = controller(1000 * WINDOW, members=10)
+    run_pass(alone, WINDOW, 1000)
+    for window in range(40):
+        fill(alone, WINDOW, start=alone.pass_until + window * WINDOW)
+    assert alone.limit == 10 * PASS_MEMBER
+
+
 def test_copies_that_share_servers_share_floor_and_headroom():
     """A floor of three calls a copy lets hundreds of copies keep every server crowded."""
     c = after_pass(limit=4.0)
