Let an attempt take eight mean round-trips before it is cut, not four

Every cut throws away what this tier and all behind it have done, costs a connection and a dial, and its next attempt comes to the same crowd.

At fault: SILENT_FACTOR in Balancer.time_out(). It is the patience for a member that is silent, and it also cut calls to members that answer others. Trials of ejected members keep it; other attempts now have CUT_FACTOR.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -57,6 +57,7 @@
 RATIO_MOST = 8.0  # a round-trip counts as so many times the mean at most
 SMOOTH_ALL = 0.02  # the same for averages over the whole subset
 SILENT_FACTOR = 4  # a member is silent after this many mean round-trips without any outcome
+CUT_FACTOR = 8  # an attempt may take so many mean round-trips before it is cut in favour of another
 EJECT_SHARE = 0.34  # of the members, at most
 EJECT_FAILS = 3  # least failures in a row, or of recent calls, before ejection
 EJECT_RATE = 0.3  # failure rate above the subset's own that ejects
@@ -693,9 +694,12 @@
         left = r.useful_until - now
         if r.effect == Effect.UNSAFE:
             return left
-        patience = max(self.settings.tick, int(SILENT_FACTOR * self.mean_rtt[r.klass]))
+        mean = self.mean_rtt[r.klass]
         if srv.aside:  # a trial of an ejected server
-            return min(left, patience)
+            return min(left, max(self.settings.tick, int(SILENT_FACTOR * mean)))
+        # Failure prevented: in a crowd every copy cuts calls that are half done, their work is lost at this
+        # tier and all behind it, and the next attempts crowd the tier again.
+        patience = max(self.settings.tick, int(CUT_FACTOR * mean))
         if r.attempts + 1 < self.settings.max_attempts and self.retry_tokens >= 1:
             return min(left, max(left // 2, patience))
         return left
