A second address for operators, one life cycle and one drain for the node

The node knew one way to leave, SIGTERM, as a flag of its callers.

net/management.py listens on `management` (LB_MANAGEMENT), with a reserve of descriptors that clients cannot use; of its callers without a whole call the oldest gives way. net/lifecycle.py holds the one stage that /ready, /control/ready, `Connection: close` and the drain go by; net/listener.py is what both listeners share. A drain no longer closes a connection that has not brought its first request: its client may be writing for 2 s. What an ending node takes late gets its last answer before the platform kills the process.

Ruled out: the clients' listener for these calls, since a full budget of clients would shut operators out.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -7,11 +7,13 @@
 import socket
 import termios
 from collections import deque
-from contextlib import suppress
 from typing import Protocol, cast
 
 import httptools
 
+from brackenladder.net.lifecycle import Lifecycle, Stage
+from brackenladder.net.listener import Listener
+
 LARGEST_BODY = 65536
 LARGEST_HEAD = 32768
 SLICE = 8192  # bytes parsed in one go
@@ -21,10 +23,9 @@
 REFUSING = 16  # connections at most, of the budget, that are open only to be told that it is spent
 SLOW = 2.2  # seconds in which a new connection's request, or one that has begun, must have come whole
 LINGER = 1.0  # seconds in which the client may read a last answer while it is still sending
-BACKLOG = 512
 ACCEPTS = 64  # connections taken in one go
 TAKING = 0.5  # seconds after SIGTERM in which new connections are still taken
-SETTLE = 0.2  # seconds in which a connection that was just taken or used may bring its request
+SETTLE = 0.2  # seconds in which a kept connection that was just used may bring its next request
 LOOK = 0.02
 
 REASONS = {
@@ -87,6 +88,7 @@
         self.deaf = False  # nothing further is read from this client
         self.full = False  # it does not read its answers
         self.paused = False
+        self.kept = False  # it has had an answer
         self.active = owner.loop.time()
         self.due: float | None = self.active + SLOW  # when a whole request must have come, if one must
         self.lost = False
@@ -201,7 +203,7 @@
         self.owner.held -= message.size
         if self.transport.is_closing():
             return
-        close = not message.keep or self.refusing or self.owner.draining
+        close = not message.keep or self.refusing or self.owner.life.leaving
         data = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
             status,
             REASONS[status],
@@ -211,6 +213,7 @@
             body,
         )
         self.active = self.owner.loop.time()
+        self.kept = True
         self.transport.write(data)
         if close:
             self.finish()
@@ -247,7 +250,7 @@
             self.owner.held -= self.open.size
             self.open = None
             self.owner.handler.left(self)
-        self.owner.listen()
+        self.owner.listener.look()
 
     def forget(self) -> None:
         """Throws away the requests that wait: they get no answer."""
@@ -271,52 +274,26 @@
 class Callers:
     """The listener and its connections, within a budget of descriptors."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, handler: Handler) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, handler: Handler, life: Lifecycle) -> None:
         self.loop = loop
         self.refusing = min(REFUSING, most // 4)
         self.most = most - self.refusing
         self.handler = handler
+        self.life = life
         self.callers: set[Caller] = set()
-        self.draining = False
+        self.emptying = False
         self.held = 0
-        self.listener: socket.socket | None = None
-        self.listening = False
-
-    def start(self, address: tuple[str, int]) -> None:
-        """Binds and listens. An OSError if the address cannot be had."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind(address)
-        listener.listen(BACKLOG)
-        self.listener = listener
-        self.listen()
+        self.listener = Listener(loop, self.take, self.room, ACCEPTS)
+        self.stop_at = 0.0  # when an ending node stops listening
+
+    def start(self, listener: socket.socket) -> None:
+        """Takes clients from this socket."""
+        self.listener.start(listener)
         self.loop.call_later(SLOW / 8, self.sweep)
 
-    def listen(self) -> None:
-        """Takes connections while there is room for them."""
-        room = self.listener is not None and len(self.callers) < self.most + self.refusing
-        if room and not self.listening:
-            assert self.listener is not None
-            self.listening = True
-            self.loop.add_reader(self.listener.fileno(), self.accept)
-        elif not room and self.listening:
-            assert self.listener is not None
-            self.listening = False
-            self.loop.remove_reader(self.listener.fileno())
-
-    def accept(self) -> None:
-        """Takes what waits in the backlog."""
-        for _ in range(ACCEPTS):
-            if self.listener is None or len(self.callers) >= self.most + self.refusing:
-                break
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:  # none waits, or the one that waited has gone
-                break
-            self.take(connection)
-        self.listen()
+    def room(self) -> bool:
+        """Whether one more connection fits the budget."""
+        return len(self.callers) < self.most + self.refusing
 
     def take(self, connection: socket.socket) -> None:
         """Makes a connection one of ours."""
@@ -327,25 +304,6 @@
         self.callers.add(caller)
         self.loop.create_task(self.attach(caller, connection))
 
-    def stop_listening(self) -> None:
-        """Takes all that waits in the backlog and closes the listener.
-
-        Failure prevented: whoever connects between the last accept and the close is reset, so nothing is
-        done in between.
-        """
-        listener, self.listener = self.listener, None
-        assert listener is not None
-        if self.listening:
-            self.listening = False
-            self.loop.remove_reader(listener.fileno())
-        waiting: list[socket.socket] = []
-        with suppress(OSError):  # none waits any more
-            while len(self.callers) + len(waiting) < self.most + self.refusing:
-                waiting.append(listener.accept()[0])
-        listener.close()
-        for connection in waiting:
-            self.take(connection)
-
     async def attach(self, caller: Caller, connection: socket.socket) -> None:
         try:
             await self.loop.connect_accepted_socket(lambda: caller, connection)
@@ -377,18 +335,32 @@
                 caller.transport.abort()
         self.loop.call_later(SLOW / 8, self.sweep)
 
+    def leave(self) -> None:
+        """The node is leaving: until it is back, no kept connection outlives its answer."""
+        if not self.emptying:
+            self.emptying = True
+            self.empty()
+
+    def empty(self) -> None:
+        """Closes the kept connections that stand idle, and looks again soon.
+
+        A new one keeps its time: its client may have connected before it could know, and be writing yet.
+        """
+        if not self.life.leaving:
+            self.emptying = False
+            return
+        now = self.loop.time()
+        ending = self.life.stage == Stage.ENDING and self.listener.socket is not None
+        if ending and now >= self.stop_at:
+            self.listener.stop()
+        for caller in list(self.callers):
+            if caller.kept and now - caller.active > SETTLE and caller.idle():
+                caller.transport.abort()
+        self.loop.call_later(LOOK, self.empty)
+
     async def drain(self) -> None:
         """Ends the service: all that was taken is answered, and no connection outlives its answer."""
-        self.draining = True
-        stop = self.loop.time() + TAKING
-        while self.listener is not None or self.callers:
-            now = self.loop.time()
-            if self.listener is not None and now >= stop:
-                self.stop_listening()
-            for caller in list(self.callers):
-                settled = now - caller.active > SETTLE
-                # A request that has not come whole long after the last connection was taken is not ours.
-                stuck = caller.open is None and now > stop + LINGER
-                if caller.transport is not None and (settled and caller.idle() or stuck):
-                    caller.transport.abort()
+        self.stop_at = self.loop.time() + TAKING
+        self.leave()
+        while self.listener.socket is not None or self.callers:
             await asyncio.sleep(LOOK)
--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -8,13 +8,13 @@
 from typing import Any
 
 from brackenladder.interface import ListKind, Settings
+from brackenladder.net import management
+from brackenladder.net.listener import Address
 from brackenladder.net.listing import Listing, read_listing
 from brackenladder.settings import COLUMNS, Fields, settings_of
 
-Address = tuple[str, int]
-
 RESERVED_SOCKETS = 32  # the event loop's own, the listener, UDP, discovery, the standard streams
-LEAST_SOCKETS = RESERVED_SOCKETS + 8
+LEAST_CONNECTIONS = 8
 
 
 class ConfigError(Exception):
@@ -28,6 +28,7 @@
     name: str
     listen: Address
     discovery: Address
+    management: Address | None  # where operators call
     seed: int
     connections: int  # descriptors that clients and servers may use together
     peer_listen: Address | None
@@ -73,9 +74,9 @@
 
 
 def load(environ: Mapping[str, str]) -> Config:
-    """Reads `LB_CONFIG`; `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` override what stands there."""
+    """Reads `LB_CONFIG`; `LB_NAME`, `LB_LISTEN`, `LB_DISCOVERY` and `LB_MANAGEMENT` override it."""
     table = read_file(environ)
-    for key in ("name", "listen", "discovery"):
+    for key in ("name", "listen", "discovery", "management"):
         table[key] = environ.get(f"LB_{key.upper()}") or table.get(key)
     try:
         return read(table)
@@ -99,8 +100,10 @@
         raise ConfigError("seed: not a hexadecimal number") from None
     fields = Fields(table)
     sockets = fields.sub("limits", optional=True).whole("sockets", 1024)
-    if sockets < LEAST_SOCKETS:
-        raise ConfigError(f"limits.sockets: at least {LEAST_SOCKETS} are needed")
+    operators = table.get("management")
+    reserved = RESERVED_SOCKETS + (management.RESERVED if operators else 0)
+    if sockets < reserved + LEAST_CONNECTIONS:
+        raise ConfigError(f"limits.sockets: at least {reserved + LEAST_CONNECTIONS} are needed")
     peer_listen, peers_all = table.get("peer_listen"), table.get("peers_all")
     settings = fields.sub("settings")
     limits = settings.sub("policy_limits")
@@ -111,8 +114,9 @@
         name=name,
         listen=read_address(table.get("listen"), "listen"),
         discovery=read_address(table.get("discovery"), "discovery"),
+        management=read_address(operators, "management") if operators else None,
         seed=number,
-        connections=sockets - RESERVED_SOCKETS,
+        connections=sockets - reserved,
         peer_listen=read_address(peer_listen, "peer_listen") if peer_listen else None,
         peers=tuple(read_address(p, "peers") for p in fields.items("peers")),
         peers_all=read_address(peers_all, "peers_all") if peers_all else None,
--- /dev/null
+++ b/brackenladder/net/listener.py
@@ -0,0 +1,93 @@
+"""A listening socket, from which connections are taken while there is room for them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+
+Address = tuple[str, int]
+
+BACKLOG = 512
+
+
+def listening(address: Address) -> socket.socket:
+    """A new listening socket. An OSError if the address cannot be had."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    made = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        made.bind(address)
+        made.listen(BACKLOG)
+    except OSError:
+        made.close()
+        raise
+    return made
+
+
+class Listener:
+    """Hands each connection it takes to `take`, so many in one go at most, while `room` says yes."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        take: Callable[[socket.socket], None],
+        room: Callable[[], bool],
+        at_once: int,
+    ) -> None:
+        self.loop = loop
+        self.take = take
+        self.room = room
+        self.at_once = at_once
+        self.socket: socket.socket | None = None
+        self.reading = False
+
+    def start(self, listener: socket.socket) -> None:
+        """Takes connections from this socket from now on."""
+        listener.setblocking(False)
+        self.socket = listener
+        self.look()
+
+    def look(self) -> None:
+        """Listens while there is room, and only then."""
+        room = self.socket is not None and self.room()
+        if room and not self.reading:
+            assert self.socket is not None
+            self.reading = True
+            self.loop.add_reader(self.socket.fileno(), self.accept)
+        elif not room:
+            self.pause()
+
+    def pause(self) -> None:
+        """Leaves what comes from now on in the queue."""
+        if self.reading:
+            assert self.socket is not None
+            self.reading = False
+            self.loop.remove_reader(self.socket.fileno())
+
+    def accept(self) -> None:
+        """Takes what waits in the queue."""
+        for _ in range(self.at_once):
+            if self.socket is None or not self.room():
+                break
+            try:
+                connection, _ = self.socket.accept()
+            except OSError:  # none waits, or the one that waited has gone
+                break
+            self.take(connection)
+        self.look()
+
+    def stop(self) -> None:
+        """Takes all that waits in the queue and closes the socket.
+
+        Failure prevented: whoever connects between the last accept and the close is reset, so nothing is
+        done in between.
+        """
+        self.pause()
+        listener, self.socket = self.socket, None
+        assert listener is not None
+        with suppress(OSError):  # none waits any more
+            while self.room():
+                self.take(listener.accept()[0])
+        listener.close()
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -19,11 +19,16 @@
 from brackenladder.net.callers import Caller, Callers, Message
 from brackenladder.net.config import Config, ConfigError, load_discovery
 from brackenladder.net.discovery import Discovery
+from brackenladder.net.lifecycle import Lifecycle
+from brackenladder.net.listener import listening
 from brackenladder.net.listing import Line, Listing
 from brackenladder.net.log import LINES_A_SECOND, STRAYS_A_SECOND, Log
+from brackenladder.net.management import Management, Paths
 from brackenladder.net.peers import Peers
 from brackenladder.net.servers import Answer, Endpoint, Exchange, Pool
 
+LONGEST = 3_000_000  # after SIGTERM the platform waits for the longest deadline, for so long at most...
+LAST = 500_000  # ...and 0.7 s more; so long into that, a request that came late must have its answer
 GUARD = 10_000  # after the deadline: a request that the module has left open is failed
 FULL_ADVICE = 500_000  # after so long there may be room again for a client that found none
 PUSH_RETRY = 0.1  # seconds, half to one and a half of them, before a silent agent is asked again
@@ -68,6 +73,7 @@
         self.requests: dict[int, Open] = {}
         self.by_caller: dict[Caller, Open] = {}
         self.last_id = 0
+        self.last_answer: int | None = None  # when an ending node gives its last answer
         self.guarded = 0
         self.classes = {name.encode(): i for i, name in enumerate(config.classes)}
         self.tenants = {name.encode(): i for i, name in enumerate(config.tenants)}
@@ -75,20 +81,23 @@
         self.kinds = {name: i for i, name in enumerate(config.kinds)}
         half = config.connections // 2
         self.pool = Pool(loop, half, config.connect_timeout, config.idle_time)
-        self.callers = Callers(loop, config.connections - half, self)
+        self.life = Lifecycle(self.log_lines)
+        self.callers = Callers(loop, config.connections - half, self, self.life)
+        self.management = Management(loop, self.paths(), self.log_lines.line)
         version = config.known.version if config.known else 0
         self.rng = Random(f"node {config.seed}")  # apart from the module's
         self.discovery = Discovery(loop, config.discovery, version, self.told, strays, self.rng)
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
         self.balancer = Balancer(config.settings, config.seed, self)
-        self.listed = False
         self.counts: Counter[str] = Counter()  # attempts by outcome and answers by status, in all
 
     async def start(self) -> None:
         """Begins to serve. An OSError if an address cannot be had."""
         if self.config.settings.peers and self.config.peer_listen is not None:
             await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
-        self.callers.start(self.config.listen)
+        if self.config.management is not None:
+            self.management.start(self.config.management)
+        self.callers.start(listening(self.config.listen))
         c = self.config
         self.log_lines.line(
             f"start tier={c.settings.tier} instances={c.settings.instances} connections={c.connections}"
@@ -118,8 +127,33 @@
         self.log_lines.line(f"reload discovery={address[0]}:{address[1]}")
         self.discovery.move(address)
 
+    def paths(self) -> Paths:
+        """What operators may call."""
+        return {
+            b"/control/ready": (b"GET", self.ready),
+            b"/control/out-of-service": (b"PUT", self.take_out),
+            b"/control/in-service": (b"PUT", self.take_back),
+        }
+
+    def ready(self) -> tuple[int, bytes]:
+        """Whether this process takes clients."""
+        return 200 if self.life.serving else 503, self.life.stage.value.encode() + b"\n"
+
+    def take_out(self) -> tuple[int, bytes]:
+        """Empties the node; it runs on."""
+        self.life.take_out()
+        self.callers.leave()
+        return 200, self.life.stage.value.encode() + b"\n"
+
+    def take_back(self) -> tuple[int, bytes]:
+        """Takes clients again. A node that ends has no way back."""
+        return 200 if self.life.take_back() else 409, self.life.stage.value.encode() + b"\n"
+
     async def drain(self) -> None:
         """Answers what has been taken, and ends."""
+        self.life.end()
+        longest = max(c.deadline for c in self.config.settings.classes)
+        self.last_answer = self.now() + min(longest, LONGEST) + LAST
         await self.callers.drain()
         self.discovery.close()
         if self.guarded:
@@ -169,7 +203,7 @@
             self.place(number, line)
         for number in [n for n, e in endpoints.items() if not e.ready and not e.busy]:
             del endpoints[number]
-        self.listed = True
+        self.life.list_came()
         if listing.lines:
             states = Counter(line.state.name.lower() for line in latest.values())
             told = " ".join(f"{state}={count}" for state, count in states.items())
@@ -232,7 +266,7 @@
             elif message.method != b"GET":
                 caller.answer(405, headers=b"Allow: GET\r\n")
             else:
-                caller.answer(200 if self.listed and not self.callers.draining else 503)
+                caller.answer(200 if self.life.serving else 503)
             return
         effect = self.config.settings.classes[klass].effect
         if message.method != METHODS[effect]:
@@ -254,6 +288,9 @@
             self.beyond(caller)
             return
         left = int(budget) * 1000
+        if self.last_answer is not None:
+            # Failure prevented: the process is killed with a request that it took while it was ending.
+            left = min(left, max(0, self.last_answer - now))
         self.last_id += 1
         request = Open(self.last_id, caller, message, klass, now + left)
         self.requests[request.id] = self.by_caller[caller] = request
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import json
+import os
+import socket
+import sys
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -215,8 +218,8 @@
         }
         self.node = Node(read(table | self.config), asyncio.get_running_loop())
         await self.node.start()
-        assert self.node.callers.listener is not None
-        self.port = self.node.callers.listener.getsockname()[1]
+        assert self.node.callers.listener.socket is not None
+        self.port = self.node.callers.listener.socket.getsockname()[1]
         return self
 
     async def client(self) -> Client:
@@ -245,3 +248,80 @@
             await scene()
 
     uvloop.run(limited())
+
+
+HELD: list[socket.socket] = []
+
+
+class Clock:
+    """An event loop that a test has set to another time."""
+
+    def __init__(self, loop, now):
+        self.loop = loop
+        self.now = now
+
+    def time(self):
+        return self.now
+
+    def __getattr__(self, name):
+        return getattr(self.loop, name)
+
+
+def always(*answers: bytes | None):
+    """A handle that gives these answers in turn, the last one for good."""
+    left = list(answers)
+
+    async def handle(request, writer):
+        return left.pop(0) if len(left) > 1 else left[0]
+
+    return handle
+
+
+def record_outcomes(bench):
+    """The outcomes that the module is told from here on."""
+    outcomes = []
+    told = bench.node.balancer.outcome
+
+    def outcome(now, request, attempt, server, outcome, *rest):
+        outcomes.append(outcome)
+        told(now, request, attempt, server, outcome, *rest)
+
+    bench.node.balancer.outcome = outcome
+    return outcomes
+
+
+def node_table(discovery: int, given: dict, listen: str = "127.0.0.1:0", *servers: dict) -> dict:
+    known = {"version": 1, "full": True, "servers": list(servers)}
+    table = {"name": "n0", "listen": listen, "discovery": f"127.0.0.1:{discovery}", "seed": "1f"}
+    return table | {"limits": {"sockets": 256}, "known": known, "settings": given}
+
+
+def free_port() -> int:
+    """A port that nobody else is given: it stays bound, which does not keep a node from listening there."""
+    s = socket.socket()
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    s.bind(("127.0.0.1", 0))
+    HELD.append(s)
+    return s.getsockname()[1]
+
+
+async def connected(client: Client) -> None:
+    """Connects as soon as the node listens."""
+    while True:
+        try:
+            await client.open()
+            return
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.01)
+
+
+async def spawn(tmp_path, table: dict) -> asyncio.subprocess.Process:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(table))
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "brackenladder",
+        env=os.environ | {"LB_CONFIG": str(file)},
+        stderr=asyncio.subprocess.PIPE,
+    )
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,220 @@
+"""Where operators call: the second address, the node's stages and its drain, on loopback sockets."""
+
+import asyncio
+
+import pytest
+from loopback import (
+    Bench,
+    Client,
+    Clock,
+    Discovery,
+    Server,
+    always,
+    call,
+    free_port,
+    node_table,
+    play,
+    settings,
+    spawn,
+    until,
+)
+
+from brackenladder.net import management
+from brackenladder.net.config import ConfigError, read
+
+READY = b"GET /ready HTTP/1.1\r\n\r\n"
+OPERATED = {"management": "127.0.0.1:0"}
+
+
+async def operate(bench: Bench, path: str, method: str = "GET") -> tuple[int, dict[str, str], bytes]:
+    """One operator's call, on a connection of its own that the node ends."""
+    assert bench.node.management.listener.socket is not None
+    client = await Client(bench.node.management.listener.socket.getsockname()[1]).open()
+    answer = await client.ask(f"{method} {path} HTTP/1.1\r\nHost: m\r\n\r\n".encode())
+    assert await client.ended()
+    client.writer.close()
+    return answer
+
+
+def test_each_call_is_answered_and_its_connection_ended():
+    async def scene():
+        bench = await Bench(Server(), config=OPERATED).start()
+        assert (await operate(bench, "/control/ready"))[0] == 200
+        assert (await operate(bench, "/control/nothing"))[0] == 404
+        status, headers, _ = await operate(bench, "/control/out-of-service")
+        assert (status, headers["allow"]) == (405, "PUT")
+        assert (await operate(bench, "/control/ready", "PUT"))[0] == 405
+        assert bench.node.life.serving
+        port = bench.node.management.listener.socket.getsockname()[1]
+        client = await Client(port).open()
+        assert (await client.ask(b"nonsense\r\n\r\n"))[0] == 400 and await client.ended()
+        client = await Client(port).open()
+        assert (await client.ask(b"GET /" + b"x" * 9000))[0] == 413 and await client.ended()
+        await until(lambda: bench.node.management.open == 0)
+
+    play(scene)
+
+
+def test_ready_says_no_until_there_is_a_list():
+    async def scene():
+        bench = await Bench(server := Server(), config=OPERATED | {"known": None}).start()
+        assert (await operate(bench, "/control/ready"))[0] == 503
+        bench.discovery.say(42, True, server.entry("s0"))
+        await until(lambda: bench.node.life.serving)
+        assert (await operate(bench, "/control/ready"))[0] == 200
+
+    play(scene)
+
+
+def test_callers_that_say_nothing_and_a_crowd_of_clients_shut_no_operator_out():
+    """Failure prevented: whoever connects first and stays holds all the descriptors that there are."""
+
+    async def scene():
+        bench = await Bench(Server(), config=OPERATED | {"limits": {"sockets": 64}}).start()
+        callers, operators = bench.node.callers, bench.node.management
+        crowd = []
+        for _ in range(callers.most + callers.refusing):
+            crowd.append(await bench.client())
+            crowd[-1].send(b"GET /ready HTTP/1.1\r\n")
+            await until(lambda: sum(c.partial is not None for c in callers.callers) == len(crowd))
+        port = operators.listener.socket.getsockname()[1]
+        silent = [await Client(port).open() for _ in range(3 * management.MOST)]
+        assert (await operate(bench, "/control/ready"))[0] == 200
+        assert await silent[0].ended()  # the oldest gave way
+        assert operators.open <= management.MOST + management.ACCEPTS
+
+    play(scene)
+
+
+def test_a_call_that_never_comes_whole_is_given_up(monkeypatch):
+    async def scene():
+        monkeypatch.setattr(management, "PATIENCE", 0.0)
+        bench = await Bench(Server(), config=OPERATED).start()
+        port = bench.node.management.listener.socket.getsockname()[1]
+        client = await Client(port).open()
+        assert (await client.receive())[0] == 408 and await client.ended()
+
+    play(scene)
+
+
+def test_a_failure_in_a_call_is_that_call_s_alone():
+    async def scene():
+        bench = await Bench(Server(), config=OPERATED).start()
+        bench.node.life.take_out = None
+        assert (await operate(bench, "/control/out-of-service", "PUT"))[0] == 500
+        assert (await operate(bench, "/control/ready"))[0] == 200
+
+    play(scene)
+
+
+def test_a_node_taken_out_of_service_empties_and_can_be_taken_back():
+    """Failure prevented: the front goes on sending clients, or those that are there stay for good."""
+
+    async def scene():
+        release = asyncio.Event()
+
+        async def held(request, writer):
+            await release.wait()
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+        bench = await Bench(server := Server(), config=OPERATED).start()
+        idle, busy = await bench.client(), await bench.client()
+        for client in (idle, busy):
+            assert (await client.ask(call()))[0] == 200
+        server.handle = held
+        busy.send(call())
+        await until(lambda: len(server.requests) == 3)
+        for _ in range(2):  # said twice is a yes as well
+            assert (await operate(bench, "/control/out-of-service", "PUT"))[0] == 200
+        assert (await operate(bench, "/control/ready"))[0] == 503
+        assert await idle.ended()
+        status, headers, _ = await bench.once(READY)
+        assert status == 503 and headers["connection"] == "close"
+        late = await bench.client()  # of the moments after the first no
+        late.send(call())
+        await until(lambda: len(server.requests) == 4)
+        release.set()
+        for client in (busy, late):
+            status, headers, _ = await client.receive()
+            assert (status, headers["connection"]) == (200, "close") and await client.ended()
+            client.writer.close()
+        await until(lambda: not bench.node.callers.callers)
+
+        for _ in range(2):
+            assert (await operate(bench, "/control/in-service", "PUT"))[0] == 200
+        assert (await operate(bench, "/control/ready"))[0] == 200
+        back = await bench.client()
+        assert (await back.ask(READY))[0] == 200
+        status, headers, _ = await back.ask(call())
+        assert status == 200 and "connection" not in headers
+        await until(lambda: not bench.node.callers.emptying)
+
+    play(scene)
+
+
+def test_a_drain_does_not_close_a_connection_that_has_yet_to_bring_its_first_request(monkeypatch):
+    """Failure prevented: a client that connected in the moments after the first no, and takes its time to
+    write, is cut off."""
+
+    async def scene():
+        bench = await Bench(Server(), config=OPERATED).start()
+        kept, new = await bench.client(), await bench.client()
+        assert (await kept.ask(call()))[0] == 200
+        callers = bench.node.callers
+        await until(lambda: len(callers.callers) == 2 and all(c.transport for c in callers.callers))
+        monkeypatch.setattr(callers, "loop", Clock(bench.node.loop, bench.node.loop.time() + 1.0))
+        bench.node.take_out()
+        assert await kept.ended()
+        assert (await new.ask(call()))[0] == 200
+
+    play(scene)
+
+
+def test_an_ending_node_answers_what_came_late_before_it_is_killed():
+    """Failure prevented: a request taken after SIGTERM has time left when the platform kills the process."""
+
+    async def scene():
+        bench = await Bench(server := Server(always(None)), config=OPERATED).start()
+        client = await bench.client()
+        assert (await client.ask(READY))[0] == 200
+        drain = asyncio.create_task(bench.node.drain())
+        await until(lambda: bench.node.last_answer is not None)
+        assert (await operate(bench, "/control/in-service", "PUT"))[0] == 409
+        client.send(call("invite", budget=19000))
+        await until(lambda: len(server.requests) == 1)
+        assert int(server.requests[0].headers["x-budget-ms"]) <= 3500
+        (request,) = bench.node.requests.values()
+        bench.node.expire(request)
+        assert (await client.receive())[0] == 504
+        client.writer.close()
+        await asyncio.wait_for(drain, 20)
+
+    play(scene)
+
+
+def test_where_no_second_address_is_named_there_is_none():
+    async def scene():
+        bench = await Bench(Server()).start()
+        assert bench.node.management.listener.socket is None
+
+    play(scene)
+
+
+def test_a_second_address_that_cannot_be_had_ends_the_start_with_one_plain_line(tmp_path):
+    async def scene():
+        await (discovery := Discovery()).start()
+        table = node_table(discovery.port, settings(), f"127.0.0.1:{free_port()}")
+        process = await spawn(tmp_path, table | {"management": f"127.0.0.1:{discovery.port}"})
+        _, errors = await process.communicate()
+        assert process.returncode == 1
+        assert errors.startswith(b"brackenladder: ") and errors.count(b"\n") == 1
+
+    play(scene)
+
+
+def test_the_second_address_has_descriptors_of_its_own():
+    table = node_table(1, settings())
+    without, with_one = read(table), read(table | OPERATED)
+    assert without.connections - with_one.connections == management.RESERVED
+    with pytest.raises(ConfigError, match=r"limits\.sockets"):
+        read(table | OPERATED | {"limits": {"sockets": 32 + management.RESERVED}})
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,14 +5,31 @@
 import os
 import signal
 import socket
-import sys
 import time
 from contextlib import ExitStack, contextmanager
 from random import Random
 from types import SimpleNamespace
 
 import pytest
-from loopback import MOMENT, OK, Bench, Client, Discovery, Server, call, play, settings, until
+from loopback import (
+    MOMENT,
+    OK,
+    Bench,
+    Client,
+    Clock,
+    Discovery,
+    Server,
+    always,
+    call,
+    connected,
+    free_port,
+    node_table,
+    play,
+    record_outcomes,
+    settings,
+    spawn,
+    until,
+)
 
 from brackenladder.interface import ListKind, Outcome
 from brackenladder.net import discovery as node_discovery
@@ -25,33 +42,6 @@
 BROKEN = b"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\noops"
 
 
-HELD: list[socket.socket] = []
-
-
-class Clock:
-    """An event loop that a test has set to another time."""
-
-    def __init__(self, loop, now):
-        self.loop = loop
-        self.now = now
-
-    def time(self):
-        return self.now
-
-    def __getattr__(self, name):
-        return getattr(self.loop, name)
-
-
-def always(*answers: bytes | None):
-    """A handle that gives these answers in turn, the last one for good."""
-    left = list(answers)
-
-    async def handle(request, writer):
-        return left.pop(0) if len(left) > 1 else left[0]
-
-    return handle
-
-
 MANY_LINES = b"GET /view HTTP/1.1\r\n" + b"a: b\r\n" * 1000
 
 
@@ -218,7 +208,7 @@
         bench = await Bench(server := Server(), config={"known": None}).start()
         assert (await bench.once(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 503
         bench.discovery.say(42, True, server.entry("s0"))
-        await until(lambda: bench.node.listed)
+        await until(lambda: bench.node.life.serving)
         assert (await bench.once(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 200
 
     play(scene)
@@ -321,7 +311,7 @@
         bench = await Bench(whole := Server(), config={"known": None}).start()
         entry = whole.entry("half", addr=f"127.0.0.1:{listener.getsockname()[1]}")
         bench.discovery.say(42, True, entry)
-        await until(lambda: bench.node.listed)
+        await until(lambda: bench.node.life.serving)
         outcomes = record_outcomes(bench)
         client = await bench.client()
         client.send(call("invite", body=b"x" * 65536))
@@ -335,19 +325,6 @@
     play(scene)
 
 
-def record_outcomes(bench):
-    """The outcomes that the module is told from here on."""
-    outcomes = []
-    told = bench.node.balancer.outcome
-
-    def outcome(now, request, attempt, server, outcome, *rest):
-        outcomes.append(outcome)
-        told(now, request, attempt, server, outcome, *rest)
-
-    bench.node.balancer.outcome = outcome
-    return outcomes
-
-
 def test_a_time_out_ends_the_attempt_and_its_connection():
     """Failure prevented: a late answer on a connection that is used again is taken for another request's."""
 
@@ -593,7 +570,7 @@
     async def scene():
         bench = await Bench(going := Server(), staying := Server(), config={"known": None}).start()
         bench.discovery.say(42, True, going.entry("s0"))
-        await until(lambda: bench.node.listed)
+        await until(lambda: bench.node.life.serving)
         start = bench.node.balancer.request
 
         def request(*args):
@@ -709,7 +686,7 @@
         bench = await Bench(server := Server(), discovery="push", config={"known": None}).start()
         bench.discovery.raw(b"", b"503 Busy")
         bench.discovery.say(42, True, server.entry("s0"))
-        await until(lambda: bench.node.listed)
+        await until(lambda: bench.node.life.serving)
         assert (await bench.once(call()))[0] == 200
 
     play(scene)
@@ -884,43 +861,6 @@
         read(node_table(0, settings(policy_limits={"max_attempts": None})))
 
 
-def node_table(discovery: int, given: dict, listen: str = "127.0.0.1:0", *servers: dict) -> dict:
-    known = {"version": 1, "full": True, "servers": list(servers)}
-    table = {"name": "n0", "listen": listen, "discovery": f"127.0.0.1:{discovery}", "seed": "1f"}
-    return table | {"limits": {"sockets": 256}, "known": known, "settings": given}
-
-
-def free_port() -> int:
-    """A port that nobody else is given: it stays bound, which does not keep a node from listening there."""
-    s = socket.socket()
-    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    s.bind(("127.0.0.1", 0))
-    HELD.append(s)
-    return s.getsockname()[1]
-
-
-async def connected(client: Client) -> None:
-    """Connects as soon as the node listens."""
-    while True:
-        try:
-            await client.open()
-            return
-        except ConnectionRefusedError:
-            await asyncio.sleep(0.01)
-
-
-async def spawn(tmp_path, table: dict) -> asyncio.subprocess.Process:
-    file = tmp_path / "config.json"
-    file.write_text(json.dumps(table))
-    return await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "brackenladder",
-        env=os.environ | {"LB_CONFIG": str(file)},
-        stderr=asyncio.subprocess.PIPE,
-    )
-
-
 def test_the_program_says_what_it_cannot_start_with(tmp_path):
     async def scene():
         process = await spawn(tmp_path, {"name": "n0"})
@@ -1041,7 +981,7 @@
         await until(lambda: len(server.requests) == 2)
         with socket.create_connection(("127.0.0.1", bench.port)) as waiting:  # the loop has not seen it
             waiting.settimeout(20)
-            callers.stop_listening()
+            callers.listener.stop()
             waiting.send(call("invite"))
             await until(lambda: len(server.requests) == 3)
             with pytest.raises(ConnectionRefusedError):
@@ -1090,7 +1030,7 @@
         await until(lambda: answers > 200)
         drain = asyncio.create_task(bench.node.drain())
         await until(lambda: last > 200)
-        bench.node.callers.stop_listening()
+        bench.node.callers.listener.stop()
         await asyncio.wait_for(asyncio.gather(*crowd, drain), 20)
 
     play(scene)
