Counters for operators, raised where a request or attempt ends

net/counters.py counts a request at its one final answer, also a refusal for want of room, and an attempt when its last byte has left the process (Connection.resume_writing, or begin where the kernel took it at once). What is true now (open requests, the list, servers set aside) is read when asked for.

Ruled out: the counts of the log (answered_200, ...), which know no class; Prometheus' client library, for its memory.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -66,7 +66,7 @@
     def message(self, caller: Caller, message: Message) -> None:
         """A whole request; `caller.answer` must be called once for it."""
 
-    def beyond(self, caller: Caller) -> None:
+    def beyond(self, caller: Caller, message: Message) -> None:
         """A request for which there is no room; `caller.answer` must be called once for it."""
 
     def left(self, caller: Caller) -> None:
@@ -187,7 +187,7 @@
             self.paused = False
             self.transport.resume_reading()
         if self.refusing or message.error == 503:
-            self.owner.handler.beyond(self)
+            self.owner.handler.beyond(self, message)
         elif message.error:
             self.answer(message.error)
         else:
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -18,6 +18,7 @@
 from brackenladder.interface import Effect, ListKind, Outcome, ServerEntry, State
 from brackenladder.net.callers import Caller, Callers, Message
 from brackenladder.net.config import Config, ConfigError, load_discovery
+from brackenladder.net.counters import Counters
 from brackenladder.net.discovery import Discovery
 from brackenladder.net.lifecycle import Lifecycle
 from brackenladder.net.listener import listening
@@ -89,6 +90,8 @@
         self.discovery = Discovery(loop, config.discovery, version, self.told, strays, self.rng)
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
         self.balancer = Balancer(config.settings, config.seed, self)
+        self.counters = Counters(config.classes)
+        self.states: dict[int, State] = {}  # of the servers in the list
         self.counts: Counter[str] = Counter()  # attempts by outcome and answers by status, in all
 
     async def start(self) -> None:
@@ -131,6 +134,7 @@
         """What operators may call."""
         return {
             b"/control/ready": (b"GET", self.ready),
+            b"/control/counters": (b"GET", self.figures),
             b"/control/out-of-service": (b"PUT", self.take_out),
             b"/control/in-service": (b"PUT", self.take_back),
         }
@@ -139,6 +143,12 @@
         """Whether this process takes clients."""
         return 200 if self.life.serving else 503, self.life.stage.value.encode() + b"\n"
 
+    def figures(self) -> tuple[int, bytes]:
+        """The counters, and what holds now."""
+        draining = sum(state != State.READY for state in self.states.values())
+        avoided = draining + int(self.balancer.stats()["ejected"])
+        return 200, self.counters.text(len(self.by_caller), len(self.states), avoided)
+
     def take_out(self) -> tuple[int, bytes]:
         """Empties the node; it runs on."""
         self.life.take_out()
@@ -196,6 +206,7 @@
         latest = {number_of(line.id): line for line in listing.lines}  # a server twice: the last holds
         endpoints = self.pool.endpoints
         if listing.kind != ListKind.CHANGES:
+            self.states.clear()
             for number, endpoint in endpoints.items():
                 if number not in latest:
                     endpoint.retire()
@@ -213,6 +224,9 @@
 
     def place(self, number: int, line: Line) -> None:
         """Takes note of a server's address and state; connections to an old process are of no use."""
+        self.states[number] = line.state
+        if line.state == State.GONE:
+            del self.states[number]
         endpoint = self.pool.endpoints.get(number)
         if line.state != State.READY:
             if endpoint is not None:
@@ -255,13 +269,17 @@
             self.log_lines.line(f"request: {type(e).__name__}: {e}")
             caller.answer(500)
 
+    def class_of(self, message: Message) -> int | None:
+        """The class that the first part of a request's path names, if there is such a class."""
+        path = message.target.partition(b"?")[0]
+        return self.classes.get(path[1:].partition(b"/")[0]) if path[:1] == b"/" else None
+
     def accept(self, caller: Caller, message: Message) -> None:
         """Checks a request and hands it to the module."""
         now = self.now()
-        path = message.target.partition(b"?")[0]
-        klass = self.classes.get(path[1:].partition(b"/")[0]) if path[:1] == b"/" else None
+        klass = self.class_of(message)
         if klass is None:
-            if path != b"/ready":
+            if message.target.partition(b"?")[0] != b"/ready":
                 caller.answer(404)
             elif message.method != b"GET":
                 caller.answer(405, headers=b"Allow: GET\r\n")
@@ -285,7 +303,7 @@
             caller.answer(400)
             return
         if len(self.requests) >= self.config.settings.max_open:
-            self.beyond(caller)
+            self.beyond(caller, message)
             return
         left = int(budget) * 1000
         if self.last_answer is not None:
@@ -299,11 +317,14 @@
         number = self.tenants.get(tenant or b"", len(self.tenants))
         self.post(self.balancer.request, request.id, klass, number, left, repeat)
 
-    def beyond(self, caller: Caller) -> None:
+    def beyond(self, caller: Caller, message: Message) -> None:
         """Refuses a request for which the node itself has no room; the module never hears of it.
 
         Failure prevented: a client that is not told when to come back does so at once.
         """
+        klass = self.class_of(message)
+        if klass is not None:
+            self.counters.end(klass, 503)
         caller.answer(503, headers=advice(min(FULL_ADVICE, self.config.settings.max_retry_after)))
 
     def left(self, caller: Caller) -> None:
@@ -328,6 +349,7 @@
         if request is not None and request.caller is not None:
             caller = request.caller
             self.counts[f"answered_{status}"] += 1
+            self.counters.end(request.klass, status)
             self.release(request)
             caller.answer(status, body, headers)
 
@@ -370,7 +392,7 @@
         def done(outcome: Outcome, answer: Answer | None) -> None:
             self.ended(r, number, server, now, outcome, answer)
 
-        exchange = Exchange(self.pool, endpoint, compose, done)
+        exchange = Exchange(self.pool, endpoint, compose, done, self.counters.sent)
         r.out = exchange
         exchange.start(max(0, expires - now) / 1e6)
 
@@ -422,7 +444,7 @@
             self.post(self.balancer.probed, server, False, 0, ())
             return
         request = b"GET %b HTTP/1.1\r\nHost: %b:%d\r\n\r\n" % (path, endpoint.host.encode(), endpoint.port)
-        Exchange(self.pool, endpoint, lambda: request, done).start(self.config.connect_timeout)
+        Exchange(self.pool, endpoint, lambda: request, done, lambda: None).start(self.config.connect_timeout)
 
     def report(self, text: bytes) -> tuple[float, ...]:
         """A load report's values in the settings' order; nothing if one is missing or unreadable."""
--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -33,6 +33,7 @@
 
 Compose = Callable[[], bytes | None]
 Done = Callable[[Outcome, Answer | None], None]
+Sent = Callable[[], None]
 
 
 class Endpoint:
@@ -82,6 +83,12 @@
 
     def resume_writing(self) -> None:
         self.unsent = False
+        self.written()
+
+    def written(self) -> None:
+        """The request's last byte has left the process."""
+        if self.exchange is not None:
+            self.exchange.sent()
 
     def begin(self, exchange: Exchange, data: bytes) -> None:
         """Writes the exchange's request."""
@@ -99,6 +106,8 @@
             # It was lost before the write or by it, so the server cannot have got the whole request.
             self.unsent = True
             self.broken()
+        elif not self.unsent:
+            self.written()
 
     def data_received(self, data: bytes) -> None:
         exchange = self.exchange
@@ -182,13 +191,15 @@
     """One request to one server, which ends exactly once by calling `done`.
 
     `compose` is asked for the bytes just before they are written; None says that nothing may be written.
+    `sent` is called once the last of them has been written.
     """
 
-    def __init__(self, pool: Pool, endpoint: Endpoint, compose: Compose, done: Done) -> None:
+    def __init__(self, pool: Pool, endpoint: Endpoint, compose: Compose, done: Done, sent: Sent) -> None:
         self.pool = pool
         self.endpoint = endpoint
         self.compose = compose
         self.done = done
+        self.sent = sent
         self.over = False
         self.connection: Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -418,9 +418,10 @@
         connection.close()
         await lost
         outcomes = []
-        exchange = Exchange(pool, endpoint, lambda: call(), lambda outcome, answer: outcomes.append(outcome))
+        sent = asyncio.Event()
+        exchange = Exchange(pool, endpoint, call, lambda outcome, answer: outcomes.append(outcome), sent.set)
         exchange.use(connection)
-        assert outcomes == [Outcome.CONNECT_FAILED]
+        assert outcomes == [Outcome.CONNECT_FAILED] and not sent.is_set()
 
     play(scene)
 
