Adopt the inherited listening socket and share one node's limits at a replacement

The second process binds the clients' address, which the first one has, and ends with "cannot listen".

net/handover.py adopts LB_INHERITED_FD where it is a listening socket; at SIGTERM such a listener is released, never shut down, and its queue left to the new process (Callers.drain). Locked files in $TMPDIR tell two processes of each other: both halve their descriptors, the elder lets the peers' port go and says when it fits, the younger waits for that word for a second at most. Dead processes' files hold no lock and are removed.

Checked: cold servers need no agreement, since a copy gives them a share of what its own warm servers get (Balancer.may_send), and a new process starts with an empty bucket. Ruled out: SO_REUSEPORT, where what waits in the old process's own queue is reset at its end.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -276,18 +276,26 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, handler: Handler, life: Lifecycle) -> None:
         self.loop = loop
-        self.refusing = min(REFUSING, most // 4)
-        self.most = most - self.refusing
         self.handler = handler
         self.life = life
         self.callers: set[Caller] = set()
         self.emptying = False
+        self.shared = False
         self.held = 0
+        self.resize(most)
         self.listener = Listener(loop, self.take, self.room, ACCEPTS)
         self.stop_at = 0.0  # when an ending node stops listening
 
-    def start(self, listener: socket.socket) -> None:
-        """Takes clients from this socket."""
+    def resize(self, most: int) -> None:
+        """The budget is so many descriptors from now on; idle connections beyond it are closed."""
+        self.refusing = min(REFUSING, most // 4)
+        self.most = most - self.refusing
+        while len(self.callers) > self.most and self.make_room():
+            pass
+
+    def start(self, listener: socket.socket, shared: bool) -> None:
+        """Takes clients from this socket, which other processes may listen on too."""
+        self.shared = shared
         self.listener.start(listener)
         self.loop.call_later(SLOW / 8, self.sweep)
 
@@ -311,13 +319,14 @@
             connection.close()
             self.callers.discard(caller)
 
-    def make_room(self) -> None:
-        """Closes the connection that has been idle longest; the client may open another."""
+    def make_room(self) -> bool:
+        """Closes the connection that has been idle longest, if any is; the client may open another."""
         idle = [c for c in self.callers if c.transport is not None and c.idle()]
         if idle:
             longest = min(idle, key=lambda c: c.active)
             self.callers.discard(longest)
             longest.transport.abort()
+        return bool(idle)
 
     def sweep(self) -> None:
         """Ends connections on which no whole request has come in its time, however busily they send.
@@ -360,6 +369,8 @@
 
     async def drain(self) -> None:
         """Ends the service: all that was taken is answered, and no connection outlives its answer."""
+        if self.shared:
+            self.listener.release()
         self.stop_at = self.loop.time() + TAKING
         self.leave()
         while self.listener.socket is not None or self.callers:
--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -29,8 +29,11 @@
     listen: Address
     discovery: Address
     management: Address | None  # where operators call
+    inherited: str | None  # the descriptor of a listening socket that the process was given
+    folder: str  # where processes of one node may agree
     seed: int
-    connections: int  # descriptors that clients and servers may use together
+    sockets: int  # descriptors of this node
+    reserved: int  # and those that no client or server may use
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -45,6 +48,10 @@
     inline_reports: bool
     report_names: tuple[tuple[str, str], ...]  # a load report's values: the settings' word, the plain one
 
+    def connections(self, parts: int = 1) -> int:
+        """Descriptors that clients and servers may use together, in each of so many processes."""
+        return max(LEAST_CONNECTIONS, self.sockets // parts - self.reserved)
+
 
 def read_address(text: object, what: str) -> Address:
     """`host:port` as a pair; a ConfigError that names `what` otherwise."""
@@ -74,10 +81,15 @@
 
 
 def load(environ: Mapping[str, str]) -> Config:
-    """Reads `LB_CONFIG`; `LB_NAME`, `LB_LISTEN`, `LB_DISCOVERY` and `LB_MANAGEMENT` override it."""
+    """Reads `LB_CONFIG`; `LB_NAME`, `LB_LISTEN`, `LB_DISCOVERY` and `LB_MANAGEMENT` override it.
+
+    What a process is handed and where it may write, the environment alone tells.
+    """
     table = read_file(environ)
     for key in ("name", "listen", "discovery", "management"):
         table[key] = environ.get(f"LB_{key.upper()}") or table.get(key)
+    table["inherited"] = environ.get("LB_INHERITED_FD") or None
+    table["folder"] = environ.get("TMPDIR")
     try:
         return read(table)
     except ValueError as e:
@@ -116,7 +128,10 @@
         discovery=read_address(table.get("discovery"), "discovery"),
         management=read_address(operators, "management") if operators else None,
         seed=number,
-        connections=sockets - reserved,
+        inherited=table.get("inherited"),
+        folder=table.get("folder") or "/tmp",
+        sockets=sockets,
+        reserved=reserved,
         peer_listen=read_address(peer_listen, "peer_listen") if peer_listen else None,
         peers=tuple(read_address(p, "peers") for p in fields.items("peers")),
         peers_all=read_address(peers_all, "peers_all") if peers_all else None,
--- a/brackenladder/net/listener.py
+++ b/brackenladder/net/listener.py
@@ -78,6 +78,16 @@
             self.take(connection)
         self.look()
 
+    def release(self) -> None:
+        """Stops taking and leaves what waits to whoever else listens on this socket.
+
+        Closed and never shut down, which would end it for the others as well.
+        """
+        self.pause()
+        if self.socket is not None:
+            self.socket.close()
+            self.socket = None
+
     def stop(self) -> None:
         """Takes all that waits in the queue and closes the socket.
 
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -20,7 +20,8 @@
 from brackenladder.net.config import Config, ConfigError, load_discovery
 from brackenladder.net.counters import Counters
 from brackenladder.net.discovery import Discovery
-from brackenladder.net.lifecycle import Lifecycle
+from brackenladder.net.handover import Handover, adopted
+from brackenladder.net.lifecycle import Lifecycle, Stage
 from brackenladder.net.listener import listening
 from brackenladder.net.listing import Line, Listing
 from brackenladder.net.log import LINES_A_SECOND, STRAYS_A_SECOND, Log
@@ -33,6 +34,7 @@
 GUARD = 10_000  # after the deadline: a request that the module has left open is failed
 FULL_ADVICE = 500_000  # after so long there may be room again for a client that found none
 PUSH_RETRY = 0.1  # seconds, half to one and a half of them, before a silent agent is asked again
+PEERS_RETRY = 0.05  # seconds
 STATS_EVERY = 1.0  # seconds between two lines of statistics
 # Headers that end at this hop or are written anew for the next.
 HOP = frozenset(
@@ -80,15 +82,17 @@
         self.tenants = {name.encode(): i for i, name in enumerate(config.tenants)}
         self.zones = {name: i for i, name in enumerate(config.zones)}
         self.kinds = {name: i for i, name in enumerate(config.kinds)}
-        half = config.connections // 2
+        connections = config.connections()
+        half = connections // 2
         self.pool = Pool(loop, half, config.connect_timeout, config.idle_time)
         self.life = Lifecycle(self.log_lines)
-        self.callers = Callers(loop, config.connections - half, self, self.life)
+        self.callers = Callers(loop, connections - half, self, self.life)
         self.management = Management(loop, self.paths(), self.log_lines.line)
         version = config.known.version if config.known else 0
         self.rng = Random(f"node {config.seed}")  # apart from the module's
         self.discovery = Discovery(loop, config.discovery, version, self.told, strays, self.rng)
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
+        self.handover = Handover(loop, config.folder, self.share, self.log_lines)
         self.balancer = Balancer(config.settings, config.seed, self)
         self.counters = Counters(config.classes)
         self.states: dict[int, State] = {}  # of the servers in the list
@@ -96,14 +100,18 @@
 
     async def start(self) -> None:
         """Begins to serve. An OSError if an address cannot be had."""
-        if self.config.settings.peers and self.config.peer_listen is not None:
-            await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
-        if self.config.management is not None:
-            self.management.start(self.config.management)
-        self.callers.start(listening(self.config.listen))
         c = self.config
+        inherited = adopted(c.inherited) if c.inherited is not None else None
+        if inherited is not None:
+            await self.handover.start(self.fits)
+        elif c.inherited is not None:
+            self.log_lines.line(f"LB_INHERITED_FD={c.inherited} is no listening socket: listening for itself")
+        await self.open_peers()
+        if c.management is not None:
+            self.management.start(c.management)
+        self.callers.start(inherited or listening(c.listen), shared=inherited is not None)
         self.log_lines.line(
-            f"start tier={c.settings.tier} instances={c.settings.instances} connections={c.connections}"
+            f"start tier={c.settings.tier} instances={c.settings.instances} connections={c.connections()}"
             f" idle={c.idle_time} connect_timeout={c.connect_timeout}"
             f" aims={[k.aim // 1000 for k in c.settings.classes]}"
         )
@@ -114,6 +122,35 @@
             self.discovery.watch(True)
         self.loop.call_later(STATS_EVERY, self.write_stats)
 
+    async def open_peers(self) -> None:
+        """Takes the port for peers' messages; one that the process before still has is tried for again."""
+        c = self.config
+        if not c.settings.peers or c.peer_listen is None or self.peers.transport is not None:
+            return
+        if self.handover.elder or self.life.stage == Stage.ENDING:
+            return
+        try:
+            await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=c.peer_listen)
+        except OSError:
+            if not self.handover.shared:
+                raise
+            self.loop.call_later(PEERS_RETRY, lambda: self.loop.create_task(self.open_peers()))
+
+    def share(self, shared: bool) -> None:
+        """Another process of this node has come, and both get half; or it has gone."""
+        connections = self.config.connections(2 if shared else 1)
+        half = connections // 2
+        self.pool.resize(half)
+        self.callers.resize(connections - half)
+        if self.handover.elder:
+            self.peers.close()
+        elif not shared:
+            self.loop.create_task(self.open_peers())
+
+    def fits(self) -> bool:
+        """Whether this process keeps to its half."""
+        return self.pool.open <= self.pool.most and len(self.callers.callers) <= self.callers.most
+
     def write_stats(self) -> None:
         """One line of figures: the module's as they stand, the node's counted since the start."""
         figures = {**self.balancer.stats(), **self.counts, "dialled": self.pool.dialled}
@@ -164,8 +201,10 @@
         self.life.end()
         longest = max(c.deadline for c in self.config.settings.classes)
         self.last_answer = self.now() + min(longest, LONGEST) + LAST
+        self.peers.close()
         await self.callers.drain()
         self.discovery.close()
+        self.handover.close()
         if self.guarded:
             self.log_lines.line(f"{self.guarded} requests were failed at their deadline by the guard")
 
--- a/brackenladder/net/peers.py
+++ b/brackenladder/net/peers.py
@@ -29,6 +29,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)
 
+    def close(self) -> None:
+        """Lets the port go."""
+        if self.transport is not None:
+            self.transport.abort()
+            self.transport = None
+
     def tell(self, peer: int, data: bytes) -> None:
         """Sends a message to one peer, or to all (-1). A longer one than the network takes is not sent."""
         address = self.to_all if peer < 0 else self.peers[peer] if peer < len(self.peers) else None
--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -319,10 +319,18 @@
         if self.sweeping:
             self.loop.call_later(SWEEP, self.sweep)
 
+    def resize(self, most: int) -> None:
+        """The budget is so many connections from now on; idle ones beyond it are closed."""
+        self.most = most
+        while self.open > most and self.make_room():
+            pass
+
     def has_room(self) -> bool:
         """Whether one more connection fits the budget; the one that was idle longest makes room."""
-        if self.open < self.most:
-            return True
+        return self.open < self.most or self.make_room()
+
+    def make_room(self) -> bool:
+        """Closes the connection that was idle longest, if there is one."""
         held = [e for e in self.endpoints.values() if e.idle]
         if held:
             oldest = min(held, key=lambda e: e.idle[0].idle_since)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -315,13 +315,15 @@
             await asyncio.sleep(0.01)
 
 
-async def spawn(tmp_path, table: dict) -> asyncio.subprocess.Process:
+async def spawn(tmp_path, table: dict, fds: tuple[int, ...] = (), **env: str) -> asyncio.subprocess.Process:
+    """The program as it is run, with these descriptors inherited."""
     file = tmp_path / "config.json"
     file.write_text(json.dumps(table))
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
         "brackenladder",
-        env=os.environ | {"LB_CONFIG": str(file)},
+        env=os.environ | {"LB_CONFIG": str(file)} | env,
         stderr=asyncio.subprocess.PIPE,
+        pass_fds=fds,
     )
