--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -215,6 +215,6 @@
 def test_the_second_address_has_descriptors_of_its_own():
     table = node_table(1, settings())
     without, with_one = read(table), read(table | OPERATED)
-    assert without.connections - with_one.connections == management.RESERVED
+    assert without.connections() - with_one.connections() == management.RESERVED
     with pytest.raises(ConfigError, match=r"limits\.sockets"):
         read(table | OPERATED | {"limits": {"sockets": 32 + management.RESERVED}})
