Pass large answers and bodies through, with memory bounded by the limits

An answer to the connection's end was a reset, since nothing took the end for its end. Trailers were taken for headers.

Balancer.upload and response_started keep bodies under way and flowing answers out of limit, silence and samples.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -345,6 +345,7 @@
         "in_list",
         "member",
         "in_flight",
+        "uploads",
         "kind_id",
         "kind",
         "deviation",
@@ -371,6 +372,7 @@
         self.in_list = False
         self.member = False
         self.in_flight = 0
+        self.uploads = 0  # attempts whose requests are still on their way
         self.ejected = False
         self.aside = False  # its calls do not count against the limit
         self.trial_out = False
@@ -449,13 +451,17 @@
         "held",
         "sent_at",
         "tried",
+        "patience",
+        "uploading",
     )
 
-    def __init__(self, request: int, klass: int, effect: Effect, useful_until: int) -> None:
+    def __init__(self, request: int, klass: int, effect: Effect, now: int, patience: int) -> None:
         self.id = request
         self.klass = klass
         self.effect = effect
-        self.useful_until = useful_until
+        self.patience = patience
+        self.useful_until = now + patience
+        self.uploading = False
         self.attempts = 0
         self.out: Server | None = None
         self.ran_on: Server | None = None  # the first server that may have run it
@@ -487,6 +493,7 @@
         self.ejected: list[Server] = []
         self.next_trial = 0
         self.requests: dict[int, Request] = {}
+        self.flowing: set[int] = set()  # requests whose answers flow: their attempts are booked
         self.waiting: deque[Request] = deque()
         classes = len(s.classes)
         share = AIM_SHARE * (s.tiers - s.tier) / s.tiers
@@ -570,7 +577,7 @@
         if c.late_worth <= 0 and c.aim - 2 * s.tick < useful:
             # Late work is waste: an answer after the aim is worth nothing here, so nothing waits for it.
             useful = max(s.tick, c.aim - 2 * s.tick)
-        r = Request(request, klass, c.effect if known else Effect.UNSAFE, now + useful)
+        r = Request(request, klass, c.effect if known else Effect.UNSAFE, now, useful)
         self.requests[request] = r
         ctl = self.controller
         self.retry_tokens = min(self.retry_tokens + RETRY_RATIO, max(float(MIN_LIMIT), sqrt(ctl.limit)))
@@ -605,7 +612,13 @@
     ) -> None:
         srv = self.servers.get(server)
         r = self.requests.get(request)
-        if srv is not None and srv.in_flight > 0:
+        if r is not None and r.uploading:
+            self.upload(now, request, attempt, False)
+        if request in self.flowing:
+            self.flowing.discard(request)
+            if srv is not None and outcome not in (Outcome.OK, Outcome.CANCELLED):
+                srv.fail_rate += SMOOTH * (1 - srv.fail_rate)
+        elif srv is not None and srv.in_flight > 0:
             self.settle(now, srv, r, outcome, latency)
         if r is not None and r.out is not None and attempt == r.attempts - 1:
             r.out = None
@@ -620,10 +633,37 @@
 
     def response_started(self, now: int, request: int, attempt: int, server: int, latency: int) -> None:
         r = self.requests.get(request)
-        if r is not None:
+        if r is not None and r.out is not None and not r.begun:
             r.begun = True
+            if r.uploading:
+                self.upload(now, request, attempt, False)
+            # Failure prevented: clients that read slowly fill the limit, and the time that they take counts
+            # as the server's.
+            self.flowing.add(request)
+            if r.out.in_flight > 0:
+                self.settle(now, r.out, r, Outcome.OK, latency)
+
+    def upload(self, now: int, request: int, attempt: int, on: bool) -> None:
+        """Failure prevented: clients that write slowly fill the limit, and the server they write to is set
+        aside as silent."""
+        r = self.requests.get(request)
+        if r is None or r.out is None or r.uploading == on or attempt != r.attempts - 1:
+            return
+        srv = r.out
+        if not on and srv.in_flight == 0:
+            srv.quiet_since = now
+        srv.uploads += 1 if on else -1
+        r.uploading = on
+        r.sent_at = now
+        r.useful_until = now + r.patience
+        srv.in_flight += -1 if on else 1
+        if not srv.aside:
+            self.controller.note(now, -1 if on else 1)
 
     def client_left(self, now: int, request: int) -> None:
+        r = self.requests.get(request)
+        if r is not None and r.uploading:
+            self.upload(now, request, r.attempts - 1, False)
         r = self.requests.pop(request, None)
         if r is not None and r.out is not None and self.settings.cancel and not r.begun:
             self.actions.cancel(request, r.attempts - 1)
@@ -937,8 +977,9 @@
         return min(SUBSET_MOST, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
 
     def forget_gone(self) -> None:
-        for key in [k for k, srv in self.servers.items() if not srv.in_list and srv.in_flight == 0]:
-            del self.servers[key]
+        for key, srv in list(self.servers.items()):
+            if not srv.in_list and srv.in_flight == 0 and srv.uploads == 0:
+                del self.servers[key]
 
     def refill(self, now: int) -> None:
         """Takes the members anew: this copy's stretch of an order of the servers that all copies share.
--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -238,7 +238,17 @@
         """
 
     def response_started(self, now: int, request: int, attempt: int, server: int, latency: int) -> None:
-        """A stream began to flow: the request is bound to this attempt, which still gets its outcome."""
+        """An answer began to flow: the request is bound to this attempt, which still gets its outcome.
+
+        From here on the client sets the pace: the attempt takes no slot and its end no sample of time.
+        """
+
+    def upload(self, now: int, request: int, attempt: int, on: bool) -> None:
+        """The request's body is still on its way to the server, or has come there whole.
+
+        Until then the server has nothing to answer, so neither limit nor silence counts the attempt, and
+        the request's time begins anew at the end.
+        """
 
     def client_left(self, now: int, request: int) -> None:
         """Nobody waits any more; nothing is owed. Attempts that are out still get their outcomes."""
--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -34,6 +34,7 @@
     seed: int
     sockets: int  # descriptors of this node
     reserved: int  # and those that no client or server may use
+    memory: int  # bytes that this node may take
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -111,7 +112,8 @@
     except (TypeError, ValueError):
         raise ConfigError("seed: not a hexadecimal number") from None
     fields = Fields(table)
-    sockets = fields.sub("limits", optional=True).whole("sockets", 1024)
+    given = fields.sub("limits", optional=True)
+    sockets = given.whole("sockets", 1024)
     operators = table.get("management")
     reserved = RESERVED_SOCKETS + (management.RESERVED if operators else 0)
     if sockets < reserved + LEAST_CONNECTIONS:
@@ -132,6 +134,7 @@
         folder=table.get("folder") or "/tmp",
         sockets=sockets,
         reserved=reserved,
+        memory=int(given.number("memory_mb", 192) * (1 << 20)),
         peer_listen=read_address(peer_listen, "peer_listen") if peer_listen else None,
         peers=tuple(read_address(p, "peers") for p in fields.items("peers")),
         peers_all=read_address(peers_all, "peers_all") if peers_all else None,
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from brackenladder.balance import Balancer
-from brackenladder.interface import Effect, ListKind, Outcome, ServerEntry, State
+from brackenladder.interface import NEVER_RAN, Effect, ListKind, Outcome, ServerEntry, State
 from brackenladder.net.callers import Caller, Callers, Message
 from brackenladder.net.config import Config, ConfigError, load_discovery
 from brackenladder.net.counters import Counters
@@ -26,7 +26,9 @@
 from brackenladder.net.listing import Line, Listing
 from brackenladder.net.log import LINES_A_SECOND, STRAYS_A_SECOND, Log
 from brackenladder.net.management import Management, Paths
+from brackenladder.net.passing import Source, Upload
 from brackenladder.net.peers import Peers
+from brackenladder.net.room import Room
 from brackenladder.net.servers import Answer, Endpoint, Exchange, Pool
 
 LONGEST = 3_000_000  # after SIGTERM the platform waits for the longest deadline, for so long at most...
@@ -48,17 +50,49 @@
 class Open:
     """A request that has been taken and not answered, or whose attempt is still out."""
 
-    __slots__ = ("id", "caller", "message", "klass", "deadline", "attempts", "out", "guard")
+    __slots__ = ("id", "caller", "message", "klass", "left", "deadline", "attempts", "out", "guard", "flow")
 
-    def __init__(self, number: int, caller: Caller, message: Message, klass: int, deadline: int) -> None:
+    def __init__(
+        self, number: int, caller: Caller, message: Message, klass: int, now: int, left: int
+    ) -> None:
         self.id = number
         self.caller: Caller | None = caller  # None once answered, or once the client has left
         self.message = message
         self.klass = klass
-        self.deadline = deadline
+        self.left = left  # of its time, when it came
+        self.deadline = now + left
         self.attempts = 0
         self.out: Exchange | None = None
         self.guard: asyncio.TimerHandle | None = None
+        self.flow: Passage | None = None  # its answer, once it flows
+
+    def coming(self) -> Upload | None:
+        """Its body, if that is still on its way from the client."""
+        upload = self.message.upload
+        return upload if upload is not None and not upload.whole else None
+
+
+class Passage:
+    """An answer on its way from a server to a client: the `Flow` of one request."""
+
+    def __init__(self, node: Node, request: Open, caller: Caller, began: int) -> None:
+        self.node = node
+        self.request = request
+        self.caller = caller
+        self.began = began  # when its first byte came
+
+    def piece(self, data: bytes) -> None:
+        self.caller.piece(data)
+
+    def end(self) -> None:
+        if self.request.caller is not None:
+            self.node.close_request(self.request, 200)
+            self.caller.end()
+
+    def cut(self) -> None:
+        if self.request.caller is not None:
+            self.node.close_request(self.request, 502)
+            self.caller.cut()
 
 
 class Node:
@@ -84,9 +118,10 @@
         self.kinds = {name: i for i, name in enumerate(config.kinds)}
         connections = config.connections()
         half = connections // 2
-        self.pool = Pool(loop, half, config.connect_timeout, config.idle_time)
+        self.room = Room(config.memory, connections)
+        self.pool = Pool(loop, half, config.connect_timeout, config.idle_time, self.room)
         self.life = Lifecycle(self.log_lines)
-        self.callers = Callers(loop, connections - half, self, self.life)
+        self.callers = Callers(loop, connections - half, self, self.life, self.room)
         self.management = Management(loop, self.paths(), self.log_lines.line)
         version = config.known.version if config.known else 0
         self.rng = Random(f"node {config.seed}")  # apart from the module's
@@ -138,7 +173,9 @@
 
     def share(self, shared: bool) -> None:
         """Another process of this node has come, and both get half; or it has gone."""
-        connections = self.config.connections(2 if shared else 1)
+        parts = 2 if shared else 1
+        connections = self.config.connections(parts)
+        self.room.resize(self.config.memory // parts)
         half = connections // 2
         self.pool.resize(half)
         self.callers.resize(connections - half)
@@ -349,9 +386,10 @@
             # Failure prevented: the process is killed with a request that it took while it was ending.
             left = min(left, max(0, self.last_answer - now))
         self.last_id += 1
-        request = Open(self.last_id, caller, message, klass, now + left)
+        request = Open(self.last_id, caller, message, klass, now, left)
         self.requests[request.id] = self.by_caller[caller] = request
-        request.guard = self.loop.call_later((left + GUARD) / 1e6, self.expire, request)
+        if request.coming() is None:
+            self.watch_over(request)
         repeat = message.headers.get(b"x-again") == b"1"
         number = self.tenants.get(tenant or b"", len(self.tenants))
         self.post(self.balancer.request, request.id, klass, number, left, repeat)
@@ -364,14 +402,35 @@
         klass = self.class_of(message)
         if klass is not None:
             self.counters.end(klass, 503)
-        caller.answer(503, headers=advice(min(FULL_ADVICE, self.config.settings.max_retry_after)))
+        caller.answer(503, headers=self.full_advice())
+
+    def full_advice(self) -> bytes:
+        """When to come back where the module has not been asked."""
+        return advice(min(FULL_ADVICE, self.config.settings.max_retry_after))
+
+    def watch_over(self, request: Open) -> None:
+        """The request's time begins."""
+        request.guard = self.loop.call_later((request.left + GUARD) / 1e6, self.expire, request)
+
+    def spoilt(self, caller: Caller, status: int) -> None:
+        """A client's request will never come whole: it gets an error, and its attempt is given up."""
+        request = self.by_caller.get(caller)
+        if request is not None:
+            self.conclude(request.id, status)
+            self.give_up(request)
 
     def left(self, caller: Caller) -> None:
         """A client closed its connection with its request open."""
         request = self.by_caller.get(caller)
         if request is not None:
             self.release(request)
-            self.post(self.balancer.client_left, request.id)
+            self.give_up(request)
+
+    def give_up(self, request: Open) -> None:
+        """Nobody waits for this request any more."""
+        self.post(self.balancer.client_left, request.id)
+        if request.out is not None and (request.flow is not None or request.coming() is not None):
+            request.out.stop(Outcome.CANCELLED)
 
     def expire(self, request: Open) -> None:
         """The guard: a request still open after its deadline. The module should have answered it."""
@@ -385,13 +444,17 @@
     def conclude(self, number: int, status: int, body: bytes = b"", headers: bytes = b"") -> None:
         """Gives the client its one final answer."""
         request = self.requests.get(number)
-        if request is not None and request.caller is not None:
+        if request is not None and request.caller is not None and request.flow is None:
             caller = request.caller
-            self.counts[f"answered_{status}"] += 1
-            self.counters.end(request.klass, status)
-            self.release(request)
+            self.close_request(request, status)
             caller.answer(status, body, headers)
 
+    def close_request(self, request: Open, status: int) -> None:
+        """Counts a request at its end."""
+        self.counts[f"answered_{status}"] += 1
+        self.counters.end(request.klass, status)
+        self.release(request)
+
     def release(self, request: Open) -> None:
         """Nothing more is owed to the client."""
         if request.caller is not None:
@@ -418,23 +481,57 @@
             or number >= self.config.settings.max_attempts
             or endpoint is None
             or not endpoint.ready
+            or (r.message.upload is not None and r.message.upload.spent)
         ):
             self.post(self.balancer.outcome, request, number, server, Outcome.NOT_SENT, 0, False, ())
             return
         now = self.now()
-        expires = min(now + timeout, r.deadline)
+        coming = r.coming() is not None
+        expires = now + min(timeout, r.left) if coming else min(now + timeout, r.deadline)
 
         def compose() -> bytes | None:
             left = expires - self.now()
             return head_of(r.message, left // 1000) if r.caller is not None and left > 0 else None
 
+        def sent() -> None:
+            self.counters.sent()
+            if coming:
+                self.uploaded(r, number)
+
+        def begin(answer: Answer, source: Source) -> Passage | None:
+            return self.begin_flow(r, number, server, now, answer, source)
+
         def done(outcome: Outcome, answer: Answer | None) -> None:
             self.ended(r, number, server, now, outcome, answer)
 
-        exchange = Exchange(self.pool, endpoint, compose, done, self.counters.sent)
+        exchange = Exchange(self.pool, endpoint, compose, done, sent, begin, r.message.upload)
         r.out = exchange
+        if coming:
+            self.post(self.balancer.upload, request, number, True)
         exchange.start(max(0, expires - now) / 1e6)
 
+    def uploaded(self, r: Open, number: int) -> None:
+        """The last byte of a long body has gone to the server: only now the request's time begins."""
+        if r.caller is not None:
+            r.deadline = self.now() + r.left
+            self.watch_over(r)
+        self.post(self.balancer.upload, r.id, number, False)
+
+    def begin_flow(
+        self, r: Open, number: int, server: int, sent: int, answer: Answer, source: Source
+    ) -> Passage | None:
+        """A long answer begins: its client gets it as it comes, and no guard cuts it from now on."""
+        if r.caller is None or r.out is None:
+            return None
+        now = self.now()
+        r.flow = Passage(self, r, r.caller, now)
+        if r.guard is not None:
+            r.guard.cancel()
+        kind = answer.content_type
+        r.caller.begin(source, answer.length, b"Content-Type: %b\r\n" % kind if kind else b"")
+        self.post(self.balancer.response_started, r.id, number, server, now - sent)
+        return r.flow
+
     def ended(
         self, r: Open, number: int, server: int, began: int, outcome: Outcome, answer: Answer | None
     ) -> None:
@@ -448,10 +545,16 @@
             if outcome == Outcome.OK and r.caller is not None:
                 kind = answer.content_type
                 self.conclude(r.id, 200, answer.body, b"Content-Type: %b\r\n" % kind if kind else b"")
+        if r.message.upload is not None and r.message.upload.spent:
+            # What was thrown away can go to no other server. Before its last byte nothing has run.
+            if outcome in NEVER_RAN:
+                self.conclude(r.id, 503, headers=self.full_advice())
+            else:
+                self.conclude(r.id, 502)
         final = r.caller is None
         if final:
             self.requests.pop(r.id, None)
-        latency = self.now() - began
+        latency = (self.now() if r.flow is None else r.flow.began) - began
         self.post(self.balancer.outcome, r.id, number, server, outcome, latency, final, report)
 
     def cancel(self, request: int, attempt: int) -> None:
@@ -483,7 +586,7 @@
             self.post(self.balancer.probed, server, False, 0, ())
             return
         request = b"GET %b HTTP/1.1\r\nHost: %b:%d\r\n\r\n" % (path, endpoint.host.encode(), endpoint.port)
-        Exchange(self.pool, endpoint, lambda: request, done, lambda: None).start(self.config.connect_timeout)
+        Exchange(self.pool, endpoint, lambda: request, done).start(self.config.connect_timeout)
 
     def report(self, text: bytes) -> tuple[float, ...]:
         """A load report's values in the settings' order; nothing if one is missing or unreadable."""
@@ -547,6 +650,10 @@
     hop = hop_headers(message)
     lines += [b"%b: %b" % (name, value) for key, name, value in message.lines if key not in hop]
     lines.append(b"X-Budget-Ms: %d" % budget)
-    if message.body or message.method != b"GET":
+    upload = message.upload
+    if upload is not None:
+        length = upload.length
+        lines.append(b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length)
+    elif message.body or message.method != b"GET":
         lines.append(b"Content-Length: %d" % len(message.body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + message.body
--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -1,6 +1,7 @@
 """The node's side towards servers: connections, their pool, and exchanges (attempts and probes) on them.
 
-Nothing is sent again by itself, and every exchange ends exactly once.
+Nothing is sent again by itself, and every exchange ends exactly once. What is long passes through: a
+request's body as an `Upload`, an answer's as a `Flow`.
 """
 
 from __future__ import annotations
@@ -14,10 +15,13 @@
 import httptools
 
 from brackenladder.interface import Outcome
+from brackenladder.net.passing import WHOLE, Flow, Source, Upload
+from brackenladder.net.room import Room
 
 IDLE_MARGIN = 0.3  # seconds before the server would close an idle connection
 SWEEP = 0.5  # seconds between two looks at idle connections
-LARGEST_BODY = 65536
+SILENT = 10.0  # seconds in which a server that has begun to answer must go on
+UNREAD = 30.0  # seconds in which a client must take something of a flowing answer
 
 
 @dataclass
@@ -29,11 +33,13 @@
     content_type: bytes
     rejected: bool
     report: bytes
+    length: int | None = None  # of a body that will flow, if it was told
 
 
 Compose = Callable[[], bytes | None]
 Done = Callable[[Outcome, Answer | None], None]
 Sent = Callable[[], None]
+Begin = Callable[[Answer, Source], Flow | None]
 
 
 class Endpoint:
@@ -61,7 +67,7 @@
         self.idle.clear()
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection to a server: one exchange at a time."""
 
     def __init__(self, pool: Pool, endpoint: Endpoint) -> None:
@@ -69,7 +75,11 @@
         self.endpoint = endpoint
         self.exchange: Exchange | None = None
         self.idle_since = 0.0
-        self.unsent = False  # part of the request is still in this process
+        self.writing = False  # bytes are still in this process
+        self.upload: Upload | None = None
+        self.flow: Flow | None = None
+        self.held = False  # nothing is read, since the client takes no more
+        self.moved = 0.0
         self.counted = False
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
 
@@ -79,39 +89,86 @@
         self.transport.set_write_buffer_limits(high=0)
 
     def pause_writing(self) -> None:
-        self.unsent = True
+        self.writing = True
 
     def resume_writing(self) -> None:
-        self.unsent = False
-        self.written()
+        self.writing = False
+        if self.unsent() and self.upload is not None:
+            if self.exchange is not None:
+                self.exchange.limit(None)
+            self.upload.drained()
+        else:
+            self.written()
+
+    def unsent(self) -> bool:
+        """Whether part of the request has not left this process."""
+        return self.writing or self.upload is not None and not self.upload.whole
 
     def written(self) -> None:
         """The request's last byte has left the process."""
         if self.exchange is not None:
-            self.exchange.sent()
+            self.exchange.written()
+
+    # ---- a request's body that passes through -----------------------------------------------------------
+
+    def piece(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            assert self.upload is not None
+            chunk = b"%x\r\n%b\r\n" % (len(data), data) if self.upload.length is None else data
+            self.transport.write(chunk)
+            if self.writing and self.exchange is not None:
+                self.exchange.limit(self.exchange.timeout)  # the server must take it in its time
+
+    def last(self) -> None:
+        if self.transport.is_closing():
+            return
+        assert self.upload is not None
+        if self.upload.length is None:
+            self.transport.write(b"0\r\n\r\n")
+        if not self.writing:
+            self.written()
+
+    def full(self) -> bool:
+        return self.transport.get_write_buffer_size() >= self.pool.room.piece
 
-    def begin(self, exchange: Exchange, data: bytes) -> None:
-        """Writes the exchange's request."""
+    # ---- an exchange ------------------------------------------------------------------------------------
+
+    def begin(self, exchange: Exchange, data: bytes, upload: Upload | None) -> None:
+        """Writes the exchange's request, and what there is of a body that passes through."""
         self.exchange = exchange
+        self.upload = upload
         self.parser = httptools.HttpResponseParser(self)
         self.status = 0
         self.body = b""
-        self.content_type = b""
-        self.rejected = False
-        self.report = b""
+        self.flow = None
+        self.forget_head()
         self.complete = self.stray = self.keep = False
         if not self.transport.is_closing():
             self.transport.write(data)
         if self.transport.is_closing():
             # It was lost before the write or by it, so the server cannot have got the whole request.
-            self.unsent = True
+            self.writing = True
             self.broken()
-        elif not self.unsent:
+        elif upload is not None:
+            upload.attach(self)
+        elif not self.writing:
             self.written()
 
-    def data_received(self, data: bytes) -> None:
-        exchange = self.exchange
-        if exchange is None:
+    def forget_head(self) -> None:
+        """Nothing is known of an answer yet, or what came was an interim one."""
+        self.content_type = b""
+        self.rejected = False
+        self.report = b""
+        self.headed = False  # its head has come whole
+        self.framed = False  # it tells where it ends
+        self.length: int | None = None
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return self.pool.room.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        data = memoryview(self.pool.room.buffer)[:nbytes]
+        if self.exchange is None:
             # Failure prevented: bytes that nobody asked for would be taken for the next answer.
             self.close()
             return
@@ -120,29 +177,99 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.complete = False
             self.stray = True
-        if len(self.body) > LARGEST_BODY:
-            self.finish(Outcome.ERROR, None, reuse=False)
+        self.moved = self.pool.loop.time()
+        self.settle()
+
+    def eof_received(self) -> None:
+        """The end of the connection is the end of an answer that does not tell where it ends."""
+        if self.exchange is not None and self.headed and not self.framed and not self.stray:
+            self.status = self.parser.get_status_code()
+            self.complete = True
+            self.settle()
+
+    def settle(self) -> None:
+        """Ends the exchange if what has come decides it."""
+        if self.exchange is None:
+            return
+        if self.stray and not self.complete:
+            self.broken_off()
+        elif self.complete and self.flow is not None:
+            self.flow.end()
+            self.finish(Outcome.OK, None, self.keep and not self.stray)
         elif self.complete:
-            answer = Answer(self.status, self.body, self.content_type, self.rejected, self.report)
+            answer = self.answer()
             self.finish(outcome_of(answer), answer, self.keep and not self.stray)
-        elif self.stray:
-            self.finish(Outcome.RESET, None, reuse=False)
+        elif self.headed and self.flow is None and self.body and not self.holds():
+            self.open_flow()
+
+    def answer(self) -> Answer:
+        return Answer(
+            self.status, self.body, self.content_type, self.rejected, self.report, length=self.length
+        )
+
+    def holds(self) -> bool:
+        """Whether the answer is one that is taken whole."""
+        most = max(len(self.body), self.length or 0)
+        return most <= WHOLE and self.pool.room.fits(0)
+
+    def open_flow(self) -> None:
+        """Lets an answer that is not taken whole pass through, if it is one for the client."""
+        self.status = self.parser.get_status_code()
+        assert self.exchange is not None
+        answer = self.answer()
+        flow = self.exchange.flow(answer, self) if self.status == 200 else None
+        if flow is None:
+            self.finish(Outcome.ERROR, None, reuse=False)
+            return
+        self.flow = flow
+        flow.piece(self.body)
+        self.forget_body()
+
+    def forget_body(self) -> None:
+        self.pool.room.give(len(self.body))
+        self.body = b""
+
+    def hold(self) -> None:
+        if not self.held and not self.transport.is_closing():
+            self.held = True
+            self.transport.pause_reading()
+
+    def go_on(self) -> None:
+        self.moved = self.pool.loop.time()
+        if self.held and not self.transport.is_closing():
+            self.held = False
+            self.transport.resume_reading()
 
     def on_message_begin(self) -> None:
         self.stray = self.complete
+        self.forget_head()
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.headed:  # a trailer
+            return
         key = name.lower()
-        if key == b"content-type":
+        if key in (b"content-length", b"transfer-encoding"):
+            self.framed = True
+            if key == b"content-length" and value.isdigit():
+                self.length = int(value)
+        elif key == b"content-type":
             self.content_type = value
         elif key == b"x-rejected":
             self.rejected = value.strip() == b"1"
         elif key == b"x-load-report":
             self.report = value
 
+    def on_headers_complete(self) -> None:
+        self.headed = self.parser.get_status_code() >= 200
+
     def on_body(self, body: bytes) -> None:
-        if not self.stray and len(self.body) <= LARGEST_BODY:
+        if self.stray:
+            return
+        if self.flow is not None:
+            self.flow.piece(body)
+        else:
             self.body += body
+            self.pool.room.take(len(body))
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
@@ -154,6 +281,10 @@
 
     def finish(self, outcome: Outcome, answer: Answer | None, reuse: bool) -> None:
         exchange, self.exchange = self.exchange, None
+        self.flow = None
+        self.forget_body()
+        reuse = reuse and not self.unsent()
+        self.upload = None
         if reuse and self.endpoint.ready and not self.transport.is_closing():
             self.pool.keep(self)
         else:
@@ -164,7 +295,16 @@
     def broken(self) -> None:
         """The connection ended; whether the request may have run depends on what was written."""
         if self.exchange is not None:
-            self.finish(Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET, None, reuse=False)
+            if self.unsent() and self.flow is None:
+                self.finish(Outcome.CONNECT_FAILED, None, reuse=False)
+            else:
+                self.broken_off()
+
+    def broken_off(self) -> None:
+        """No whole answer will come. If a part has been passed on, the client is told by the cut."""
+        if self.flow is not None:
+            self.flow.cut()
+        self.finish(Outcome.RESET, None, reuse=False)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.lost(self)
@@ -191,15 +331,27 @@
     """One request to one server, which ends exactly once by calling `done`.
 
     `compose` is asked for the bytes just before they are written; None says that nothing may be written.
-    `sent` is called once the last of them has been written.
+    `sent` is called once the last of them has been written, those of `upload` included. A long answer is
+    offered to `begin`, which may take it as a flow; then `done` gets no answer.
     """
 
-    def __init__(self, pool: Pool, endpoint: Endpoint, compose: Compose, done: Done, sent: Sent) -> None:
+    def __init__(
+        self,
+        pool: Pool,
+        endpoint: Endpoint,
+        compose: Compose,
+        done: Done,
+        sent: Sent = lambda: None,
+        begin: Begin | None = None,
+        upload: Upload | None = None,
+    ) -> None:
         self.pool = pool
         self.endpoint = endpoint
         self.compose = compose
         self.done = done
         self.sent = sent
+        self.begin = begin
+        self.upload = upload
         self.over = False
         self.connection: Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
@@ -207,8 +359,12 @@
         endpoint.busy += 1
 
     def start(self, timeout: float) -> None:
-        """Takes an idle connection or opens one; the whole exchange may take `timeout` seconds."""
-        self.timer = self.pool.loop.call_later(timeout, self.expire)
+        """Takes an idle connection or opens one; the whole exchange may take `timeout` seconds.
+
+        Of an upload's time, what the client takes does not count.
+        """
+        self.timeout = timeout
+        self.limit(timeout)
         connection = self.pool.take(self.endpoint)
         if connection is not None:
             self.use(connection)
@@ -248,11 +404,43 @@
             self.end(Outcome.NOT_SENT, None)
         else:
             self.connection = connection
-            connection.begin(self, data)
+            if self.upload is not None:
+                self.limit(None)
+            connection.begin(self, data, self.upload)
+
+    def limit(self, seconds: float | None) -> None:
+        """The exchange must end, or get further, within so many seconds."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = None if seconds is None or self.over else self.pool.loop.call_later(seconds, self.expire)
+
+    def written(self) -> None:
+        """The request's last byte has gone."""
+        if self.upload is not None:
+            self.limit(self.timeout)
+        self.sent()
+
+    def flow(self, answer: Answer, connection: Connection) -> Flow | None:
+        """Where a long answer goes, if anywhere. From now on the exchange may last as long as it moves."""
+        flow = self.begin(answer, connection) if self.begin is not None else None
+        if flow is not None:
+            self.limit(None)
+            self.timer = self.pool.loop.call_later(SILENT, self.watch, connection)
+        return flow
+
+    def watch(self, connection: Connection) -> None:
+        """Ends a flow in which nothing has moved for long."""
+        patience = UNREAD if connection.held else SILENT
+        rest = connection.moved + patience - self.pool.loop.time()
+        if rest <= 0 and connection.exchange is self:
+            connection.broken_off()
+        else:
+            self.timer = self.pool.loop.call_later(max(rest, 0.1), self.watch, connection)
 
     def expire(self) -> None:
-        """The time is up. A connection that never came up has carried nothing."""
-        self.stop(Outcome.CONNECT_FAILED if self.connection is None else Outcome.TIMEOUT)
+        """The time is up. A server that has not got the whole request has not run it."""
+        unsent = self.connection is None or self.connection.unsent()
+        self.stop(Outcome.CONNECT_FAILED if unsent else Outcome.TIMEOUT)
 
     def stop(self, outcome: Outcome) -> None:
         """Gives the exchange up; its connection is closed, so that no late answer meets another request."""
@@ -260,6 +448,9 @@
             return
         if self.connection is not None:
             self.connection.exchange = None
+            self.connection.flow = None
+            self.connection.upload = None
+            self.connection.forget_body()
             self.connection.close()
         elif self.connecting is not None:
             self.connecting.cancel()
@@ -270,6 +461,8 @@
             return
         self.over = True
         self.endpoint.busy -= 1
+        if self.upload is not None:
+            self.upload.detach()
         if self.timer is not None:
             self.timer.cancel()
         self.done(outcome, answer)
@@ -279,10 +472,16 @@
     """All connections to servers, within a budget of descriptors."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, most: int, connect_timeout: float, idle_time: float
+        self,
+        loop: asyncio.AbstractEventLoop,
+        most: int,
+        connect_timeout: float,
+        idle_time: float,
+        room: Room,
     ) -> None:
         self.loop = loop
         self.most = most
+        self.room = room
         self.connect_timeout = connect_timeout
         self.idle_time = max(idle_time - IDLE_MARGIN, idle_time / 2)
         self.open = 0
