One budget of descriptors for both sides, and an order in which a crowd gives way

With one node down the other holds 70 connections at most, some 40 of them without a head: room was made by idle connections only, and a fixed half was the servers'.

A trace that was not kept shows what comes: the crowd sends one piece or nothing and falls silent; slow writers send a piece every 0.1 s, with pauses up to 0.5 s. So Callers.make_room ends who has been silent longest: first without a head for 2 s, then idle, then still writing, and an unused connection to a server before those. net/descriptors.py is one budget for both sides; what is being closed counts until its descriptor is free.

Found on the way and mended: kept idle connections that were all of the clients' third of the descriptors ("45 requests for which clients had no connection left"), 6 and 7 slow writers cut off while 22 unused connections to servers stood by. Ruled out: memory (15 of 40 MB), processor (0.12 of a core at most).

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -7,11 +7,13 @@
 import socket
 import struct
 import termios
-from collections import deque
+from collections import Counter, deque
+from collections.abc import Callable
 from typing import Protocol, cast
 
 import httptools
 
+from brackenladder.net.descriptors import Descriptors
 from brackenladder.net.lifecycle import Lifecycle, Stage
 from brackenladder.net.listener import Listener
 from brackenladder.net.passing import WHOLE, Source, Upload
@@ -21,8 +23,11 @@
 SLICE = 8192  # bytes parsed in one go
 LARGEST_LINES = 128  # header lines of one request
 PIPELINED = 8  # whole requests that wait on one connection while an earlier one is open
-REFUSING = 16  # connections at most, of the budget, that are open only to be told that it is spent
+REFUSING = (
+    16  # connections at most, a sixteenth of the budget, that are open only to be told that it is spent
+)
 SLOW = 2.2  # seconds in which the head of a new connection's request, or of one that has begun, must come...
+WRITES = 2.0  # seconds that a client may take to write a head: until then it gives way to no new one
 LEAST_MOVED = 8192  # ...and in which so much of its body must come each time, or the rest of it
 UNREAD = 30.0  # seconds in which a client must take something of its last answer
 LINGER = 1.0  # seconds in which the client may read a last answer while it is still sending
@@ -302,6 +307,7 @@
                 self.go_ahead(self.partial)
             return
         self.open = message = self.waiting.popleft()
+        self.owner.keep_few()
         if self.refusing or message.error == 503:
             self.owner.handler.beyond(self, message)
         elif message.error:
@@ -437,6 +443,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
         self.owner.callers.discard(self)
+        self.owner.budget.client(-1)
         self.rest = b""
         self.owe(0)
         self.forget()
@@ -445,13 +452,26 @@
             self.open = None
             self.owner.handler.left(self)
         self.source = None
-        self.owner.listener.look()
 
     def forget(self) -> None:
         """Throws away the requests that wait: they get no answer."""
         self.owner.room.give(sum(message.size for message in self.waiting))
         self.waiting.clear()
 
+    def turn(self, now: float) -> tuple[int, float] | None:
+        """When this connection gives way to a new one, the least first; None if it has a request.
+
+        Failure prevented: peers that never finish a request shut clients out, or clients that take their
+        time to write give way to them.
+        """
+        if self.open is not None or self.waiting or self.deaf or self.transport is None:
+            return None
+        if self.partial is None and self.kept:
+            return 1, self.active
+        if self.partial is not None and self.head < 0:  # its body is coming
+            return None
+        return (0 if now - self.active >= WRITES else 2), self.active
+
     def idle(self) -> bool:
         """Whether no request is open, has begun or waits in the socket."""
         if self.open is not None or self.partial is not None or self.waiting or self.deaf or self.rest:
@@ -472,27 +492,33 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        most: int,
+        budget: Descriptors,
         handler: Handler,
         life: Lifecycle,
         room: Room,
     ) -> None:
         self.loop = loop
+        self.budget = budget
         self.room = room
+        self.counts: Counter[str] = Counter()  # connections that were ended for want of room or of a request
         self.handler = handler
         self.life = life
         self.callers: set[Caller] = set()
         self.emptying = False
         self.shared = False
-        self.resize(most)
+        self.relief: Callable[[], bool] = lambda: False  # ends a connection to a server that is not needed
         self.listener = Listener(loop, self.take, self.has_room, ACCEPTS)
+        budget.freed = self.listener.look
         self.stop_at = 0.0  # when an ending node stops listening
 
-    def resize(self, most: int) -> None:
-        """The budget is so many descriptors from now on; idle connections beyond it are closed."""
-        self.refusing = min(REFUSING, most // 4)
-        self.most = most - self.refusing
-        while len(self.callers) > self.most and self.make_room():
+    def most(self) -> int:
+        """So many connections are served; a few more are open only to be refused."""
+        allowed = self.budget.for_clients()
+        return allowed - min(REFUSING, max(1, allowed // 16))
+
+    def shrink(self) -> None:
+        """The budget has shrunk: who has no request beyond it gives way."""
+        while len(self.callers) > self.most() and self.make_room():
             pass
 
     def start(self, listener: socket.socket, shared: bool) -> None:
@@ -503,14 +529,16 @@
 
     def has_room(self) -> bool:
         """Whether one more connection fits the budget."""
-        return len(self.callers) < self.most + self.refusing
+        return self.budget.clients < self.budget.for_clients() and not self.budget.full()
 
     def take(self, connection: socket.socket) -> None:
         """Makes a connection one of ours."""
         connection.setblocking(False)
-        if len(self.callers) >= self.most:
+        self.budget.client(1)
+        most = self.most()
+        if len(self.callers) >= most:
             self.make_room()
-        caller = Caller(self, refusing=len(self.callers) >= self.most)
+        caller = Caller(self, refusing=len(self.callers) >= most)
         self.callers.add(caller)
         self.loop.create_task(self.attach(caller, connection))
 
@@ -520,15 +548,33 @@
         except OSError:  # gone already
             connection.close()
             self.callers.discard(caller)
+            self.budget.client(-1)
 
     def make_room(self) -> bool:
-        """Closes the connection that has been idle longest, if any is; the client may open another."""
-        idle = [c for c in self.callers if c.transport is not None and c.idle()]
+        """Ends the connection whose turn it is, if any has no request; its client may open another."""
+        now = self.loop.time()
+        turns = [(turn, id(c), c) for c in self.callers if (turn := c.turn(now)) is not None]
+        for (kind, _), _, caller in sorted(turns):
+            if kind == 2 and self.relief():
+                return True
+            if not caller.unread():
+                self.counts["gave_way_idle" if kind == 1 else "gave_way_headless"] += 1
+                self.callers.discard(caller)
+                caller.transport.abort()
+                return True
+        return False
+
+    def keep_few(self) -> None:
+        """Ends the connection that has been idle longest if clients hold all that they may."""
+        if len(self.callers) <= self.budget.kept:
+            return
+        held = [c for c in self.callers if c.kept or c.open is not None]
+        idle = [c for c in held if c.idle()] if len(held) > self.budget.kept else []
         if idle:
             longest = min(idle, key=lambda c: c.active)
+            self.counts["gave_way_idle"] += 1
             self.callers.discard(longest)
             longest.transport.abort()
-        return bool(idle)
 
     def sweep(self) -> None:
         """Ends connections on which no whole head has come in its time, or too little of a body.
@@ -545,9 +591,11 @@
                 if caller.head < 0 and caller.moved >= LEAST_MOVED:
                     caller.due, caller.moved = now + SLOW, 0
                     continue
+                self.counts["late"] += 1
                 caller.reject(408)
                 caller.next()
             elif caller.transport is not None and caller.idle():
+                self.counts["silent"] += 1
                 caller.transport.abort()
         self.loop.call_later(SLOW / 8, self.sweep)
 
--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -13,7 +13,8 @@
 from brackenladder.net.listing import Listing, read_listing
 from brackenladder.settings import COLUMNS, Fields, settings_of
 
-RESERVED_SOCKETS = 32  # the event loop's own, the listener, UDP, discovery, the standard streams
+# The event loop's own (10), the listener, UDP, discovery, the standard streams, and some to spare.
+RESERVED_SOCKETS = 26
 LEAST_CONNECTIONS = 8
 
 
--- a/brackenladder/net/management.py
+++ b/brackenladder/net/management.py
@@ -11,7 +11,7 @@
 
 from brackenladder.net.listener import Address, Listener, listening
 
-MOST = 16  # connections at once
+MOST = 8  # connections at once
 ACCEPTS = 4  # taken in one go: so many more may be open until those that gave way have closed
 RESERVED = MOST + ACCEPTS + 1  # descriptors, the listener's too
 LARGEST = 8192  # bytes of a whole call
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -19,6 +19,7 @@
 from brackenladder.net.callers import Caller, Callers, Message
 from brackenladder.net.config import Config, ConfigError, load_discovery
 from brackenladder.net.counters import Counters
+from brackenladder.net.descriptors import Descriptors
 from brackenladder.net.discovery import Discovery
 from brackenladder.net.handover import Handover, adopted
 from brackenladder.net.lifecycle import Lifecycle, Stage
@@ -117,11 +118,13 @@
         self.zones = {name: i for i, name in enumerate(config.zones)}
         self.kinds = {name: i for i, name in enumerate(config.kinds)}
         connections = config.connections()
-        half = connections // 2
+        self.budget = Descriptors(connections, config.sockets)
         self.room = Room(config.memory, connections)
-        self.pool = Pool(loop, half, config.connect_timeout, config.idle_time, self.room)
+        self.pool = Pool(loop, self.budget, config.connect_timeout, config.idle_time, self.room)
         self.life = Lifecycle(self.log_lines)
-        self.callers = Callers(loop, connections - half, self, self.life, self.room)
+        self.callers = Callers(loop, self.budget, self, self.life, self.room)
+        self.pool.spare = self.callers.make_room
+        self.callers.relief = self.pool.relieve
         self.management = Management(loop, self.paths(), self.log_lines.line)
         version = config.known.version if config.known else 0
         self.rng = Random(f"node {config.seed}")  # apart from the module's
@@ -174,11 +177,10 @@
     def share(self, shared: bool) -> None:
         """Another process of this node has come, and both get half; or it has gone."""
         parts = 2 if shared else 1
-        connections = self.config.connections(parts)
+        self.budget.resize(self.config.connections(parts), self.config.sockets // parts)
         self.room.resize(self.config.memory // parts)
-        half = connections // 2
-        self.pool.resize(half)
-        self.callers.resize(connections - half)
+        self.pool.shrink()
+        self.callers.shrink()
         if self.handover.elder:
             self.peers.close()
         elif not shared:
@@ -186,11 +188,12 @@
 
     def fits(self) -> bool:
         """Whether this process keeps to its half."""
-        return self.pool.open <= self.pool.most and len(self.callers.callers) <= self.callers.most
+        return self.budget.clients + self.budget.servers <= self.budget.total
 
     def write_stats(self) -> None:
         """One line of figures: the module's as they stand, the node's counted since the start."""
-        figures = {**self.balancer.stats(), **self.counts, "dialled": self.pool.dialled}
+        figures = self.balancer.stats() | self.counts | self.callers.counts
+        figures |= {"dialled": self.pool.dialled, "clients": self.budget.clients}
         self.log_lines.line("stats " + " ".join(f"{name}={value:.4g}" for name, value in figures.items()))
         self.loop.call_later(STATS_EVERY, self.write_stats)
 
--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -15,10 +15,12 @@
 import httptools
 
 from brackenladder.interface import Outcome
+from brackenladder.net.descriptors import Descriptors
 from brackenladder.net.passing import WHOLE, Flow, Source, Upload
 from brackenladder.net.room import Room
 
 IDLE_MARGIN = 0.3  # seconds before the server would close an idle connection
+UNUSED = 1.0  # seconds after which an idle connection gives way to a client that is writing
 SWEEP = 0.5  # seconds between two looks at idle connections
 SILENT = 10.0  # seconds in which a server that has begun to answer must go on
 UNREAD = 30.0  # seconds in which a client must take something of a flowing answer
@@ -474,17 +476,17 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        most: int,
+        budget: Descriptors,
         connect_timeout: float,
         idle_time: float,
         room: Room,
     ) -> None:
         self.loop = loop
-        self.most = most
+        self.budget = budget
+        self.spare: Callable[[], bool] = lambda: False  # makes a client without a request give way
         self.room = room
         self.connect_timeout = connect_timeout
         self.idle_time = max(idle_time - IDLE_MARGIN, idle_time / 2)
-        self.open = 0
         self.dialled = 0  # connections opened in all
         self.endpoints: dict[int, Endpoint] = {}
         self.sweeping = False
@@ -518,37 +520,41 @@
         if self.sweeping:
             self.loop.call_later(SWEEP, self.sweep)
 
-    def resize(self, most: int) -> None:
-        """The budget is so many connections from now on; idle ones beyond it are closed."""
-        self.most = most
-        while self.open > most and self.make_room():
-            pass
+    def shrink(self) -> None:
+        """The budget has shrunk: idle connections beyond it are closed."""
+        for _ in range(self.budget.servers - self.budget.for_servers()):
+            self.make_room()
 
     def has_room(self) -> bool:
-        """Whether one more connection fits the budget; the one that was idle longest makes room."""
-        return self.open < self.most or self.make_room()
-
-    def make_room(self) -> bool:
-        """Closes the connection that was idle longest, if there is one."""
-        held = [e for e in self.endpoints.values() if e.idle]
+        """Whether one more connection fits the budget; one that carries nothing makes room."""
+        if self.budget.servers >= self.budget.for_servers():
+            return self.make_room()
+        return not self.budget.full() or self.spare() or self.make_room()
+
+    def relieve(self) -> bool:
+        """Closes the connection that was idle longest if it has been so for long."""
+        return self.make_room(UNUSED)
+
+    def make_room(self, least: float = 0.0) -> bool:
+        """Closes the connection that was idle longest, if one has been so for `least` seconds."""
+        since = self.loop.time() - least
+        held = [e for e in self.endpoints.values() if e.idle and e.idle[0].idle_since <= since]
         if held:
             oldest = min(held, key=lambda e: e.idle[0].idle_since)
-            connection = oldest.idle.pop(0)
-            connection.close()
-            self.lost(connection)
+            oldest.idle.pop(0).close()
         return bool(held)
 
     def opened(self, connection: Connection) -> None:
         """Counts a connection that is being opened."""
         connection.counted = True
-        self.open += 1
+        self.budget.server(1)
         self.dialled += 1
 
     def lost(self, connection: Connection) -> None:
         """Counts a connection's end, once."""
         if connection.counted:
             connection.counted = False
-            self.open -= 1
+            self.budget.server(-1)
         if connection in connection.endpoint.idle:
             connection.endpoint.idle.remove(connection)
 
--- /dev/null
+++ b/tests/test_crowd.py
@@ -0,0 +1,193 @@
+"""Crowds on loopback sockets: who gives way, and who is served all the same."""
+
+import pytest
+from loopback import OK, Bench, Client, Clock, Server, always, call, play, until
+
+from brackenladder.net.callers import WRITES
+from brackenladder.net.descriptors import Descriptors
+
+HALF = b"GET /view HTTP/1.1\r\nX-Call-Id: 1\r\n"
+SMALL = {"limits": {"sockets": 48}}
+
+
+async def settled(bench: Bench, count: int) -> None:
+    """Waits until so many clients' connections are up."""
+    callers = bench.node.callers.callers
+    await until(lambda: len(callers) == count and all(c.transport for c in callers))
+
+
+async def one(bench: Bench, data: bytes, age: float, count: int) -> Client:
+    """A client that has sent this much, and for so long nothing more."""
+    before = set(bench.node.callers.callers)
+    client = await bench.client()
+    await settled(bench, count)
+    (caller,) = set(bench.node.callers.callers) - before
+    if data:
+        client.send(data)
+        await until(lambda: caller.partial is not None)
+    caller.active -= age
+    return client
+
+
+def test_a_crowd_that_never_finishes_shuts_nobody_out():
+    """Failure prevented: connections with half a request hold every descriptor, and clients are refused."""
+
+    async def scene():
+        bench = await Bench(Server(), config=SMALL).start()
+        crowd = []
+        for _ in range(100):
+            crowd.append(await bench.client())
+            crowd[-1].send(HALF)
+        for _ in range(10):
+            assert (await bench.once(call()))[0] == 200
+        assert bench.node.callers.counts["gave_way_headless"] > 50
+
+    play(scene)
+
+
+def test_connections_that_asked_once_and_stayed_shut_nobody_out():
+    async def scene():
+        bench = await Bench(Server(), config=SMALL).start()
+        stayed = []
+        for _ in range(100):
+            stayed.append(await bench.client())
+            assert (await stayed[-1].ask(call()))[0] == 200
+        assert bench.node.budget.clients <= bench.node.budget.total
+
+    play(scene)
+
+
+def test_who_has_had_the_time_to_write_gives_way_first_and_who_is_writing_last():
+    """Failure prevented: a client that takes 2 s to write gives way to a crowd."""
+
+    async def scene():
+        bench = await Bench(Server()).start()
+        writing = await one(bench, HALF, WRITES - 0.5, 1)
+        kept = await one(bench, b"", 0, 2)
+        assert (await kept.ask(call()))[0] == 200
+        overdue = await one(bench, HALF, WRITES, 3)
+        silent = await one(bench, b"", 2 * WRITES, 4)
+        callers = bench.node.callers
+        for client in (silent, overdue, kept):
+            assert callers.make_room()
+            assert await client.ended()
+        writing.send(call().partition(b"\r\n")[2])
+        assert (await writing.receive())[0] == 200
+        assert callers.counts == {"gave_way_headless": 2, "gave_way_idle": 1}
+
+    play(scene)
+
+
+def test_who_has_a_request_never_gives_way():
+    async def scene():
+        bench = await Bench(server := Server(always(None))).start()
+        client = await bench.client()
+        client.send(call())
+        await until(lambda: len(server.requests) == 1)
+        assert not bench.node.callers.make_room()
+        body = await bench.client()
+        body.send(call("offer", body=b"x" * 10)[:-5])
+        await until(lambda: any(c.partial and c.head < 0 for c in bench.node.callers.callers))
+        assert not bench.node.callers.make_room()
+
+    play(scene)
+
+
+def test_who_has_just_sent_the_rest_does_not_give_way():
+    """Failure prevented: a request that has come whole, unread yet, is reset."""
+
+    async def scene():
+        bench = await Bench(Server()).start()
+        client = await one(bench, HALF, 2 * WRITES, 1)
+        client.send(b"x")  # the node's loop has no turn until the next line
+        assert not bench.node.callers.make_room()
+
+    play(scene)
+
+
+def test_a_server_s_connection_finds_room_in_a_crowd():
+    """Failure prevented: clients without a request hold the descriptors that others' attempts need."""
+
+    async def scene():
+        bench = await Bench(Server(), Server()).start()
+        budget = bench.node.budget
+        crowd = [await one(bench, HALF, 0, count + 1) for count in range(6)]
+        budget.total = 8
+        assert budget.for_clients() == 6 and budget.for_servers() == 4
+        client = crowd[-1]
+        client.send(call().partition(b"\r\n")[2])
+        assert (await client.receive())[0] == 200
+        budget.servers += 2  # as if others were out
+        assert budget.full()
+        assert bench.node.pool.has_room()
+        assert await client.ended()  # its answer it has had
+        assert bench.node.pool.has_room()
+        assert bench.node.callers.counts == {"gave_way_idle": 1, "gave_way_headless": 1}
+        budget.servers -= 2
+
+    play(scene)
+
+
+@pytest.mark.parametrize("total", [8, 30, 75, 300, 950])
+def test_both_sides_fit_the_budget_together(total):
+    budget = Descriptors(total, total + 39)
+    for _ in range(budget.for_clients()):
+        budget.client(1)
+    assert not budget.full()  # a quarter is the servers'
+    freed = []
+    budget.freed = lambda: freed.append(1)
+    while not budget.full() and budget.servers < budget.for_servers():
+        budget.server(1)
+    assert budget.clients + budget.servers <= total
+    budget.client(-1)
+    budget.server(-1)
+    assert len(freed) == 2
+
+
+def test_a_late_head_is_counted(monkeypatch):
+    async def scene():
+        bench = await Bench(Server(always(OK))).start()
+        writing = await one(bench, HALF, 0, 1)
+        silent = await one(bench, b"", 0, 2)
+        callers = bench.node.callers
+        monkeypatch.setattr(callers, "loop", Clock(bench.node.loop, bench.node.loop.time() + 60))
+        callers.sweep()
+        assert (await writing.receive())[0] == 408
+        assert await silent.ended()
+        assert callers.counts == {"late": 1, "silent": 1}
+
+    play(scene)
+
+
+def test_idle_connections_leave_clients_some_of_their_third():
+    """Failure prevented: clients hold all the connections that they may, idle, and cannot open the next."""
+
+    async def scene():
+        bench = await Bench(Server(), config={"limits": {"sockets": 64}}).start()
+        budget = bench.node.budget
+        assert budget.kept < 64 // 3 < budget.for_clients()
+        clients = []
+        for _ in range(budget.for_clients()):
+            clients.append(await bench.client())
+            assert (await clients[-1].ask(call()))[0] == 200
+        assert len(bench.node.callers.callers) == budget.kept
+        assert bench.node.callers.counts["gave_way_idle"] == len(clients) - budget.kept
+
+    play(scene)
+
+
+def test_an_unused_connection_to_a_server_gives_way_before_a_client_that_is_writing():
+    async def scene():
+        bench = await Bench(Server()).start()
+        assert (await bench.once(call()))[0] == 200
+        await settled(bench, 0)
+        writing = await one(bench, HALF, 0, 1)
+        (endpoint,) = bench.node.pool.endpoints.values()
+        endpoint.idle[0].idle_since -= 10
+        assert bench.node.callers.make_room() and not endpoint.idle
+        assert not bench.node.callers.counts
+        writing.send(call().partition(b"\r\n")[2])
+        assert (await writing.receive())[0] == 200
+        assert bench.node.pool.relieve() is False  # just used
+
+    play(scene)
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -73,10 +73,10 @@
         bench = await Bench(Server(), config=OPERATED | {"limits": {"sockets": 64}}).start()
         callers, operators = bench.node.callers, bench.node.management
         crowd = []
-        for _ in range(callers.most + callers.refusing):
+        for _ in range(callers.budget.for_clients()):
             crowd.append(await bench.client())
             crowd[-1].send(b"GET /ready HTTP/1.1\r\n")
-            await until(lambda: sum(c.partial is not None for c in callers.callers) == len(crowd))
+        await until(lambda: len(callers.callers) >= callers.most())
         port = operators.listener.socket.getsockname()[1]
         silent = [await Client(port).open() for _ in range(3 * management.MOST)]
         assert (await operate(bench, "/control/ready"))[0] == 200
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -250,7 +250,8 @@
             assert set(outcomes) == {Outcome.CONNECT_FAILED, Outcome.OK}
             assert len(alive.requests) == outcomes.count(Outcome.OK)
             endpoints = bench.node.pool.endpoints.values()
-            assert bench.node.pool.open == sum(len(e.idle) for e in endpoints)  # none is counted for ever
+            idle = sum(len(e.idle) for e in endpoints)
+            assert bench.node.budget.servers == idle  # none is counted for ever
 
     play(scene)
 
@@ -788,7 +789,7 @@
         bench = await Bench(Server(), config={"limits": {"sockets": 48}}).start()
         bench.node.balancer.request = lambda *args: None  # all stay open
         idle = await bench.client()
-        most = bench.node.callers.most
+        most = bench.node.callers.most()
         assert most >= 4  # a small budget too is mostly for clients that are served
         clients = []
         for _ in range(most):
@@ -823,10 +824,10 @@
 def test_connects_beyond_the_budget_fail_and_idle_ones_make_room():
     async def scene():
         bench = await Bench(first := Server(), second := Server()).start()
-        bench.node.pool.most = 1
+        bench.node.budget.for_servers = lambda: 1
         while not (first.requests and second.requests):
             assert (await bench.once(call()))[0] == 200
-        bench.node.pool.most = 0
+        bench.node.budget.for_servers = lambda: 0
         for endpoint in bench.node.pool.endpoints.values():
             endpoint.close_idle()
         assert (await bench.once(call("invite")))[0] == 503
