Let a client that is refused while it writes finish, within ten seconds

A client whose long body is refused at once (503) got 1 s to read that before its connection was reset, though it may still be writing and look for an answer only then. Its connection now stays as long as bytes come, 10 s at most; it is the first to give way in a crowd, and a draining node does not wait for it.

A trace that was not kept shows 9 of 9 such clients reset their connection themselves as soon as the 503 came, each refused at the limit with no attempt out. Kept for clients that write before they read.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -30,7 +30,8 @@
 WRITES = 2.0  # seconds that a client may take to write a head: until then it gives way to no new one
 LEAST_MOVED = 8192  # ...and in which so much of its body must come each time, or the rest of it
 UNREAD = 30.0  # seconds in which a client must take something of its last answer
-LINGER = 1.0  # seconds in which the client may read a last answer while it is still sending
+LINGER = 1.0  # seconds in which the client may read a last answer, or send some more of what it is sending...
+LINGER_MOST = 10.0  # ...and so long in all
 ACCEPTS = 64  # connections taken in one go
 TAKING = 0.5  # seconds after SIGTERM in which new connections are still taken
 SETTLE = 0.2  # seconds in which a kept connection that was just used may bring its next request
@@ -124,6 +125,7 @@
         self.due: float | None = self.active + SLOW  # when it must have got further, if it must
         self.moved = 0  # bytes of a body that have come since `due` was set
         self.lost = False
+        self.ended = 0.0  # when it had its last answer
 
     # ---- reading --------------------------------------------------------------------------------------
 
@@ -405,16 +407,22 @@
             return
         self.read_on()
         self.transport.write_eof()
-        self.linger(self.owner.loop.time(), -1)
+        self.ended = self.owner.loop.time()
+        self.owner.loop.call_later(LINGER, self.linger, self.ended, self.transport.get_write_buffer_size())
 
     def linger(self, since: float, left: int) -> None:
-        """Ends the connection, unless the client still reads its last answer."""
+        """Ends the connection, unless the client still reads its last answer, or sends.
+
+        Failure prevented: a client that is refused while it sends a long body is cut off before it looks
+        for an answer, and never learns when to come back.
+        """
         if self.transport.is_closing():
             return
         now = self.owner.loop.time()
         unread = self.transport.get_write_buffer_size()
-        if left < 0 or unread and (unread != left or now - since < UNREAD):
-            since = now if unread != left else since
+        since = now if unread != left else since
+        sends = now - self.active < LINGER and now - self.ended < LINGER_MOST
+        if unread and now - since < UNREAD or sends and not self.owner.life.leaving:
             self.owner.loop.call_later(LINGER, self.linger, since, unread)
         else:
             self.transport.abort()
@@ -464,7 +472,11 @@
         Failure prevented: peers that never finish a request shut clients out, or clients that take their
         time to write give way to them.
         """
-        if self.open is not None or self.waiting or self.deaf or self.transport is None:
+        if self.open is not None or self.waiting or self.transport is None:
+            return None
+        if self.ended:
+            return 0, self.ended
+        if self.deaf:
             return None
         if self.partial is None and self.kept:
             return 1, self.active
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -8,7 +8,7 @@
 
 from brackenladder.interface import Outcome
 from brackenladder.net import servers as node_servers
-from brackenladder.net.callers import SLOW
+from brackenladder.net.callers import LINGER, SLOW
 from brackenladder.net.passing import WHOLE
 from brackenladder.net.room import LEAST, PIECE_LEAST, PIECE_MOST, Room
 
@@ -524,6 +524,30 @@
     play(scene)
 
 
+def test_a_client_that_is_refused_while_it_writes_may_finish_writing(monkeypatch):
+    """Failure prevented: it is cut off before it has looked for an answer."""
+
+    async def scene():
+        bench = await Bench().start()  # no servers: every request is refused
+        callers = bench.node.callers
+        client = await bench.client()
+        data = upload(LONG, b"Content-Length: %d" % len(LONG))
+        client.send(data[:100_000])
+        await until(lambda: any(c.ended for c in callers.callers))
+        (caller,) = callers.callers
+        monkeypatch.setattr(callers, "loop", Clock(bench.node.loop, caller.active + 0.9 * LINGER))
+        caller.linger(caller.ended, 0)
+        assert not caller.transport.is_closing()
+        head, _ = await receive(client)
+        assert head.startswith(b"HTTP/1.1 503 ") and b"Retry-After" in head
+        assert caller.turn(callers.loop.time()) == (0, caller.ended)  # it gives way first
+        monkeypatch.setattr(callers, "loop", Clock(bench.node.loop, caller.active + 1.1 * LINGER))
+        caller.linger(caller.ended, 0)
+        assert caller.transport.is_closing()
+
+    play(scene)
+
+
 # ---- room --------------------------------------------------------------------------------------------
 
 
