Take bodies and answers of 32 MiB at most, and fail longer ones before a byte is passed on

Now a length over 32 MiB is 413 from a client and a failed attempt from a server, which another can still serve; chunks that grow past it are cut.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -16,7 +16,7 @@
 from brackenladder.net.descriptors import Descriptors
 from brackenladder.net.lifecycle import Lifecycle, Stage
 from brackenladder.net.listener import Listener
-from brackenladder.net.passing import WHOLE, Source, Upload
+from brackenladder.net.passing import LARGEST, WHOLE, Source, Upload
 from brackenladder.net.room import Room
 
 LARGEST_HEAD = 32768
@@ -228,7 +228,9 @@
         self.due = self.owner.loop.time() + SLOW
         self.moved = 0
         length = message.headers.get(b"content-length", b"")
-        if length.isdigit() and int(length) > WHOLE:
+        if length.isdigit() and int(length) > LARGEST:
+            self.reject(413)
+        elif length.isdigit() and int(length) > WHOLE:
             self.pass_on(message, int(length))
         elif self.open is None and not self.waiting:
             self.go_ahead(message)
@@ -259,6 +261,8 @@
         self.moved += len(body)
         if message.upload is not None:
             message.upload.feed(body)
+            if message.upload.size > LARGEST:
+                self.reject(413)
             return
         message.body += body
         if len(message.body) > WHOLE:
--- a/brackenladder/net/passing.py
+++ b/brackenladder/net/passing.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 WHOLE = 65536  # bytes; what is no longer is taken whole and can be tried again
+LARGEST = 32 << 20  # and what is longer than this is none of this service's
 
 
 class Sink(Protocol):
@@ -50,6 +51,7 @@
     def __init__(self, length: int | None, more: Callable[[], None]) -> None:
         self.length = length  # None: it comes in chunks, and ends when it ends
         self.more = more
+        self.size = 0
         self.kept: list[bytes] = []  # what has come since the start, until some of it is thrown away
         self.whole = False
         self.spent = False  # some was thrown away: no other server can have it whole
@@ -57,6 +59,7 @@
 
     def feed(self, data: bytes) -> None:
         """A piece has come."""
+        self.size += len(data)
         if not self.spent:
             self.kept.append(data)
         if self.sink is not None:
--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -16,7 +16,7 @@
 
 from brackenladder.interface import Outcome
 from brackenladder.net.descriptors import Descriptors
-from brackenladder.net.passing import WHOLE, Flow, Source, Upload
+from brackenladder.net.passing import LARGEST, WHOLE, Flow, Source, Upload
 from brackenladder.net.room import Room
 
 IDLE_MARGIN = 0.3  # seconds before the server would close an idle connection
@@ -80,6 +80,7 @@
         self.writing = False  # bytes are still in this process
         self.upload: Upload | None = None
         self.flow: Flow | None = None
+        self.passed = 0  # bytes of it
         self.held = False  # nothing is read, since the client takes no more
         self.moved = 0.0
         self.counted = False
@@ -219,11 +220,13 @@
         self.status = self.parser.get_status_code()
         assert self.exchange is not None
         answer = self.answer()
-        flow = self.exchange.flow(answer, self) if self.status == 200 else None
+        fits = self.status == 200 and (self.length or 0) <= LARGEST
+        flow = self.exchange.flow(answer, self) if fits else None
         if flow is None:
             self.finish(Outcome.ERROR, None, reuse=False)
             return
         self.flow = flow
+        self.passed = len(self.body)
         flow.piece(self.body)
         self.forget_body()
 
@@ -268,7 +271,11 @@
         if self.stray:
             return
         if self.flow is not None:
-            self.flow.piece(body)
+            self.passed += len(body)
+            if self.passed > LARGEST:
+                self.stray = True
+            else:
+                self.flow.piece(body)
         else:
             self.body += body
             self.pool.room.take(len(body))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -185,6 +185,7 @@
         (b"GET / HTTP/1.1\r\n\r\n", 404),
         (b"GET view HTTP/1.1\r\n\r\n", 400),
         (call("invite").replace(b"POST", b"GET"), 405),
+        (call("offer").replace(b"Content-Length: 0", b"Content-Length: 60000000"), 413),
         (b"GET /view HTTP/1.1\r\nX-Long: " + b"x" * 40000, 431),
         (MANY_LINES, 431),
     ],
