Count a client as idle only once its answers have left the process

A client that reads a whole answer of up to 64 KiB slowly has none open, so a drain closed its connection after 0.2 s, and a crowd at once, with the rest of the answer still in the process. Ruled out: flowing answers (their request stays open) and answers that end their connection (Caller.linger waits for them). The test reads slowly through small socket buffers while the node drains; without the change the answer is cut.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -483,16 +483,20 @@
         if self.deaf:
             return None
         if self.partial is None and self.kept:
-            return 1, self.active
+            return None if self.unsent() else (1, self.active)
         if self.partial is not None and self.head < 0:  # its body is coming
             return None
         return (0 if now - self.active >= WRITES else 2), self.active
 
     def idle(self) -> bool:
-        """Whether no request is open, has begun or waits in the socket."""
+        """Whether no request is open, has begun or waits in the socket, and all answers have gone."""
         if self.open is not None or self.partial is not None or self.waiting or self.deaf or self.rest:
             return False
-        return not self.unread()
+        return not self.unsent() and not self.unread()
+
+    def unsent(self) -> bool:
+        """Whether bytes of an answer wait in the process: closing now would cut it short."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
     def unread(self) -> bool:
         """Whether bytes wait in the socket: closing now would reset a client that has just sent."""
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -1,6 +1,8 @@
 """Where operators call: the second address, the node's stages and its drain, on loopback sockets."""
 
 import asyncio
+import os
+import socket
 
 import pytest
 from loopback import (
@@ -170,6 +172,36 @@
     play(scene)
 
 
+def test_a_drain_does_not_cut_an_answer_that_its_client_still_reads(monkeypatch):
+    """Failure prevented: a client that reads slowly stands idle for the node, and loses half its answer."""
+    monkeypatch.setattr("brackenladder.net.callers.SETTLE", 0.0)
+
+    async def scene():
+        body = b"x" * 60000
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        bench = await Bench(Server(always(answer)), config=OPERATED).start()
+        with socket.socket() as slow:
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            slow.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(slow, ("127.0.0.1", bench.port))
+            await until(lambda: any(c.transport for c in bench.node.callers.callers))
+            (caller,) = bench.node.callers.callers
+            with socket.socket(fileno=os.dup(caller.transport.get_extra_info("socket").fileno())) as end:
+                end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            await loop.sock_sendall(slow, call())
+            await until(lambda: caller.kept and caller.open is None)
+            assert caller.transport.get_write_buffer_size() and not caller.idle()
+            bench.node.take_out()
+            assert caller.turn(bench.node.loop.time()) is None and not caller.transport.is_closing()
+            got = b""
+            while not got.endswith(body):
+                got += await loop.sock_recv(slow, 65536)
+            assert await loop.sock_recv(slow, 65536) == b""  # and then it goes
+
+    play(scene)
+
+
 def test_an_ending_node_answers_what_came_late_before_it_is_killed():
     """Failure prevented: a request taken after SIGTERM has time left when the platform kills the process."""
 
