A draining node answers the requests that came behind another before it closes

Now the last of them ends the connection. A client that asked for the close itself still gets it with the first. Without the change the test's second and third requests get no answer.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -336,9 +336,13 @@
         self.settle(message, close)
 
     def closes(self, message: Message) -> bool:
-        """Whether the connection ends with the answer to this request."""
+        """Whether the connection ends with the answer to this request.
+
+        Failure prevented: requests that came behind it, whole, are thrown away as the node leaves.
+        """
         still = message.upload is not None and not message.upload.whole
-        return not message.keep or self.refusing or still or self.owner.life.leaving
+        leaving = self.owner.life.leaving and not self.waiting and not self.rest
+        return not message.keep or self.refusing or still or leaving
 
     def write(self, data: bytes) -> None:
         self.active = self.owner.loop.time()
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -172,6 +172,30 @@
     play(scene)
 
 
+def test_a_drain_answers_the_requests_that_have_come_behind_another():
+    """Failure prevented: they were taken, and end with the connection of the first one's answer."""
+
+    async def scene():
+        release = asyncio.Event()
+
+        async def held(request, writer):
+            await release.wait()
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+        bench = await Bench(server := Server(held), config=OPERATED).start()
+        client = await bench.client()
+        client.send(call() * 3)
+        await until(lambda: len(server.requests) == 1)
+        bench.node.take_out()
+        release.set()
+        answers = [await client.receive() for _ in range(3)]
+        assert [status for status, _, _ in answers] == [200] * 3
+        assert ["connection" in headers for _, headers, _ in answers] == [False, False, True]
+        assert await client.ended()
+
+    play(scene)
+
+
 def test_a_drain_does_not_cut_an_answer_that_its_client_still_reads(monkeypatch):
     """Failure prevented: a client that reads slowly stands idle for the node, and loses half its answer."""
     monkeypatch.setattr("brackenladder.net.callers.SETTLE", 0.0)
