Handover: a full folder or a held pipe there stops neither a start nor the next look

Found in reading, not on the bench: Handover.look raised where the word could not be written (a full $TMPDIR) and never ran again, so the elder kept to half for good; Handover.said opened whatever was held under our prefix, and a pipe waits for its writer. The test with a pipe hangs without the change. Ruled out by the tests that stood: dead processes' files, folders, links and spoilt contents.

--- a/brackenladder/net/handover.py
+++ b/brackenladder/net/handover.py
@@ -7,6 +7,7 @@
 import os
 import secrets
 import socket
+import stat
 from collections.abc import Callable
 from contextlib import suppress
 from time import monotonic_ns
@@ -100,6 +101,8 @@
         except OSError:
             return False
         try:
+            if not stat.S_ISREG(os.fstat(file).st_mode):
+                return False
             fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)
         except BlockingIOError:
             return True
@@ -127,12 +130,12 @@
             self.shared = bool(others)
             self.log.line("handover: another process runs" if others else "handover: alone")
             self.share(self.shared)
-        if self.elder and not self.told and self.fits():
-            self.told = True
-            os.pwrite(self.file, FITS, 0)
-        elif self.told and not self.elder:
-            self.told = False
-            os.ftruncate(self.file, 0)
+        with suppress(OSError):  # the folder is full: the younger waits for its patience, and no longer
+            if self.elder and not self.told and self.fits():
+                self.told = os.pwrite(self.file, FITS, 0) == len(FITS)
+            elif self.told and not self.elder:
+                self.told = False
+                os.ftruncate(self.file, 0)
         self.timer = self.loop.call_later(LOOK, self.look)
 
     def close(self) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,6 +1,7 @@
 """One process replaced by another: the inherited socket, and what both together may have."""
 
 import asyncio
+import fcntl
 import os
 import signal
 import socket
@@ -180,6 +181,44 @@
     play(scene)
 
 
+def test_a_folder_that_is_full_stops_nobody(folder, monkeypatch):
+    """Failure prevented: the word cannot be written, and the elder never looks again: it keeps to half."""
+
+    async def scene():
+        shares: list[bool] = []
+        old, new = process(folder, shares), process(folder, [])
+        await old.start(lambda: True)
+
+        def full(*args):
+            raise OSError(28, "No space left on device")
+
+        monkeypatch.setattr(handover.os, "pwrite", full)
+        monkeypatch.setattr(handover, "PATIENCE", 0.0)
+        await new.start(lambda: True)
+        await until(lambda: shares == [True])
+        new.close()
+        await until(lambda: shares == [True, False])
+        old.close()
+
+    play(scene)
+
+
+def test_what_is_no_file_is_no_process_even_if_somebody_holds_it(folder):
+    """Failure prevented: a pipe that is held is read, and the start waits for its writer."""
+    os.mkfifo(folder / f"{PREFIX}pipe")
+    held = os.open(folder / f"{PREFIX}pipe", os.O_RDONLY | os.O_NONBLOCK)
+    fcntl.flock(held, fcntl.LOCK_EX)
+
+    async def scene():
+        one = process(folder, [])
+        await one.start(lambda: True)
+        assert not one.shared
+        one.close()
+
+    play(scene)
+    os.close(held)
+
+
 def test_what_dead_processes_and_others_left_never_stops_a_start(folder):
     """Failure prevented: a killed process leaves files behind, and the next one waits or fails for them."""
     (folder / f"{PREFIX}{0:020d}-dead").write_bytes(FITS)
