--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -277,6 +277,16 @@
     return handle
 
 
+def gated(release: asyncio.Event) -> Handle:
+    """A handle that answers once the test has released it."""
+
+    async def handle(request, writer):
+        await release.wait()
+        return OK
+
+    return handle
+
+
 def record_outcomes(bench):
     """The outcomes that the module is told from here on."""
     outcomes = []
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -14,6 +14,7 @@
     always,
     call,
     free_port,
+    gated,
     node_table,
     play,
     settings,
@@ -115,15 +116,11 @@
     async def scene():
         release = asyncio.Event()
 
-        async def held(request, writer):
-            await release.wait()
-            return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-
         bench = await Bench(server := Server(), config=OPERATED).start()
         idle, busy = await bench.client(), await bench.client()
         for client in (idle, busy):
             assert (await client.ask(call()))[0] == 200
-        server.handle = held
+        server.handle = gated(release)
         busy.send(call())
         await until(lambda: len(server.requests) == 3)
         for _ in range(2):  # said twice is a yes as well
@@ -178,11 +175,7 @@
     async def scene():
         release = asyncio.Event()
 
-        async def held(request, writer):
-            await release.wait()
-            return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-
-        bench = await Bench(server := Server(held), config=OPERATED).start()
+        bench = await Bench(server := Server(gated(release)), config=OPERATED).start()
         client = await bench.client()
         client.send(call() * 3)
         await until(lambda: len(server.requests) == 1)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -23,6 +23,7 @@
     call,
     connected,
     free_port,
+    gated,
     node_table,
     play,
     record_outcomes,
@@ -101,11 +102,7 @@
     async def scene():
         release = asyncio.Event()
 
-        async def held(request, writer):
-            await release.wait()
-            return OK
-
-        bench = await Bench(server := Server(held)).start()
+        bench = await Bench(server := Server(gated(release))).start()
         room = bench.node.room
         room.most = 150_000
         large = call("invite", body=b"x" * 60000)
@@ -870,11 +867,7 @@
     async def scene():
         release = asyncio.Event()
 
-        async def held(request, writer):
-            await release.wait()
-            return OK
-
-        await (server := Server(held)).start()
+        await (server := Server(gated(release))).start()
         await (discovery := Discovery()).start()
         port = free_port()
         listen = f"127.0.0.1:{port}"
@@ -955,12 +948,8 @@
     async def scene():
         release = asyncio.Event()
 
-        async def held(request, writer):
-            await release.wait()
-            return OK
-
         monkeypatch.setattr("brackenladder.net.callers.TAKING", 600.0)  # until the test says so
-        bench = await Bench(server := Server(held)).start()
+        bench = await Bench(server := Server(gated(release))).start()
         callers = bench.node.callers
         idle, early = await bench.client(), await bench.client()
         assert (await idle.ask(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 200
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -4,7 +4,7 @@
 import socket
 
 import pytest
-from loopback import OK, Bench, Client, Clock, Server, always, call, play, record_outcomes, until
+from loopback import OK, Bench, Client, Clock, Server, always, call, gated, play, record_outcomes, until
 
 from brackenladder.interface import Outcome
 from brackenladder.net import servers as node_servers
@@ -477,11 +477,7 @@
     async def scene():
         release = asyncio.Event()
 
-        async def held(request, writer):
-            await release.wait()
-            return OK
-
-        bench = await Bench(server := Server(held)).start()
+        bench = await Bench(server := Server(gated(release))).start()
         client = await bench.client()
         head, _, rest = upload(b"x", b"Content-Length: 1", b"Expect: 100-continue\r\n").partition(b"\r\n\r\n")
         client.send(call() + head + b"\r\n\r\n")
