--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -235,11 +235,6 @@
                 most = AIM_MOST / AIM_SHARE * self.allowance[klass]
                 self.target[klass] = min(max(self.min_rtt[klass] * (1 + BUFFER), self.allowance[klass]), most)
         self.in_pass = False
-        if self.passes == 0:
-            # Failure prevented: a copy that starts into full traffic overshoots once after its pass, and is
-            # then held at the pass's limit for seconds, since "usual" starts at nothing.
-            self.usual = self.flight_sum / max(1, PASS_CALLS - self.pass_count)
-            self.share()
         self.passes += 1
         self.next_pass = now + int(PASS_INTERVAL * (1 + PASS_JITTER * self.rng.random()))
         self.samples.clear()
@@ -251,7 +246,6 @@
         if self.in_pass:
             self.pass_samples[klass].append(latency)
             self.pass_count -= 1
-            self.flight_sum += self.in_flight
             # Failure prevented: a pass that ends at its last answer has seen only the short calls.
             if now >= self.pass_until + (0 if self.pass_count <= 0 else 2 * WINDOW * WINDOW_STRETCH):
                 self.end_pass(now)
