--- /dev/null
+++ b/laurelspindle/world/__init__.py
@@ -0,0 +1,2 @@
+"""The model of what a node serves. It knows neither event loop nor socket: parts take a clock and call
+back."""
