--- /dev/null
+++ b/laurelspindle/virtual/__init__.py
@@ -0,0 +1,1 @@
+"""The world on a virtual clock, hosting decision modules in one process."""
--- /dev/null
+++ b/laurelspindle/virtual/host.py
@@ -0,0 +1,556 @@
+"""Hosts decision modules: each node handles what has come in once a tick, and its actions take effect then.
+
+As on the simulator's wire: events of a node come in order, actions are asked for while an event is handled
+and are carried out when the batch is done, at the batch's time. A module sees nothing but its events.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from time import perf_counter_ns
+from typing import Any
+
+from brackenladder.interface import Events, ListKind, Outcome, ServerEntry, Settings, State
+from laurelspindle.policies import Policy
+from laurelspindle.virtual.heap import HeapClock
+from laurelspindle.world.call import Answer, Attempt, Call, is_answered, is_over
+from laurelspindle.world.server import Server
+from laurelspindle.world.site import World
+from laurelspindle.world.streams import scramble
+
+Post = tuple[Callable[..., None], tuple[Any, ...]]
+REPLY = 50  # an answer's network draw, beside those of the tries
+REPLY_BITS = 14  # an attempt's answer takes the upper bits of its draw
+DRAIN_LOOK = 50_000  # a leaving node looks this often whether it is done
+KILL_AFTER = 700_000  # beyond the longest deadline, a leaving node is killed
+
+CAUSES = {
+    Outcome.REJECTED: "refused upstream",
+    Outcome.TIMEOUT: "timed out",
+    Outcome.RESET: "reset",
+    Outcome.CONNECT_FAILED: "reset",
+    Outcome.ERROR: "error",
+}
+
+
+class Recorder:
+    """A module's actions, kept until its batch is done."""
+
+    __slots__ = ("out",)
+
+    def __init__(self) -> None:
+        self.out: list[tuple[Any, ...]] = []
+
+    def send(self, request: int, server: int, timeout: int) -> None:
+        self.out.append((Node.send, request, server, timeout))
+
+    def cancel(self, request: int, attempt: int) -> None:
+        self.out.append((Node.cancel, request, attempt))
+
+    def refuse(self, request: int, retry_after: int) -> None:
+        self.out.append((Node.refuse, request, retry_after))
+
+    def fail(self, request: int) -> None:
+        self.out.append((Node.fail, request))
+
+    def probe(self, server: int) -> None:
+        self.out.append((Node.probe, server))
+
+    def set_timer(self, delay: int, token: int) -> None:
+        self.out.append((Node.set_timer, delay, token))
+
+    def tell(self, peer: int, data: bytes) -> None:
+        self.out.append((Node.tell, peer, data))
+
+    def watch(self, on: bool) -> None:
+        self.out.append((Node.watch, on))
+
+    def fetch(self) -> None:
+        self.out.append((Node.fetch,))
+
+    def close(self, server: int) -> None:
+        self.out.append((Node.close, server))
+
+    def log(self, text: str) -> None:
+        self.out.append((Node.log, text))
+
+
+class Tick:
+    """What is due at one tick: messages that have come to nodes by then, and nodes with a batch to handle."""
+
+    __slots__ = ("messages", "nodes")
+
+    def __init__(self) -> None:
+        self.messages: list[tuple[Callable[[Any], None], Any]] = []
+        self.nodes: list[Node] = []
+
+
+class Ticker:
+    """One event a tick, whatever the number of messages that come to nodes and of nodes that handle them."""
+
+    def __init__(self, clock: HeapClock, tick: int) -> None:
+        self.clock = clock
+        self.tick = tick
+        self.due: dict[int, Tick] = {}
+        self.done = -1
+        self.module_ns = 0
+        self.events = 0
+
+    def tick_at(self, at: int) -> Tick:
+        """The first tick at or after a time."""
+        at = -(-at // self.tick) * self.tick
+        if at <= self.done:
+            at = self.done + self.tick
+        tick = self.due.get(at)
+        if tick is None:
+            self.due[at] = tick = Tick()
+            self.clock.call_at(at, self.flush, at)
+        return tick
+
+    def flush(self, at: int) -> None:
+        tick = self.due[at]
+        for take, message in tick.messages:
+            take(message)
+        del self.due[at]
+        self.done = at
+        for node in tick.nodes:
+            node.handle(at)
+
+
+class Link:
+    """A node's connections to one server: since when each idle one has been idle."""
+
+    __slots__ = ("idle", "life")
+
+    def __init__(self, life: int) -> None:
+        self.idle: list[int] = []
+        self.life = life
+
+
+class Node:
+    """One node: a `Port` for the world, a host for its module."""
+
+    def __init__(
+        self, world: World, ticker: Ticker, policy: Policy, name: str, tier: int, settings: Settings
+    ) -> None:
+        self.world = world
+        self.clock = world.clock
+        self.network = world.network
+        self.ticker = ticker
+        self.policy = policy
+        self.name = name
+        self.tier = tier
+        self.settings = settings
+        self.zone = settings.zone
+        self.up = self.ready = self.leaving = False
+        self.life = 0
+        self.seeds = world.streams.random(f"{name}/seeds")
+        self.subscriber = world.discovery.subscribe(self)
+        self.actions = Recorder()
+        self.module: Events | None = None
+        self.inbox: list[Post] = []
+        self.calls: dict[int, Call] = {}
+        self.links: dict[int, Link] = {}
+        self.starts: dict[int, int] = {}  # the servers it was told of, by their starts
+        self.away: dict[int, int] = {}  # since when it knows that they drain or are gone
+        self.cpu = float(world.day.nodes.cpu_us)  # type: ignore[arg-type]  # a day has no ranges
+        self.busy_until = 0
+        self.journal: list[str] = []
+
+    # ---- its life -------------------------------------------------------------------------------------
+
+    def boot(self) -> None:
+        self.life += 1
+        self.up = self.ready = True
+        self.leaving = False
+        self.inbox.clear()
+        self.links.clear()
+        self.starts.clear()
+        self.away.clear()
+        self.actions = Recorder()
+        module = self.policy(self.settings, self.seeds.getrandbits(62), self.actions, self.world)
+        self.module = module
+        self.post(module.start, ())
+        self.world.discovery.boot(self.subscriber)
+        if self.tier == 0:
+            self.world.front.ready(self)
+        self.clock.call_at(self.clock.now + self.network.idle, self.sweep, self.life)
+
+    def leave(self) -> None:
+        if self.up and not self.leaving:
+            self.leaving = True
+            self.world.front.leaving(self)
+            longest = max(3_000_000, *(c.deadline for c in self.settings.classes))
+            begun = self.clock.now
+            self.clock.call_at(begun + int(self.world.front.lag) + DRAIN_LOOK, self.leave_if_done, self.life)
+            self.clock.call_at(begun + longest + KILL_AFTER, self.kill_if_alive, self.life)
+
+    def leave_if_done(self, life: int) -> None:
+        if life == self.life and self.up:
+            if any(c.open for c in self.calls.values()):
+                self.clock.call_at(self.clock.now + DRAIN_LOOK, self.leave_if_done, life)
+            else:
+                self.kill()
+
+    def kill_if_alive(self, life: int) -> None:
+        if life == self.life and self.up:
+            self.kill()
+
+    def kill(self) -> None:
+        if not self.up:
+            return
+        self.up = self.ready = False
+        self.life += 1
+        self.module = None
+        self.inbox.clear()
+        if not self.tier:
+            self.world.front.died(self)
+        for server, link in self.links.items():
+            self.drop_idle(self.world.by_id[server], link, len(link.idle))
+        calls, self.calls = self.calls, {}
+        for call in calls.values():
+            for attempt in call.sent:
+                if not attempt.ended:
+                    attempt.ended = True
+                    self.hang_up(attempt)
+                    attempt.server.abandon(attempt)
+            call.out = 0
+            if call.open:
+                call.cause = ("reset", self.tier)
+                self.answer(call, Answer.FAILED, 0)
+            call.sent.clear()
+
+    def sweep(self, life: int) -> None:
+        """Closes connections that have stood idle for too long."""
+        if life != self.life:
+            return
+        oldest = self.clock.now - self.network.idle
+        for server, link in self.links.items():
+            stale = sum(at < oldest for at in link.idle)
+            if stale:
+                self.drop_idle(self.world.by_id[server], link, stale)
+        self.clock.call_at(self.clock.now + self.network.idle // 2, self.sweep, life)
+
+    def drop_idle(self, server: Server, link: Link, count: int) -> None:
+        del link.idle[:count]
+        if link.life == server.life:
+            server.dialled(-count)
+
+    # ---- events ---------------------------------------------------------------------------------------
+
+    def post(self, event: Callable[..., None], args: tuple[Any, ...]) -> None:
+        if not self.inbox:
+            self.ticker.tick_at(max(self.clock.now, self.busy_until)).nodes.append(self)
+        self.inbox.append((event, args))
+
+    def handle(self, now: int) -> None:
+        """One batch: the events in order, then what the module asked for, in order."""
+        inbox, self.inbox = self.inbox, []
+        if not inbox:
+            return
+        self.busy_until = now + int(self.cpu * len(inbox))
+        begun = perf_counter_ns()
+        for event, args in inbox:
+            event(now, *args)
+        self.ticker.module_ns += perf_counter_ns() - begun
+        self.ticker.events += len(inbox)
+        out = self.actions.out
+        if out:
+            self.actions.out = []
+            for act, *rest in out:
+                act(self, *rest)
+
+    def arriving(self, at: int, call: Call) -> None:
+        call.node = self
+        self.ticker.tick_at(at).messages.append((self.take, call))
+
+    def take(self, call: Call) -> None:
+        call.node = self
+        if not self.up or self.module is None:
+            call.cause = ("reset", self.tier)
+            call.open = False
+            self.deliver(call, Answer.UNREACHABLE, 0)
+            return
+        now = self.clock.now
+        root = call.root
+        self.calls[call.id] = call
+        call.taken = True
+        self.world.accounts.calls[self.tier] += 1
+        if root.index == self.world.followed:
+            self.world.trace(
+                root, self.name, f"takes call {call.id}, {(call.until - now) / 1000:.0f} ms left"
+            )
+        if self.tier:  # clients have a timer of their own, and ask when their patience ends
+            self.clock.call_unless(call.until + self.world.slack, self.overdue, call, is_answered)
+        repeat = not self.tier and call.number > 0
+        self.post(self.module.request, (call.id, root.klass, 0, max(1, call.until - now), repeat))
+
+    def overdue(self, call: Call) -> None:
+        if call.open and self.calls.get(call.id) is call:
+            self.world.referee.overdue(self.clock.now, call)
+            self.drop(call)
+
+    def drop(self, call: Call) -> None:
+        if not call.open:
+            return
+        call.open = False
+        if self.module is not None and self.calls.get(call.id) is call:
+            self.post(self.module.client_left, (call.id,))
+            self.post(self.left, (call,))  # until the module knows, it may still act for the call
+
+    def left(self, now: int, call: Call) -> None:
+        self.forget(call)
+
+    def news(self, kind: ListKind, entries: list[ServerEntry]) -> None:
+        if self.module is None:
+            return
+        now = self.clock.now
+        if kind in (ListKind.FULL, ListKind.CACHED):
+            listed = {e.server for e in entries}
+            for server in self.starts:
+                if server not in listed:
+                    self.away.setdefault(server, now)
+        for e in entries:
+            self.starts[e.server] = e.ready_at
+            if e.state == State.READY:
+                self.away.pop(e.server, None)
+            else:
+                self.away.setdefault(e.server, now)
+        self.post(self.module.server_list, (kind, entries))
+
+    # ---- attempts -------------------------------------------------------------------------------------
+
+    def send(self, request: int, server_id: int, timeout: int) -> None:
+        call = self.calls.get(request)
+        world = self.world
+        now = self.clock.now
+        server = world.by_id.get(server_id)
+        if call is None or not call.taken or server is None or server_id not in self.starts:
+            world.referee.malformed(now, f"{self.name}: sends what is over or to a server it was not told of")
+            return
+        number = len(call.sent)
+        attempt = Attempt(call, number, server, self, scramble(call.key, number), now)
+        left = min(timeout, call.until - now)
+        if not call.open or left < 0 or number >= self.settings.max_attempts:
+            attempt.ended = True
+            call.sent.append(attempt)
+            self.tell_outcome(attempt, Outcome.NOT_SENT, not call.open)
+            return
+        world.referee.sending(now, call, server, self.away.get(server_id, -1))
+        call.sent.append(attempt)
+        call.out += 1
+        world.accounts.attempts[self.tier] += 1
+        call.root.attempts += 1
+        world.accounts.crossings += server.zone != self.zone
+        if call.root.index == world.followed:
+            world.trace(
+                call.root,
+                self.name,
+                f"sends call {call.id} to {server.spec.name}, {left / 1000:.0f} ms at most",
+            )
+        self.clock.call_unless(now + left, self.timed_out, attempt, is_over)
+        delay = self.network.between(self.zone, server.zone, attempt.draw)
+        link = self.links.get(server_id)
+        if link is None:
+            link = self.links[server_id] = Link(server.life)
+        elif link.life != server.life:
+            link.life = server.life
+            link.idle.clear()
+        attempt.link = link
+        reached = self.network.reaches(self.zone, server.zone)
+        if link.idle:
+            link.idle.pop()
+            if reached:
+                self.clock.call_at(now + delay, server.arrive, attempt)
+        else:
+            self.dial(attempt, delay, reached)
+
+    def dial(self, attempt: Attempt, delay: int, reached: bool) -> None:
+        """A new connection: it costs the server work and the call time, and may not come up."""
+        server: Server = attempt.server
+        self.world.accounts.dials += 1
+        wait = self.network.connect_timeout
+        if reached and not server.up:
+            wait = 2 * delay
+        elif reached and not server.silent and server.dialled(1):
+            at = self.clock.now + delay + int(2 * delay * server.spec.handshake_rtts)
+            self.clock.call_at(at, server.arrive, attempt)
+            return
+        attempt.link = None
+        self.clock.call_at(self.clock.now + wait, self.returned, (attempt, Outcome.CONNECT_FAILED))
+
+    def reply(self, attempt: Attempt, outcome: Outcome) -> None:
+        server = attempt.server
+        if attempt.ended or not self.network.reaches(self.zone, server.zone):
+            return
+        delay = self.network.between(server.zone, self.zone, attempt.draw >> REPLY_BITS)
+        self.ticker.tick_at(self.clock.now + delay).messages.append((self.returned, (attempt, outcome)))
+
+    def returned(self, what: tuple[Attempt, Outcome]) -> None:
+        attempt, outcome = what
+        if not attempt.ended:
+            self.end(attempt, outcome)
+
+    def timed_out(self, attempt: Attempt) -> None:
+        if not attempt.ended:
+            self.give_up(attempt, Outcome.TIMEOUT)
+
+    def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
+        """The node stops waiting; the server learns of it as the connection closes."""
+        server = attempt.server
+        delay = self.network.between(self.zone, server.zone, attempt.draw)
+        if self.network.reaches(self.zone, server.zone):
+            self.clock.call_at(self.clock.now + delay, server.abandon, attempt)
+        self.end(attempt, outcome)
+
+    def end(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Books an attempt's end; the first OK is the caller's answer."""
+        attempt.ended = True
+        call = attempt.call
+        call.out -= 1
+        now = self.clock.now
+        self.world.referee.ended(call, attempt.server, attempt.sent_at, outcome)
+        if outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
+            link = attempt.link
+            if link is not None and link.life == attempt.server.life:
+                link.idle.append(now)
+        else:
+            self.hang_up(attempt)
+        if call.root.index == self.world.followed:
+            took = (now - attempt.sent_at) / 1000
+            name = attempt.server.spec.name
+            self.world.trace(
+                call.root, self.name, f"call {call.id} at {name}: {outcome.name.lower()} after {took:.0f} ms"
+            )
+        if outcome == Outcome.OK and call.open:
+            call.useful = attempt.job.useful
+            self.answer(call, Answer.OK, 0)
+            self.tell_outcome(attempt, outcome, True)
+        else:
+            if outcome != Outcome.OK and call.open:
+                call.cause = attempt.cause or (CAUSES.get(outcome, "error"), self.tier)
+            self.tell_outcome(attempt, outcome, not call.open)
+        if outcome != Outcome.TIMEOUT and outcome != Outcome.CANCELLED:
+            attempt.job = None
+        if not call.open:
+            self.forget(call)
+
+    def hang_up(self, attempt: Attempt) -> None:
+        link = attempt.link
+        if link is not None and link.life == attempt.server.life:
+            attempt.server.dialled(-1)
+
+    def tell_outcome(self, attempt: Attempt, outcome: Outcome, final: bool) -> None:
+        if self.module is not None:
+            took = self.clock.now - attempt.sent_at
+            args = (attempt.call.id, attempt.number, attempt.server.id, outcome, took, final, ())
+            self.post(self.module.outcome, args)
+
+    # ---- answers --------------------------------------------------------------------------------------
+
+    def answer(self, call: Call, answer: Answer, retry_after: int) -> None:
+        call.open = False
+        self.deliver(call, answer, retry_after)
+
+    def deliver(self, call: Call, answer: Answer, retry_after: int) -> None:
+        if self.tier:
+            call.caller.answered(call, answer, retry_after)
+        else:
+            at = self.clock.now + self.network.outside(call.key, REPLY + call.number)
+            self.clock.call_at(at, answer_client, (call, answer, retry_after))
+
+    def forget(self, call: Call) -> None:
+        """Lets go of a call that is over and has no attempt out."""
+        if call.out == 0 and self.calls.pop(call.id, None) is not None:
+            call.taken = False
+            call.sent.clear()
+
+    def finish(self, request: int, answer: Answer, retry_after: int) -> None:
+        call = self.calls.get(request)
+        if call is None or not call.open:
+            return
+        if not call.sent:
+            cause = "refused at the limit" if answer == Answer.REFUSED else "never sent"
+            call.cause = (cause, self.tier)
+        if answer == Answer.REFUSED:
+            self.world.referee.refused(self.clock.now, call)
+            self.world.accounts.refusals[self.tier] += 1
+        if call.root.index == self.world.followed:
+            self.world.trace(call.root, self.name, f"answers call {call.id}: {answer.name.lower()}")
+        self.answer(call, answer, retry_after)
+        call.taken = False
+        self.forget(call)
+
+    # ---- the module's other actions -------------------------------------------------------------------
+
+    def refuse(self, request: int, retry_after: int) -> None:
+        self.finish(request, Answer.REFUSED, retry_after)
+
+    def fail(self, request: int) -> None:
+        self.finish(request, Answer.FAILED, 0)
+
+    def cancel(self, request: int, number: int) -> None:
+        call = self.calls.get(request)
+        if call is not None and number < len(call.sent) and not call.sent[number].ended:
+            self.give_up(call.sent[number], Outcome.CANCELLED)
+
+    def probe(self, server_id: int) -> None:
+        server = self.world.by_id.get(server_id)
+        if server is None or server_id not in self.starts or not self.settings.probes:
+            self.world.referee.malformed(self.clock.now, f"{self.name}: a probe that is not allowed")
+            return
+        self.world.accounts.probes += 1
+        draw = scramble(server_id, self.world.accounts.probes)
+        trip = 2 * self.network.between(self.zone, server.zone, draw)
+        alive = server.up and not server.silent and self.network.reaches(self.zone, server.zone)
+        ok = alive and server.probed()
+        wait = trip if alive or not server.up else self.network.connect_timeout
+        self.clock.call_at(self.clock.now + wait, self.probe_back, (self.life, server_id, ok, wait))
+
+    def probe_back(self, what: tuple[int, int, bool, int]) -> None:
+        life, server, ok, took = what
+        if life == self.life and self.module is not None:
+            self.post(self.module.probed, (server, ok, took, ()))
+
+    def set_timer(self, delay: int, token: int) -> None:
+        self.clock.call_at(self.clock.now + max(1, delay), self.timer_due, (self.life, token))
+
+    def timer_due(self, what: tuple[int, int]) -> None:
+        life, token = what
+        if life == self.life and self.module is not None:
+            self.post(self.module.timer, (token,))
+
+    def tell(self, peer: int, data: bytes) -> None:
+        self.world.referee.malformed(
+            self.clock.now, f"{self.name}: a message to a peer, which nobody allowed"
+        )
+
+    def watch(self, on: bool) -> None:
+        self.world.discovery.listen(self.subscriber, on)
+
+    def fetch(self) -> None:
+        self.world.discovery.fetch(self.subscriber)
+
+    def close(self, server_id: int) -> None:
+        link = self.links.get(server_id)
+        if link is not None:
+            self.drop_idle(self.world.by_id[server_id], link, len(link.idle))
+
+    def log(self, text: str) -> None:
+        self.journal.append(f"{self.clock.now / 1e6:.3f} {self.name} {text}")
+
+
+def answer_client(what: tuple[Call, Answer, int]) -> None:
+    call, answer, retry_after = what
+    call.caller.answered(call, answer, retry_after)
+
+
+class Host:
+    """Makes the nodes of a world, all on one ticker."""
+
+    def __init__(self, clock: HeapClock, tick: int, policy: Policy) -> None:
+        self.ticker = Ticker(clock, tick)
+        self.policy = policy
+
+    def node(self, world: World, name: str, tier: int, settings: Settings) -> Node:
+        return Node(world, self.ticker, self.policy, name, tier, settings)
--- /dev/null
+++ b/laurelspindle/world/call.py
@@ -0,0 +1,183 @@
+"""What passes through the world: clients' requests, calls at nodes, attempts at servers."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import Any, Protocol
+
+from brackenladder.interface import ListKind, Outcome, ServerEntry
+
+Cause = tuple[str, int]  # why worth was lost, and at which tier
+UNKNOWN: Cause = ("never sent", 0)
+
+
+class Answer(IntEnum):
+    """What a caller gets of a call."""
+
+    OK = 0
+    REFUSED = 1  # a repeat does no harm
+    FAILED = 2
+    UNREACHABLE = 3  # no node took it, or the node died over it
+
+
+class Request:
+    """What one client wants: its tries are calls."""
+
+    __slots__ = (
+        "index",
+        "key",
+        "klass",
+        "zone",
+        "due",
+        "aim_at",
+        "dead_at",
+        "tries",
+        "factor",
+        "cause",
+        "done_at",
+        "served",
+        "work",
+        "useful",
+        "attempts",
+    )
+
+    def __init__(
+        self, index: int, key: int, klass: int, zone: int, due: int, aim: int, deadline: int, factor: float
+    ) -> None:
+        self.index = index
+        self.key = key
+        self.klass = klass
+        self.zone = zone
+        self.due = due
+        self.aim_at = due + aim
+        self.dead_at = due + deadline
+        self.tries = 0
+        self.factor = factor  # its work, against the class's mean
+        self.cause = UNKNOWN
+        self.done_at = -1
+        self.served = False
+        self.work = 0.0  # that servers did for it, in core-microseconds of the yardstick
+        self.useful = 0.0  # of which for the answer it got
+        self.attempts = 0  # over all tiers
+
+
+class Caller(Protocol):
+    """Whoever waits for a call: clients, or a server of the tier before."""
+
+    def answered(self, call: Call, answer: Answer, retry_after: int) -> None:
+        """The call's one final answer, at the caller."""
+
+
+class Call:
+    """One request at one node: a client's try, or a server's call to the next tier."""
+
+    __slots__ = (
+        "id",
+        "root",
+        "key",
+        "tier",
+        "until",
+        "caller",
+        "node",
+        "number",
+        "sent",
+        "out",
+        "ran_on",
+        "ran_at",
+        "open",
+        "cause",
+        "useful",
+        "context",
+        "waiting",
+        "taken",
+    )
+
+    def __init__(self, number: int, root: Request, key: int, tier: int, until: int, caller: Caller) -> None:
+        self.id = number
+        self.root = root
+        self.key = key  # of its draws: the same for each try of a request and each attempt above
+        self.tier = tier
+        self.until = until  # how long the caller waits
+        self.caller = caller
+        self.node: Port | None = None
+        self.number = 0  # of the try, or of the call among its server's calls
+        self.sent: list[Attempt] = []
+        self.out = 0  # attempts without an outcome
+        self.ran_on: Any = None  # the first server that may have run it
+        self.ran_at = 0
+        self.open = True
+        self.taken = False
+        self.cause = UNKNOWN
+        self.useful = 0.0
+        self.context: Any = None  # the caller's own
+        self.waiting = True  # whoever called waits for the answer still
+
+
+class Attempt:
+    """One sending of a call to one server."""
+
+    __slots__ = ("call", "number", "server", "port", "draw", "sent_at", "ended", "job", "link", "cause")
+
+    def __init__(self, call: Call, number: int, server: Any, port: Port, draw: int, now: int) -> None:
+        self.call = call
+        self.number = number
+        self.server = server
+        self.port = port
+        self.draw = draw  # of its messages' delays
+        self.sent_at = now
+        self.ended = False
+        self.job: Any = None  # the server's own
+        self.link: Any = None  # the connection it went by, the node's own
+        self.cause: Cause | None = None  # of an error that came from a tier behind
+
+
+class Port(Protocol):
+    """A node as the world sees it: what callers, servers and discovery can do to it."""
+
+    tier: int
+    zone: int
+    up: bool
+    ready: bool
+    starts: dict[int, int]  # the servers that it was told of, by their starts
+
+    def arriving(self, at: int, call: Call) -> None:
+        """A client's call is on its way and comes at `at`."""
+
+    def take(self, call: Call) -> None:
+        """A call has come to the node."""
+
+    def drop(self, call: Call) -> None:
+        """The call's caller has left."""
+
+    def overdue(self, call: Call) -> None:
+        """The call's time and the slack are over: if it is open still, the rule is broken."""
+
+    def reply(self, attempt: Attempt, outcome: Outcome) -> None:
+        """A server has answered an attempt, or its connection has broken."""
+
+    def news(self, kind: ListKind, entries: list[ServerEntry]) -> None:
+        """Discovery has told the node something."""
+
+    def boot(self) -> None:
+        """Starts a new process."""
+
+    def leave(self) -> None:
+        """SIGTERM: finish what is open, then end."""
+
+    def kill(self) -> None:
+        """SIGKILL: what is open is lost."""
+
+
+def is_over(thing: Attempt) -> bool:
+    """An attempt's time-out is needless once it has ended."""
+    return thing.ended
+
+
+def is_answered(call: Call) -> bool:
+    """A call's time limit is needless once it has its answer."""
+    return not call.open
+
+
+def is_left(call: Call) -> bool:
+    """A caller's patience is needless once it waits no more."""
+    return not call.waiting
--- /dev/null
+++ b/laurelspindle/world/faults.py
@@ -0,0 +1,191 @@
+"""Troubles of a day. Who is struck is drawn from the fault's own stream, so no policy changes it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from laurelspindle.scenario.model import Fault
+from laurelspindle.world.call import Port
+from laurelspindle.world.network import num, whole
+from laurelspindle.world.server import Server
+
+if TYPE_CHECKING:
+    from laurelspindle.world.site import World
+
+DRAIN = 3_000_000  # a server that is replaced drains for so long before it ends
+
+
+class Trouble:
+    """One fault at work."""
+
+    def __init__(self, world: World, fault: Fault, number: int) -> None:
+        self.world = world
+        self.clock = world.clock
+        self.fault = fault
+        self.rng = world.streams.random(f"fault/{number}")
+        self.begin = world.begin + int(num(fault.at_s) * 1e6)
+        self.length = int(num(fault.for_s) * 1e6)
+        self.factor = num(fault.factor)
+        self.part = num(fault.part)
+        self.share = num(fault.share)
+        self.steps = whole(fault.steps)
+        self.struck: list[Server] = []
+        self.clock.call_at(self.begin, self.start, None)
+
+    def servers(self) -> list[Server]:
+        """All that the fault may strike, in an order that this fault draws."""
+        tiers = self.world.tiers if self.fault.tier < 0 else [self.world.tiers[self.fault.tier]]
+        chosen: list[Server] = []
+        for tier in tiers:
+            able = [s for s in tier if s.up and not s.silent]
+            self.rng.shuffle(able)
+            chosen += able[: max(1, round(self.part * len(able)))]
+        self.rng.shuffle(chosen)  # steps of a change go through all tiers alike
+        return chosen
+
+    def start(self, _: Any) -> None:
+        getattr(self, "start_" + self.fault.type)()
+
+    def end_at(self, call: Any, after: int | None = None) -> None:
+        self.clock.call_at(self.clock.now + (self.length if after is None else after), call, None)
+
+    # ---- slower servers -------------------------------------------------------------------------------
+
+    def start_slow(self) -> None:
+        self.struck = self.servers()
+        self.set_slow(self.factor)
+        self.end_at(lambda _: self.set_slow(1 / self.factor))
+
+    def set_slow(self, factor: float) -> None:
+        for server in self.struck:
+            server.slow *= factor
+            server.tune()
+
+    def start_neighbour(self) -> None:
+        """Another program on the machine, on and off for 1 to 5 s."""
+        self.struck = self.servers()
+        for server in self.struck:
+            self.clock.call_at(self.clock.now + int(self.rng.random() * 1e6), self.neighbour, (server, True))
+
+    def neighbour(self, turn: tuple[Server, bool]) -> None:
+        server, on = turn
+        over = self.clock.now >= self.begin + self.length
+        server.taken = self.share if on and not over else 0.0
+        server.tune()
+        if not over:
+            self.clock.call_at(
+                self.clock.now + int(1e6 + 4e6 * self.rng.random()), self.neighbour, (server, not on)
+            )
+
+    def start_shared_slow(self) -> None:
+        self.set_shared(self.factor)
+        self.end_at(lambda _: self.set_shared(1 / self.factor))
+
+    def set_shared(self, factor: float) -> None:
+        self.world.shared_slow *= factor
+        for tier in self.world.tiers:
+            for server in tier:
+                server.tune()
+
+    # ---- lost servers ---------------------------------------------------------------------------------
+
+    def start_crash(self) -> None:
+        self.crash(self.servers())
+
+    def crash(self, servers: list[Server]) -> None:
+        self.struck = servers
+        for server in servers:
+            server.stop(kill=True)
+            self.world.discovery.died(server)
+        self.end_at(self.revive)
+
+    def revive(self, _: Any) -> None:
+        for server in self.struck:
+            self.clock.call_at(self.clock.now + int(1e6 * self.rng.random()), lambda s: s.start(), server)
+
+    def start_zone_lost(self) -> None:
+        """All servers of a zone at once; without zones, the fault's part of each tier."""
+        if self.world.zones > 1:
+            zone = whole(self.fault.zone)
+            self.crash([s for tier in self.world.tiers for s in tier if s.zone == zone and s.up])
+        else:
+            self.start_crash()
+
+    def start_silent(self) -> None:
+        self.struck = self.servers()
+        for server in self.struck:
+            server.silent = True
+            server.tune()
+            self.world.discovery.fell_silent(server)
+        self.end_at(self.speak)
+
+    def speak(self, _: Any) -> None:
+        for server in self.struck:
+            server.silent = False
+            server.tune()
+            self.world.discovery.came(server)
+
+    def start_cut(self) -> None:
+        zone = whole(self.fault.zone)
+        self.world.network.cut.add(zone)
+        self.end_at(lambda _: self.world.network.cut.discard(zone))
+
+    # ---- planned changes ------------------------------------------------------------------------------
+
+    def in_steps(self, things: list[Any], call: Any) -> None:
+        """Spreads a change of many things over the fault's time, so many steps."""
+        for i, thing in enumerate(things):
+            step = i * self.steps // max(1, len(things))
+            self.clock.call_at(self.clock.now + step * self.length // self.steps, call, thing)
+
+    def start_replace(self) -> None:
+        """Servers drain and end; machines that replace them come up cold, under new ids."""
+        self.in_steps(self.servers(), self.replace)
+
+    def replace(self, server: Server) -> None:
+        server.draining = True
+        self.world.discovery.drains(server)
+        self.world.add_server(server.spec).start()
+        self.clock.call_at(self.clock.now + DRAIN, self.retire, server)
+
+    def retire(self, server: Server) -> None:
+        server.stop(kill=False)
+        self.world.discovery.died(server)
+
+    def start_release(self) -> None:
+        """New processes on the same machines, in steps, and the front's nodes with them."""
+        self.in_steps(self.servers(), self.renew)
+        self.start_restart()
+
+    def renew(self, server: Server) -> None:
+        server.draining = True
+        self.world.discovery.drains(server)
+        self.clock.call_at(self.clock.now + DRAIN, self.restart_server, server)
+
+    def restart_server(self, server: Server) -> None:
+        server.stop(kill=False)
+        server.draining = False
+        self.clock.call_at(self.clock.now + 500_000, lambda s: s.start(), server)
+
+    def start_restart(self) -> None:
+        """A part of the front's nodes is restarted, by SIGTERM or SIGKILL."""
+        nodes = list(self.world.nodes)
+        self.rng.shuffle(nodes)
+        self.in_steps(nodes[: max(1, round(self.part * len(nodes)))], self.restart_node)
+
+    def restart_node(self, node: Port) -> None:
+        if self.fault.kill:
+            node.kill()
+        else:
+            node.leave()
+        self.clock.call_at(self.clock.now + self.world.boot, self.boot_node, node)
+
+    def boot_node(self, node: Port) -> None:
+        if node.up:  # still finishing what it has: its successor waits
+            self.clock.call_at(self.clock.now + 50_000, self.boot_node, node)
+        else:
+            node.boot()
+
+    def start_discovery_silent(self) -> None:
+        self.world.discovery.silence(True)
+        self.end_at(lambda _: self.world.discovery.silence(False))
--- /dev/null
+++ b/laurelspindle/world/network.py
@@ -0,0 +1,54 @@
+"""One-way delays between zones, cut zones, lost messages."""
+
+from __future__ import annotations
+
+from laurelspindle.scenario.model import Scenario
+from laurelspindle.world.streams import Streams, scramble
+
+TABLE = 4096  # draws made ahead: a message takes the one that belongs to its call, whoever sent it
+
+
+class Network:
+    """Delays in microseconds. A message's draw belongs to its key, so no choice shifts another's."""
+
+    def __init__(self, day: Scenario, streams: Streams) -> None:
+        net = day.network
+        jitter, loss = num(net.jitter), num(net.loss)
+        rng = streams.numpy("network")
+        factors = 1 + jitter * rng.exponential(1.0, TABLE)
+        lost = rng.random(TABLE) < loss
+        extra = num(net.resend_ms) * 1000
+        self.same = [
+            int(num(net.same_ms) * 1000 * f + extra * gone) for f, gone in zip(factors, lost, strict=True)
+        ]
+        self.cross = [
+            int(num(net.cross_ms) * 1000 * f + extra * gone) for f, gone in zip(factors, lost, strict=True)
+        ]
+        self.client = [int(num(net.client_ms) * 1000 * f) for f in factors]
+        self.connect_timeout = int(num(net.connect_timeout_ms) * 1000)
+        self.idle = int(num(net.idle_s) * 1e6)
+        self.cut: set[int] = set()  # zones cut off from the others
+
+    def reaches(self, a: int, b: int) -> bool:
+        """Whether messages pass between two zones."""
+        return a == b or not self.cut or (a not in self.cut and b not in self.cut)
+
+    def between(self, a: int, b: int, draw: int) -> int:
+        """The delay of a message between zones, by the draw that belongs to its call and attempt."""
+        return (self.same if a == b else self.cross)[draw & (TABLE - 1)]
+
+    def outside(self, key: int, number: int) -> int:
+        """The delay between a client and a node."""
+        return self.client[scramble(key, number) & (TABLE - 1)]
+
+
+def num(value: float | tuple[float, float]) -> float:
+    """A figure of a day, in which every range is fixed."""
+    assert not isinstance(value, tuple), "a day has no ranges"
+    return value
+
+
+def whole(value: int | tuple[int, int]) -> int:
+    """A whole figure of a day."""
+    assert not isinstance(value, tuple), "a day has no ranges"
+    return value
--- /dev/null
+++ b/laurelspindle/world/server.py
@@ -0,0 +1,392 @@
+"""A server: cores shared evenly by the calls in work, a waiting room, pauses, cold starts, a cap on
+connections.
+
+Calls in work that do not wait for the next tier share the cores evenly (processor sharing). `served` is the
+work each of them has got since the server was made, so a call ends when `served` has grown by its work: one
+heap of such marks, one event for the next end, whatever the number of calls.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from heapq import heappop, heappush
+from typing import TYPE_CHECKING, Any
+
+from brackenladder.interface import Outcome
+from laurelspindle.world.call import Answer, Attempt, Call, Port
+from laurelspindle.world.streams import scramble
+
+if TYPE_CHECKING:
+    from laurelspindle.world.site import ServerSpec, World
+
+BEFORE = 0.5  # of a server's own work is done before it calls the next tier
+WARM_STEPS = 40  # a cold start gains capacity in so many steps
+CONNECTION_TAX = 0.25  # of the capacity a full table of connections takes (BRIEF's site: 0.21 to 0.37)
+COLD_SLACK = 3.0  # calls of mean work that a cold server bears beyond its budget, for chance
+
+
+class Job:
+    """One attempt at its server."""
+
+    __slots__ = ("attempt", "mark", "begun", "left", "calls", "child", "useful", "state", "answer")
+
+    def __init__(self, attempt: Attempt, work: float, calls: int) -> None:
+        self.attempt = attempt
+        self.mark = 0.0  # the `served` at which its present work is done
+        self.begun = 0.0  # the `served` at which that began
+        self.left = work  # not yet begun
+        self.calls = calls  # not yet made
+        self.child: Call | None = None
+        self.useful = work
+        self.state = QUEUED
+        self.answer = Outcome.OK
+
+
+QUEUED, RUNNING, WAITING, DONE = range(4)
+
+
+class Server:
+    """One machine. `ready_at` is its process's start, 0 for long ago."""
+
+    def __init__(self, world: World, spec: ServerSpec) -> None:
+        self.world = world
+        self.clock = world.clock
+        self.spec = spec
+        self.id = spec.id
+        self.tier = spec.tier
+        self.zone = spec.zone
+        self.cell = spec.cell
+        self.kind = spec.kind
+        self.cores = spec.cores
+        self.full_speed = spec.speed
+        self.errors = world.streams.random(f"{spec.name}/errors")
+        self.pauses = world.streams.random(f"{spec.name}/pauses")
+        self.node: Port | None = None  # for its calls to the next tier
+        self.up = True
+        self.draining = False
+        self.silent = False  # the machine says nothing, and hears nothing
+        self.fallen = False
+        self.ready_at = 0
+        self.warmth = 1.0
+        self.slow = 1.0
+        self.taken = 0.0  # share of the machine that another program has
+        self.paused = False
+        self.life = 0  # of its process
+        self.held: set[Job] = set()
+        self.queue: deque[Job] = deque()
+        self.in_work = 0
+        self.running = 0
+        self.marks: list[tuple[float, int, Job]] = []
+        self.order = 0
+        self.served = 0.0
+        self.at = 0
+        self.speed = spec.speed  # of a core now
+        self.rate = 0.0  # of each running call now
+        self.wake_at = -1
+        self.connections = 0
+        self.overhead = 0.0  # work of handshakes and probes, charged to the next call
+        self.recent: deque[tuple[int, float, bool]] = deque()  # what came while cold
+        self.recent_work = 0.0
+        self.told_work = 0.0
+        self.busy = 0.0  # core-microseconds of yardstick work done
+        if spec.pause > 0:
+            self.clock.call_at(
+                self.clock.now + int(self.next_pause() * self.pauses.random()), self.pause, None
+            )
+
+    # ---- capacity ---------------------------------------------------------------------------------------
+
+    def next_pause(self) -> float:
+        return self.spec.pause_every * (0.6 + 0.8 * self.pauses.random())
+
+    def pause(self, _: Any) -> None:
+        self.paused = True
+        self.tune()
+        length = int(self.spec.pause * (0.7 + 0.6 * self.pauses.random()))
+        self.clock.call_at(self.clock.now + length, self.resume, None)
+
+    def resume(self, _: Any) -> None:
+        self.paused = False
+        self.tune()
+        self.clock.call_at(self.clock.now + int(self.next_pause()), self.pause, None)
+
+    def tune(self) -> None:
+        """Takes note of a change in what the machine can do."""
+        self.advance()
+        tax = 1 - CONNECTION_TAX * min(1.0, self.connections / self.spec.connection_cap)
+        share = 0.0 if self.paused or self.silent else 1 - self.taken
+        self.speed = self.full_speed * self.warmth * share * tax / self.slow / self.world.shared_slow
+        self.schedule()
+
+    def capacity(self) -> float:
+        """Yardstick work a microsecond that the server could do now, pauses left out."""
+        return (
+            self.cores * self.full_speed * self.warmth * (1 - self.taken) / self.slow / self.world.shared_slow
+        )
+
+    def advance(self) -> None:
+        now = self.clock.now
+        if self.rate > 0:
+            self.served += self.rate * (now - self.at)
+        self.at = now
+
+    def schedule(self) -> None:
+        """Sets the rate anew and sees to it that the next end of work is met."""
+        n = self.running
+        if n == 0 or self.speed <= 0:
+            self.rate = 0.0
+            return
+        rate = self.speed if n <= self.cores else self.speed * self.cores / n
+        over = self.in_work - self.spec.thrash_at
+        if over > 0:
+            rate /= 1 + self.spec.thrash * over / self.cores
+        self.rate = rate
+        due = self.at + int((self.marks[0][0] - self.served) / rate) + 1
+        if self.wake_at < 0 or due < self.wake_at:
+            self.wake_at = due
+            self.clock.call_at(due, self.woken, due)
+
+    def woken(self, due: int) -> None:
+        if due != self.wake_at:  # an earlier end came up since
+            return
+        self.wake_at = -1
+        self.advance()
+        marks = self.marks
+        limit = self.served + 1e-6
+        while marks and marks[0][0] <= limit:
+            job = heappop(marks)[2]
+            if job.state == RUNNING:
+                self.running -= 1
+                self.worked(job)
+                self.step(job)
+        while marks and marks[0][2].state != RUNNING:
+            heappop(marks)
+        self.schedule()
+
+    # ---- a call's way through ----------------------------------------------------------------------------
+
+    def arrive(self, attempt: Attempt) -> None:
+        """An attempt's last byte has come."""
+        if attempt.ended or self.silent:
+            return
+        if not self.up:
+            attempt.port.reply(attempt, Outcome.RESET)
+            return
+        world = self.world
+        call = attempt.call
+        work = world.work(call.root, self.tier)
+        if self.warmth < 1.0 and not self.bears(attempt, work):
+            return
+        if self.draining or (self.in_work >= self.spec.slots and len(self.queue) >= self.spec.queue):
+            attempt.port.reply(attempt, Outcome.REJECTED)
+            return
+        calls = world.calls(self.tier, call.key)
+        job = attempt.job = Job(attempt, work + self.overhead, calls)
+        self.overhead = 0.0
+        self.held.add(job)
+        if self.in_work >= self.spec.slots:
+            self.queue.append(job)
+        else:
+            self.advance()
+            self.begin(job)
+            self.schedule()
+
+    def begin(self, job: Job) -> None:
+        self.in_work += 1
+        if job.calls and self.node is not None:
+            part = job.left * BEFORE
+            job.left -= part
+            self.run(job, part)
+        else:
+            part, job.left = job.left, 0.0
+            self.run(job, part)
+
+    def run(self, job: Job, work: float) -> None:
+        job.state = RUNNING
+        job.begun = self.served
+        job.mark = self.served + work
+        self.order += 1
+        self.running += 1
+        heappush(self.marks, (job.mark, self.order, job))
+
+    def worked(self, job: Job) -> None:
+        """Books the work that a call has got since it last began to run."""
+        done = self.served - job.begun
+        self.busy += done
+        job.attempt.call.root.work += done
+
+    def step(self, job: Job) -> None:
+        """What comes after a piece of work: a call to the next tier, the rest of the work, or the answer."""
+        if job.calls and self.node is not None:
+            job.state = WAITING
+            self.call(job)
+        elif job.left > 0:
+            part, job.left = job.left, 0.0
+            self.run(job, part)
+        else:
+            error = self.spec.error_rate > 0 and self.errors.random() < self.spec.error_rate
+            self.finish(job, Outcome.ERROR if error else Outcome.OK)
+
+    def call(self, job: Job) -> None:
+        """One call to the next tier, through this server's own node."""
+        above = job.attempt.call
+        world = self.world
+        key = scramble(above.key, job.calls)
+        call = world.call(above.root, key, self.tier + 1, above.until, self)
+        call.context = job
+        call.number = job.calls
+        job.calls -= 1
+        job.child = call
+        node = self.node
+        if node is None or not node.ready:
+            call.cause = ("never sent", self.tier + 1)
+            self.answered(call, Answer.UNREACHABLE, 0)
+        else:
+            node.take(call)
+
+    def answered(self, call: Call, answer: Answer, retry_after: int) -> None:
+        """The next tier's answer to a call of ours. Nobody else repeats it: if it fails, so do we."""
+        job: Job = call.context
+        if job.state != WAITING or job.child is not call:
+            return
+        job.child = None
+        if answer == Answer.OK:
+            job.useful += call.useful
+            self.advance()
+            self.step(job)
+            self.schedule()
+        else:
+            job.attempt.cause = call.cause
+            self.finish(job, Outcome.ERROR)
+
+    def finish(self, job: Job, outcome: Outcome) -> None:
+        job.state = DONE
+        self.release(job)
+        attempt = job.attempt
+        if not attempt.ended:
+            job.answer = outcome
+            attempt.port.reply(attempt, outcome)
+
+    def release(self, job: Job) -> None:
+        """Frees the slot, and lets the first who waits have it."""
+        self.held.discard(job)
+        self.in_work -= 1
+        while self.queue and self.in_work < self.spec.slots:
+            following = self.queue.popleft()
+            if following.state != DONE:
+                self.advance()
+                self.begin(following)
+                self.schedule()
+
+    def abandon(self, attempt: Attempt) -> None:
+        """The node has given the attempt up: its work stops where the server's kind lets it."""
+        job: Job | None = attempt.job
+        if job is None or job.state == DONE or not self.up or self.silent:
+            return
+        state = job.state
+        if not self.spec.cancel and state != QUEUED:
+            return
+        self.advance()
+        job.state = DONE
+        if state == QUEUED:
+            self.held.discard(job)
+            self.queue.remove(job)
+            return
+        if state == RUNNING:
+            self.running -= 1
+            self.worked(job)
+            while self.marks and self.marks[0][2].state != RUNNING:
+                heappop(self.marks)
+        elif job.child is not None and self.node is not None:
+            self.node.drop(job.child)
+        self.release(job)
+        self.schedule()
+
+    # ---- connections and probes --------------------------------------------------------------------------
+
+    def dialled(self, change: int) -> bool:
+        """A connection comes up (1) or closes (-1). False if the table is full."""
+        if change > 0:
+            if self.connections >= self.spec.connection_cap:
+                return False
+            self.overhead += self.spec.handshake
+        self.connections += change
+        return True
+
+    def probed(self) -> bool:
+        """A probe's answer; it costs work."""
+        self.overhead += self.spec.probe
+        return not self.draining
+
+    # ---- starts and ends ---------------------------------------------------------------------------------
+
+    def bears(self, attempt: Attempt, work: float) -> bool:
+        """Whether a cold server stands what it is sent; every bit of work that arrives counts."""
+        now = self.clock.now
+        world = self.world
+        recent = self.recent
+        told = world.told(attempt, self)
+        recent.append((now, work, told))
+        self.recent_work += work
+        self.told_work += work * told
+        while recent[0][0] < now - world.fall_time:
+            _, old, by_told = recent.popleft()
+            self.recent_work -= old
+            self.told_work -= old * by_told
+        budget = world.fall_multiple * self.cores * self.full_speed * self.warmth * world.fall_time
+        if self.recent_work <= budget + COLD_SLACK * world.mean_work[self.tier]:
+            return True
+        self.fallen = True
+        world.referee.fell(self, self.told_work / self.recent_work)
+        self.stop(kill=True)
+        world.discovery.died(self)
+        return False
+
+    def start(self) -> None:
+        """A new process, cold."""
+        if self.fallen or self.up:
+            return
+        self.up = True
+        self.draining = False
+        self.life += 1
+        self.ready_at = max(1, self.clock.now)
+        self.recent.clear()
+        self.recent_work = self.told_work = 0.0
+        if self.spec.cold > 0:
+            self.warmth = self.spec.cold_from
+            self.clock.call_at(self.clock.now + self.spec.cold // WARM_STEPS, self.warm, self.life)
+        self.tune()
+        if self.node is not None:
+            self.node.boot()
+        self.world.discovery.came(self)
+
+    def warm(self, life: int) -> None:
+        if life != self.life or not self.up:
+            return
+        passed = (self.clock.now - self.ready_at) / self.spec.cold
+        self.warmth = min(1.0, self.spec.cold_from + (1 - self.spec.cold_from) * passed)
+        self.tune()
+        if self.warmth < 1.0:
+            self.clock.call_at(self.clock.now + self.spec.cold // WARM_STEPS, self.warm, life)
+
+    def stop(self, kill: bool) -> None:
+        """The process ends: what it holds is reset."""
+        if not self.up:
+            return
+        self.advance()
+        self.up = False
+        self.life += 1
+        if self.node is not None:
+            self.node.kill()
+        for job in sorted(self.held, key=lambda j: j.attempt.call.id):
+            if job.state == RUNNING:
+                self.worked(job)
+            job.state = DONE
+            if not job.attempt.ended:
+                job.attempt.port.reply(job.attempt, Outcome.RESET)
+        self.held.clear()
+        self.queue.clear()
+        self.marks.clear()
+        self.in_work = self.running = 0
+        self.connections = 0
+        self.schedule()
--- /dev/null
+++ b/laurelspindle/world/site.py
@@ -0,0 +1,294 @@
+"""A day put together: servers in tiers, nodes, clients, front, network, discovery, faults, referee,
+accounts."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from math import floor
+from typing import Protocol
+
+from brackenladder.interface import ClassSettings, Effect, Group, Settings
+from laurelspindle.scenario.model import Kind, Scenario
+from laurelspindle.world.accounts import Accounts
+from laurelspindle.world.call import Attempt, Call, Caller, Port, Request
+from laurelspindle.world.clients import Clients
+from laurelspindle.world.clock import Clock
+from laurelspindle.world.discovery import Discovery
+from laurelspindle.world.faults import Trouble
+from laurelspindle.world.front import Front
+from laurelspindle.world.network import Network, num, whole
+from laurelspindle.world.referee import Referee
+from laurelspindle.world.server import Server
+from laurelspindle.world.streams import Streams, scramble
+
+LEAST_SPEED = 0.3  # of its kind's mean, however wide the spread
+CALLS = 7  # what a call's draw of its number of further calls is for
+BEGIN = 10_000_000  # the clock begins at no particular value
+
+EFFECTS = {"safe": Effect.SAFE, "keyed": Effect.KEYED, "unsafe": Effect.UNSAFE}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+
+
+@dataclass(frozen=True, slots=True)
+class ServerSpec:
+    """A machine's figures. Times in microseconds, work in core-microseconds of the yardstick."""
+
+    name: str
+    id: int
+    tier: int
+    zone: int
+    cell: int
+    kind: int
+    cores: int
+    speed: float
+    slots: int
+    queue: int
+    thrash: float
+    thrash_at: float
+    pause: float
+    pause_every: float
+    cold_from: float
+    cold: int
+    connection_cap: int
+    handshake: float
+    handshake_rtts: float
+    probe: float
+    error_rate: float
+    cancel: bool
+
+
+class Hosts(Protocol):
+    """Makes the nodes of a world."""
+
+    def node(self, world: World, name: str, tier: int, settings: Settings) -> Port:
+        """A node that is not started yet. `tier`: the servers it sends to."""
+
+
+class World:
+    """One day in motion. `servers` and `nodes` override the day's own numbers."""
+
+    def __init__(self, day: Scenario, clock: Clock, hosts: Hosts) -> None:
+        self.day = day
+        self.clock = clock
+        self.hosts = hosts
+        self.streams = Streams(day.seed)
+        self.begin = clock.now
+        self.length = int(num(day.length_s) * 1e6)
+        self.zones = whole(day.zones.count)
+        self.boot = int(num(day.nodes.boot_ms) * 1000)
+        self.slack = int(num(day.rules.answer_slack_ms) * 1000)
+        self.fall_time = int(num(day.rules.fall_s) * 1e6)
+        self.fall_multiple = num(day.rules.fall_multiple)
+        self.shared_slow = 1.0
+        self.follow: Callable[[Request, str, str], None] | None = None
+        self.followed = -1
+        self.numbers = itertools.count(1)
+        self.classes = [
+            ClassSettings(
+                EFFECTS[c.effect],
+                int(num(c.aim_s) * 1e6),
+                int(num(c.deadline_s) * 1e6),
+                num(c.worth),
+                num(c.late_worth),
+                GROUPS[c.group],
+                int(num(c.window_s) * 1e6),
+            )
+            for c in day.klass
+        ]
+        self.tick = int(num(day.nodes.tick_ms) * 1000)
+        shares = [num(c.share) for c in day.klass]
+        mean = sum(num(c.work_ms) * s for c, s in zip(day.klass, shares, strict=True)) / sum(shares) * 1000
+        self.mean_work = [num(t.work) * mean for t in day.tier]
+        self.work_table = [[num(t.work) * num(c.work_ms) * 1000 for c in day.klass] for t in day.tier]
+        self.mean_calls = [num(t.calls) for t in day.tier[1:]] + [0.0]
+        self.network = Network(day, self.streams)
+        self.referee = Referee(
+            self.classes, int(num(day.rules.stop_sending_ms) * 1000), day.nodes.second_copies
+        )
+        self.accounts = Accounts(day, self.classes, self.begin, len(day.tier))
+        self.front = Front(day, clock, self.streams, self.zones)
+        self.discovery = Discovery(day, self, len(day.tier))
+        self.tiers: list[list[Server]] = []
+        self.by_id: dict[int, Server] = {}
+        self.replaced = itertools.count()
+        specs = self.draw_specs()
+        self.instances = [whole(day.nodes.count)] + [len(tier) for tier in specs[:-1]]
+        for tier in specs:
+            self.tiers.append([])
+            for spec in tier:
+                self.discovery.enter(self.add_server(spec, first=True))
+        self.nodes = [
+            hosts.node(self, f"front/{i}", 0, self.settings(0, i % self.zones, i))
+            for i in range(self.instances[0])
+        ]
+        self.clients = Clients(self, self.rate())
+        self.troubles = [Trouble(self, fault, i) for i, fault in enumerate(day.fault)]
+
+    # ---- what there is --------------------------------------------------------------------------------
+
+    def draw_specs(self) -> list[list[ServerSpec]]:
+        """The machines of each tier, kinds by their shares, zones in turn, cells within a zone."""
+        out: list[list[ServerSpec]] = []
+        ids = self.streams.random("ids")
+        taken: set[int] = set()
+        for t, tier in enumerate(self.day.tier):
+            count = max(1, round(whole(self.day.servers) * num(tier.size)))
+            shares = [num(k.share) for k in tier.kind]
+            kinds = [
+                k
+                for _, k in sorted(
+                    ((i + 0.5) / share, k) for k, share in enumerate(shares) for i in range(count)
+                )
+            ][:count]
+            cell = whole(tier.cell_size)
+            row = []
+            for i in range(count):
+                number = ids.randrange(1, 2**32)
+                while number in taken:
+                    number = ids.randrange(1, 2**32)
+                taken.add(number)
+                row.append(
+                    self.spec(f"{tier.name}/{i}", number, t, i % self.zones, self.cell_of(i, cell), kinds[i])
+                )
+            out.append(row)
+        return out
+
+    def cell_of(self, place: int, size: int) -> int:
+        """Cells lie within a zone; their numbers are unique within the tier."""
+        return place // self.zones // size * self.zones + place % self.zones
+
+    def spec(self, name: str, number: int, tier: int, zone: int, cell: int, kind: int) -> ServerSpec:
+        k: Kind = self.day.tier[tier].kind[kind]
+        cores = whole(k.cores)
+        rng = self.streams.random(f"{name}/speed")
+        return ServerSpec(
+            name=name,
+            id=number,
+            tier=tier,
+            zone=zone,
+            cell=cell,
+            kind=kind,
+            cores=cores,
+            speed=num(k.speed) * max(LEAST_SPEED, rng.gauss(1.0, num(k.speed_cv))),
+            slots=max(1, round(num(k.slots_per_core) * cores)),
+            queue=round(num(k.queue_per_core) * cores),
+            thrash=num(k.thrash),
+            thrash_at=num(k.thrash_at),
+            pause=num(k.pause_ms) * 1000,
+            pause_every=num(k.pause_every_s) * 1e6,
+            cold_from=num(k.cold_from),
+            cold=int(num(k.cold_s) * 1e6),
+            connection_cap=max(1, round(num(k.connections_per_core) * cores)),
+            handshake=num(k.handshake_us),
+            handshake_rtts=num(k.handshake_rtts),
+            probe=num(k.probe_us),
+            error_rate=num(k.error_rate),
+            cancel=k.cancel,
+        )
+
+    def add_server(self, spec: ServerSpec, first: bool = False) -> Server:
+        """A machine: one of the first day, or one that replaces another of that kind and place."""
+        if not first:
+            number = next(self.replaced)
+            rng = self.streams.random(f"replacement/{number}")
+            spec = replace(spec, name=f"{spec.name}+{number}", id=rng.randrange(2**32, 2**33) & 0xFFFFFFFF)
+            while spec.id in self.by_id:
+                spec = replace(spec, id=rng.randrange(1, 2**32))
+        server = Server(self, spec)
+        server.up = first
+        tier = self.tiers[spec.tier]
+        if spec.tier + 1 < len(self.day.tier):
+            settings = self.settings(spec.tier + 1, spec.zone, len(tier))
+            server.node = self.hosts.node(self, f"node/{spec.name}", spec.tier + 1, settings)
+        tier.append(server)
+        self.by_id[spec.id] = server
+        server.tune()
+        return server
+
+    def settings(self, tier: int, zone: int, index: int) -> Settings:
+        """What a node of this world is told at its start."""
+        day = self.day
+        kinds = [k for t in day.tier for k in t.kind]
+        return Settings(
+            classes=tuple(self.classes),
+            tier=tier,
+            tiers=len(day.tier),
+            zone=zone,
+            instances=self.instances[tier],
+            index=index,
+            tick=self.tick,
+            max_attempts=whole(day.nodes.max_attempts),
+            cancel=True,
+            probes=day.nodes.probes,
+            peers=day.nodes.peers,
+            second_copies=day.nodes.second_copies,
+            retry_after=day.nodes.retry_after and tier == 0,
+            max_retry_after=int(num(day.clients.max_retry_after_s) * 1e6),
+            list_on_request=day.discovery.mode == "ask",
+            list_ask_within=10_000_000 if day.discovery.mode == "ask" else 0,
+            cold_time=max(int(num(k.cold_s) * 1e6) for k in kinds),
+            cold_share=min(num(k.cold_from) for k in kinds),
+            fall_multiple=num(day.rules.fall_multiple),
+            fall_time=self.fall_time,
+            answer_slack=self.slack,
+            cross_zone_price=num(day.prices.cross_zone),
+        )
+
+    def rate(self) -> float:
+        """First tries a microsecond: the load's fraction of what the tier that runs out first can do."""
+        visits = 1.0
+        rates = []
+        for t, tier in enumerate(self.tiers):
+            visits *= num(self.day.tier[t].calls) if t else 1.0
+            stands = [
+                s.spec.pause / (s.spec.pause + s.spec.pause_every) if s.spec.pause else 0.0 for s in tier
+            ]
+            able = sum(s.cores * s.full_speed * (1 - p) for s, p in zip(tier, stands, strict=True))
+            rates.append(able / (visits * self.mean_work[t]))
+        self.capacity = min(rates)
+        return num(self.day.load.fraction) * self.capacity
+
+    # ---- what its parts ask ---------------------------------------------------------------------------
+
+    def work(self, request: Request, tier: int) -> float:
+        """Work of a call to a tier, in core-microseconds of the yardstick."""
+        return self.work_table[tier][request.klass] * request.factor
+
+    def calls(self, tier: int, key: int) -> int:
+        """How many calls a server makes to the next tier for this call."""
+        mean = self.mean_calls[tier]
+        least = floor(mean)
+        return least + (scramble(key, CALLS) < (mean - least) * 2**32)
+
+    def call(self, root: Request, key: int, tier: int, until: int, caller: Caller) -> Call:
+        return Call(next(self.numbers), root, key, tier, until, caller)
+
+    def told(self, attempt: Attempt, server: Server) -> bool:
+        """Whether the node that sent an attempt had been told of the server's present start."""
+        return attempt.port.starts.get(server.id, -1) == server.ready_at
+
+    def trace(self, request: Request, who: str, what: str) -> None:
+        if request.index == self.followed and self.follow is not None:
+            self.follow(request, who, what)
+
+    # ---- its run --------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Starts the nodes, the front's spread over some time before the first arrival counts, and the
+        clients."""
+        for tier in self.tiers:
+            for server in tier:
+                if server.node is not None:
+                    server.node.boot()
+        spread = num(self.day.nodes.start_spread_ms) * 1000
+        rng = self.streams.random("starts")
+        for i, node in enumerate(self.nodes):
+            delay = 0 if i == 0 else int(spread * rng.random())
+            self.clock.call_at(self.begin + delay, lambda n: n.boot(), node)
+        self.clients.start()
+
+    def over(self) -> bool:
+        """Whether all requests have come and ended."""
+        return self.clients.left == 0
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,124 @@
+"""The baselines, and the published filter's controller by hand-fed time."""
+
+from random import Random
+
+import pytest
+from support import BASE, SEC, Recorder
+
+from brackenladder.interface import ListKind, Outcome, ServerEntry, State
+from laurelspindle.policies.gradient import GradientController, GradientSettings, PublishedGradient
+from laurelspindle.policies.plain import RandomChoice, RoundRobin, TwoDraws
+from laurelspindle.scenario.load import draw, load
+from laurelspindle.virtual.play import play
+
+MS = 1000
+
+
+def measured(latency=10 * MS):
+    """A controller whose first minRTT is known, and its window begun at 0."""
+    controller = GradientController(GradientSettings(), Random(1), 0)
+    for _ in range(50):
+        controller.sample(0, latency)
+    return controller
+
+
+def test_the_filter_measures_at_three_then_grows_by_the_square_root():
+    controller = GradientController(GradientSettings(), Random(1), 0)
+    admitted = 0
+    while controller.admits(0):
+        controller.in_flight += 1
+        admitted += 1
+    assert admitted == 3 and controller.min_rtt_calculation_active and controller.rq_blocked == 1
+    controller = measured()
+    assert controller.min_rtt == 10 * MS and not controller.min_rtt_calculation_active
+    for window in range(1, 4):
+        controller.sample(window * 100 * MS, 10 * MS)
+    assert controller.gradient == 1.25 and controller.concurrency_limit == 13  # 3, 5, 8, 13
+
+
+@pytest.mark.parametrize(
+    ("sample", "gradient"), [(10, 1.25), (12.5, 1.0), (25, 0.5), (100, 0.5), (1, 2.0)], ids=str
+)
+def test_the_gradient_is_min_rtt_and_buffer_over_the_sample(sample, gradient):
+    controller = measured()
+    controller.sample(100 * MS, int(sample * MS))
+    assert controller.gradient == pytest.approx(gradient)
+
+
+def test_an_empty_window_changes_nothing_and_five_at_the_minimum_measure_anew():
+    controller = measured()
+    controller.roll(10 * SEC)
+    assert controller.concurrency_limit == 3
+    for window in range(101, 106):
+        assert not controller.min_rtt_calculation_active
+        controller.sample(window * 100 * MS, 1000 * MS)
+    assert controller.min_rtt_calculation_active
+
+
+def test_min_rtt_is_measured_again_each_minute_with_jitter():
+    controller = measured()
+    assert 60 * SEC <= controller.next_min_rtt <= 66 * SEC
+    for window in range(1, 70 * 10):
+        controller.sample(window * 100 * MS, 10 * MS)
+        if controller.min_rtt_calculation_active:
+            break
+    assert 60 <= window / 10 <= 66.2 and controller.concurrency_limit == 3
+
+
+def asked(make, requests=40, servers=4, **changes):
+    recorder = Recorder()
+    node = make(BASE, 1, recorder)
+    node.start(0)
+    node.server_list(0, ListKind.CACHED, [ServerEntry(i) for i in range(servers)])
+    for request in range(requests):
+        node.request(request, request, 0, 0, 3 * SEC, False)
+    return node, recorder
+
+
+def test_choices():
+    sent = [c[2] for c in asked(RoundRobin)[1].take("send")]
+    assert all(sent.count(s) == 10 for s in range(4)) and sent[:4] == sent[4:8]
+    sent = [c[2] for c in asked(TwoDraws)[1].take("send")]
+    assert max(sent.count(s) for s in range(4)) <= 12  # even, by in-flight
+    node, recorder = asked(PublishedGradient, 5)
+    assert [c[0] for c in recorder.take()] == ["send"] * 3 + ["refuse"] * 2
+
+
+@pytest.mark.parametrize(
+    ("klass", "outcome", "answer"),
+    [
+        (0, Outcome.TIMEOUT, "send"),
+        (0, Outcome.REJECTED, "send"),
+        (1, Outcome.REJECTED, "send"),
+        (1, Outcome.TIMEOUT, "send"),  # the same cell
+        (2, Outcome.REJECTED, "send"),
+        (2, Outcome.TIMEOUT, "fail"),
+    ],
+)
+def test_baselines_repeat_only_what_may_be_repeated(klass, outcome, answer):
+    recorder = Recorder()
+    node = RandomChoice(BASE, 1, recorder)
+    node.server_list(
+        0, ListKind.FULL, [ServerEntry(1, cell=1), ServerEntry(2, cell=1), ServerEntry(3, cell=2)]
+    )
+    node.server_list(0, ListKind.CHANGES, [ServerEntry(3, State.GONE)] if klass != 1 else [])
+    node.request(0, 7, klass, 0, 3 * SEC, False)
+    ((_, _, first, _),) = recorder.take("send")
+    node.outcome(1000, 7, 0, first, outcome, 1000, False, ())
+    (call,) = recorder.take("send", "fail", "refuse")
+    if klass == 1 and outcome == Outcome.TIMEOUT and first == 3:
+        assert call[:3] == ("send", 7, 3)
+        return
+    assert call[0] == answer and (answer != "send" or call[2] != first)
+
+
+def test_sight_bounds_what_choice_can_reach_and_chance_is_the_floor():
+    """At three quarters of the capacity and a slow server: true state over the module over random."""
+    goals = {}
+    for policy in ("true-state", "module", "random"):
+        changes = ["length_s=15", "servers=6", "load.fraction=0.7", "fault[0].at_s=3", "fault[1].at_s=60"]
+        day = draw(
+            load("trouble", [*changes, "fault[2].at_s=60", "fault[0].part=0.2", "fault[0].factor=6"]), 2
+        )
+        goals[policy] = play(day, policy).result["goal"]
+    assert goals["true-state"] > goals["module"] > goals["random"]
