--- /dev/null
+++ b/laurelspindle/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m laurelspindle`."""
+
+from laurelspindle.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/laurelspindle/cli/scenario.py
@@ -0,0 +1,58 @@
+"""`laurelspindle scenario`: the days that can be played, drawn, checked, described."""
+
+from __future__ import annotations
+
+import json
+
+import click
+import msgspec
+
+from laurelspindle.cli.errors import Bad
+from laurelspindle.scenario.load import ScenarioError, draw, load, read, scenario_of, shipped, toml
+from laurelspindle.scenario.model import Scenario
+
+
+@click.group()
+def scenario() -> None:
+    """Scenarios: show a day drawn from one, check files, list what ships."""
+
+
+@scenario.command("list")
+def list_() -> None:
+    """The scenarios that ship with the product."""
+    for name, title in shipped().items():
+        click.echo(f"{name:14} {title}")
+
+
+@scenario.command()
+@click.argument("file")
+@click.option("--seed", type=click.IntRange(0), default=None, help="Of the draw; by default the file's own.")
+@click.option("--set", "overrides", multiple=True, metavar="KEY=VALUE", help="Override a key by its path.")
+def show(file: str, seed: int | None, overrides: tuple[str, ...]) -> None:
+    """Print the day that a seed draws from FILE. It is itself a scenario."""
+    try:
+        click.echo(toml(draw(load(file, list(overrides)), seed)), nl=False)
+    except ScenarioError as e:
+        raise Bad(str(e)) from None
+
+
+@scenario.command()
+@click.argument("files", nargs=-1, required=True)
+def check(files: tuple[str, ...]) -> int:
+    """Find every fault in FILES, each on a line."""
+    found: list[str] = []
+    for file in files:
+        try:
+            scenario_of(read(file), file)
+        except ScenarioError as e:
+            found.append(str(e))
+    if found:
+        raise Bad("\n".join(found))
+    click.echo(f"{len(files)} sound")
+    return 0
+
+
+@scenario.command()
+def schema() -> None:
+    """Print the JSON Schema of a scenario."""
+    click.echo(json.dumps(msgspec.json.schema(Scenario), indent=2))
--- /dev/null
+++ b/laurelspindle/cli/simulate.py
@@ -0,0 +1,101 @@
+"""`laurelspindle simulate`: plays one day on the virtual clock."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
+
+from laurelspindle.cli.errors import Bad, writable, write_whole
+from laurelspindle.policies import POLICIES
+from laurelspindle.report.tables import run_report
+from laurelspindle.scenario.load import ScenarioError, draw, load
+from laurelspindle.scenario.model import Scenario
+from laurelspindle.virtual.play import Run, play
+
+POLICY_HELP = "Who decides: " + "; ".join(f"{name}, {what}" for name, (_, what) in POLICIES.items()) + "."
+
+
+@click.command()
+@click.argument("scenario")
+@click.option(
+    "--seed", type=click.IntRange(0), default=None, help="Of the day's draw; by default the scenario's own."
+)
+@click.option("--policy", type=click.Choice(list(POLICIES)), default="module", help=POLICY_HELP)
+@click.option("--nodes", type=click.IntRange(1), help="Front nodes, in place of the scenario's.")
+@click.option(
+    "--servers", type=click.IntRange(1), help="Servers of the first tier; the others keep their ratio."
+)
+@click.option("--set", "overrides", multiple=True, metavar="KEY=VALUE", help="Override a key by its path.")
+@click.option("--json", "json_file", metavar="FILE", help="Write the result as JSON.")
+@click.option("--plot", "plot_file", metavar="FILE.png", help="Draw the day.")
+@click.option(
+    "--follow", type=click.IntRange(0), metavar="ID", help="Tell one request's story (its number, from 0)."
+)
+@click.option("--profile", is_flag=True, help="Print the module's and the world's shares of the time.")
+@click.option("--log", "log_file", metavar="FILE", help="Write the front nodes' own log lines.")
+def simulate(
+    scenario: str,
+    seed: int | None,
+    policy: str,
+    nodes: int | None,
+    servers: int | None,
+    overrides: tuple[str, ...],
+    json_file: str | None,
+    plot_file: str | None,
+    follow: int | None,
+    profile: bool,
+    log_file: str | None,
+) -> int:
+    """Play one day of SCENARIO, a file or the name of one that ships (`laurelspindle scenario list`).
+
+    Exits 1 where a rule was broken, 2 on bad input.
+    """
+    changes = list(overrides)
+    changes += [f"nodes.count={nodes}"] if nodes else []
+    changes += [f"servers={servers}"] if servers else []
+    targets = {name: writable(name) for name in (json_file, plot_file, log_file) if name}
+    try:
+        day = draw(load(scenario, changes), seed)
+    except ScenarioError as e:
+        raise Bad(str(e)) from None
+    run = with_progress(day, policy, -1 if follow is None else follow, changes)
+    console = Console(width=None if sys.stdout.isatty() else 150)
+    if run.story:
+        console.print("\n".join(run.story), markup=False, highlight=False, soft_wrap=True)
+    elif follow is not None:
+        raise Bad(
+            f"--follow {follow}: the day has {run.result['account']['requests']} requests, numbered from 0"
+        )
+    console.print(run_report(run.result, run.broken, profile), highlight=False)
+    if json_file:
+        write_whole(targets[json_file], lambda path: put_json(path, run))
+    if log_file:
+        write_whole(targets[log_file], lambda path: put_lines(path, run.journal))
+    if plot_file:
+        from laurelspindle.report.plots import plot_run  # drawing costs a second to load
+
+        write_whole(targets[plot_file], lambda path: plot_run(run.result, run.stats, path))
+    return 1 if any(run.result["rules"].values()) else 0
+
+
+def with_progress(day: Scenario, policy: str, follow: int, changes: list[str]) -> Run:
+    console = Console(stderr=True)
+    columns = (TextColumn("{task.description}"), BarColumn(), TextColumn("{task.percentage:>3.0f}%"))
+    with Progress(
+        *columns, TimeRemainingColumn(), console=console, transient=True, disable=not console.is_terminal
+    ) as p:
+        task = p.add_task(day.title or "playing", total=1.0)
+        return play(day, policy, follow, lambda share: p.update(task, completed=share), changes)
+
+
+def put_json(path: Path, run: Run) -> None:
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(run.result), indent=1))
+
+
+def put_lines(path: Path, lines: list[str]) -> None:
+    path.write_text("".join(f"{line}\n" for line in lines))
--- /dev/null
+++ b/laurelspindle/report/__init__.py
@@ -0,0 +1,1 @@
+"""Tables and plots of what was played."""
--- /dev/null
+++ b/tests/test_workbench.py
@@ -0,0 +1,85 @@
+"""The command line as a user meets it, and the wall between the two packages."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+from click.testing import CliRunner
+
+from laurelspindle.cli import cli, main
+
+SMALL = ["--set", "length_s=3", "--servers", "3"]
+
+
+def run(*args, cwd=None):
+    """The command in a process of its own: its status, and what it printed."""
+    done = subprocess.run(
+        [sys.executable, "-m", "laurelspindle", *args], capture_output=True, text=True, cwd=cwd, timeout=120
+    )
+    return done.returncode, done.stdout, done.stderr
+
+
+def test_the_node_brings_in_nothing_of_the_workbench():
+    code = (
+        "import sys, brackenladder, brackenladder.net.node, brackenladder.__main__;"
+        "print([m for m in sys.modules if m.split('.')[0] in"
+        " ('laurelspindle','numpy','click','rich','msgspec','matplotlib','tomli_w')])"
+    )
+    out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert out.stdout.strip() == "[]"
+
+
+def test_simulate_prints_writes_and_repeats(tmp_path):
+    file, plot = tmp_path / "r.json", tmp_path / "r.png"
+    status, out, err = run("simulate", "quiet", *SMALL, "--json", str(file), "--plot", str(plot), "--profile")
+    assert status == 0 and err == ""
+    for word in ("from s", "goal", "rules            all kept", "us a call", "module"):
+        assert word in out
+    result = json.loads(file.read_text())
+    assert 0 <= result["goal"] <= 1 and set(result["rules"].values()) == {0}
+    assert {"calls", "cpu_us_a_call", "module_share", "peak_mb"} <= set(result["speed"])
+    assert result["made"]["overrides"] == ["length_s=3", "servers=3"] and result["made"]["seed"] == 1
+    assert plot.read_bytes().startswith(b"\x89PNG")
+    assert sorted(p.name for p in tmp_path.iterdir()) == ["r.json", "r.png"]
+
+
+@pytest.mark.parametrize(
+    ("args", "line"),
+    [
+        (["simulate", "nowhere"], "nowhere: no such file: shipped are cut, "),
+        (
+            ["simulate", "quiet", "--set", "load.fraction=-1"],
+            "quiet with --set: load.fraction: -1: must be over 0",
+        ),
+        (["simulate", "quiet", "--json", "no/such/r.json"], "no/such/r.json: no such folder: no/such"),
+        (["simulate", "quiet", *SMALL, "--follow", "99999"], "--follow 99999: the day has "),
+        (["scenario", "check", "quiet", "nope"], "nope: no such file"),
+        (["scenario", "show", "quiet", "--set", "x"], "--set x: not of the form KEY=VALUE"),
+    ],
+)
+def test_bad_input_is_one_line_and_status_2(args, line, capsys, monkeypatch, tmp_path):
+    monkeypatch.chdir(tmp_path)
+    monkeypatch.setattr(sys, "argv", ["laurelspindle", *args])
+    with pytest.raises(SystemExit) as e:
+        main()
+    out = capsys.readouterr()
+    assert e.value.code == 2 and out.err.startswith(line) and out.err.count("\n") == 1
+    assert list(tmp_path.iterdir()) == []
+
+
+def test_a_broken_rule_is_status_1(tmp_path):
+    """Random choice pushes replaced servers over while they are cold."""
+    changes = ["servers=3", "fault[0].part=0.9", "fault[0].at_s=3", "load.fraction=0.9", "length_s=15"]
+    args = [x for change in changes for x in ("--set", change)]
+    status, out, _ = run("simulate", "replace", "--policy", "random", "--seed", "2", *args)
+    assert status == 1 and "BROKEN: cold_server" in out and "pushed over while cold" in out
+
+
+def test_scenario_commands():
+    runner = CliRunner()
+    listed = runner.invoke(cli, ["scenario", "list"]).output
+    assert "restart" in listed and "Half of the front" in listed
+    assert json.loads(runner.invoke(cli, ["scenario", "schema"]).output)["$defs"]["Scenario"]
+    assert runner.invoke(cli, ["scenario", "check", "quiet", "soak"]).output == "2 sound\n"
+    assert "seed = 9" in runner.invoke(cli, ["scenario", "show", "quiet", "--seed", "9"]).output
