--- a/laurelspindle/cli/__init__.py
+++ b/laurelspindle/cli/__init__.py
@@ -8,6 +8,7 @@
 
 import laurelspindle
 from laurelspindle.cli.errors import Bad
+from laurelspindle.cli.experiment import experiment
 from laurelspindle.cli.scenario import scenario
 from laurelspindle.cli.simulate import simulate
 
@@ -20,6 +21,7 @@
 
 cli.add_command(simulate)
 cli.add_command(scenario)
+cli.add_command(experiment)
 
 
 def main() -> None:
--- a/laurelspindle/cli/simulate.py
+++ b/laurelspindle/cli/simulate.py
@@ -11,7 +11,8 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
 
 from laurelspindle.cli.errors import Bad, writable, write_whole
-from laurelspindle.policies import POLICIES
+from laurelspindle.policies import POLICIES, Policy
+from laurelspindle.policies.revisions import RevisionError, full_revision, policy_of
 from laurelspindle.report.tables import run_report
 from laurelspindle.scenario.load import ScenarioError, draw, load
 from laurelspindle.scenario.model import Scenario
@@ -26,6 +27,12 @@
     "--seed", type=click.IntRange(0), default=None, help="Of the day's draw; by default the scenario's own."
 )
 @click.option("--policy", type=click.Choice(list(POLICIES)), default="module", help=POLICY_HELP)
+@click.option(
+    "--revision", default="", metavar="REV", help="The module as a revision of the repository has it."
+)
+@click.option(
+    "--constant", "constants", multiple=True, metavar="NAME=VALUE", help="A figure of the module's."
+)
 @click.option("--nodes", type=click.IntRange(1), help="Front nodes, in place of the scenario's.")
 @click.option(
     "--servers", type=click.IntRange(1), help="Servers of the first tier; the others keep their ratio."
@@ -42,6 +49,8 @@
     scenario: str,
     seed: int | None,
     policy: str,
+    revision: str,
+    constants: tuple[str, ...],
     nodes: int | None,
     servers: int | None,
     overrides: tuple[str, ...],
@@ -63,7 +72,7 @@
         day = draw(load(scenario, changes), seed)
     except ScenarioError as e:
         raise Bad(str(e)) from None
-    run = with_progress(day, policy, -1 if follow is None else follow, changes)
+    run = with_progress(day, decider(policy, revision, constants), -1 if follow is None else follow, changes)
     console = Console(width=None if sys.stdout.isatty() else 150)
     if run.story:
         console.print("\n".join(run.story), markup=False, highlight=False, soft_wrap=True)
@@ -83,7 +92,21 @@
     return 1 if any(run.result["rules"].values()) else 0
 
 
-def with_progress(day: Scenario, policy: str, follow: int, changes: list[str]) -> Run:
+def decider(policy: str, revision: str, constants: tuple[str, ...]) -> str | Policy:
+    if not revision and not constants:
+        return policy
+    if policy != "module":
+        raise Bad(f"--policy {policy}: --revision and --constant are the module's")
+    try:
+        pairs = [(name, float(value)) for name, _, value in (c.partition("=") for c in constants)]
+        return policy_of(full_revision(revision) if revision else "", tuple(sorted(pairs)))
+    except ValueError:
+        raise Bad(f"--constant {' '.join(constants)}: must be NAME=VALUE, the value a number") from None
+    except RevisionError as e:
+        raise Bad(str(e)) from None
+
+
+def with_progress(day: Scenario, policy: str | Policy, follow: int, changes: list[str]) -> Run:
     console = Console(stderr=True)
     columns = (TextColumn("{task.description}"), BarColumn(), TextColumn("{task.percentage:>3.0f}%"))
     with Progress(
--- /dev/null
+++ b/laurelspindle/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: variants x scenarios x seeds, run, stored, compared."""
--- a/laurelspindle/scenario/check.py
+++ b/laurelspindle/scenario/check.py
@@ -24,8 +24,13 @@
 
     Relations between keys are looked at once every key is right by itself.
     """
-    found = list(walk(table, mi.type_info(Scenario), "", {}))
-    return found or list(relations(table))
+    return type_faults(table, Scenario) or list(relations(table))
+
+
+def type_faults(table: object, kind: type) -> list[str]:
+    """What keys and figures of a decoded file do not fit a struct of msgspec's: lines as `faults` has
+    them."""
+    return list(walk(table, mi.type_info(kind), "", {}))
 
 
 def walk(value: Any, kind: mi.Type, path: str, bounds: dict[str, float]) -> Iterator[str]:
@@ -41,6 +46,15 @@
                 yield from walk(item, kind.item_type, f"{path}[{i}]", {})
             if not value and path in ("class", "tier"):
                 yield fault(path, value, "must hold at least one")
+    elif isinstance(kind, mi.DictType):
+        if not isinstance(value, dict):
+            yield fault(path, value, "must be a table")
+        else:
+            for key, item in value.items():
+                yield from walk(item, kind.value_type, f"{path}.{key}", {})
+    elif isinstance(kind, mi.UnionType) and any(isinstance(t, mi.StrType) for t in kind.types):
+        if not isinstance(value, (str, int, float)):
+            yield fault(path, value, "must be a number, text, true or false")
     elif isinstance(kind, mi.LiteralType):
         if value not in kind.values:
             yield fault(path, value, "must be one of " + ", ".join(map(str, kind.values)))
--- a/laurelspindle/scenario/model.py
+++ b/laurelspindle/scenario/model.py
@@ -149,7 +149,7 @@
     """The load-balancer nodes at the front."""
 
     count: Some = 2
-    tick_ms: Over0 = 1.0  # a node handles what has come in once a tick
+    tick_ms: Over0 = 5.0  # a node handles what has come in once a tick
     boot_ms: From0 = (300.0, 800.0)
     start_spread_ms: From0 = (400.0, 1300.0)
     cpu_us: From0 = 0.0  # processor time for each event, on the node's share of a core
--- a/laurelspindle/virtual/host.py
+++ b/laurelspindle/virtual/host.py
@@ -20,6 +20,7 @@
 
 Post = tuple[Callable[..., None], tuple[Any, ...]]
 REPLY = 50  # an answer's network draw, beside those of the tries
+STRIDE = 0x9E3779B1  # between the draws of a call's attempts
 REPLY_BITS = 14  # an attempt's answer takes the upper bits of its draw
 DRAIN_LOOK = 50_000  # a leaving node looks this often whether it is done
 KILL_AFTER = 700_000  # beyond the longest deadline, a leaving node is killed
@@ -39,40 +40,40 @@
     __slots__ = ("out",)
 
     def __init__(self) -> None:
-        self.out: list[tuple[Any, ...]] = []
+        self.out: list[Post] = []
 
     def send(self, request: int, server: int, timeout: int) -> None:
-        self.out.append((Node.send, request, server, timeout))
+        self.out.append((Node.send, (request, server, timeout)))
 
     def cancel(self, request: int, attempt: int) -> None:
-        self.out.append((Node.cancel, request, attempt))
+        self.out.append((Node.cancel, (request, attempt)))
 
     def refuse(self, request: int, retry_after: int) -> None:
-        self.out.append((Node.refuse, request, retry_after))
+        self.out.append((Node.refuse, (request, retry_after)))
 
     def fail(self, request: int) -> None:
-        self.out.append((Node.fail, request))
+        self.out.append((Node.fail, (request,)))
 
     def probe(self, server: int) -> None:
-        self.out.append((Node.probe, server))
+        self.out.append((Node.probe, (server,)))
 
     def set_timer(self, delay: int, token: int) -> None:
-        self.out.append((Node.set_timer, delay, token))
+        self.out.append((Node.set_timer, (delay, token)))
 
     def tell(self, peer: int, data: bytes) -> None:
-        self.out.append((Node.tell, peer, data))
+        self.out.append((Node.tell, (peer, data)))
 
     def watch(self, on: bool) -> None:
-        self.out.append((Node.watch, on))
+        self.out.append((Node.watch, (on,)))
 
     def fetch(self) -> None:
-        self.out.append((Node.fetch,))
+        self.out.append((Node.fetch, ()))
 
     def close(self, server: int) -> None:
-        self.out.append((Node.close, server))
+        self.out.append((Node.close, (server,)))
 
     def log(self, text: str) -> None:
-        self.out.append((Node.log, text))
+        self.out.append((Node.log, (text,)))
 
 
 class Tick:
@@ -156,6 +157,7 @@
         self.cpu = float(world.day.nodes.cpu_us)  # type: ignore[arg-type]  # a day has no ranges
         self.busy_until = 0
         self.journal: list[str] = []
+        self.left: list[Call] = []  # calls whose callers have left since the last batch
 
     # ---- its life -------------------------------------------------------------------------------------
 
@@ -203,6 +205,7 @@
         self.life += 1
         self.module = None
         self.inbox.clear()
+        self.left.clear()
         if not self.tier:
             self.world.front.died(self)
         for server, link in self.links.items():
@@ -257,8 +260,12 @@
         out = self.actions.out
         if out:
             self.actions.out = []
-            for act, *rest in out:
-                act(self, *rest)
+            for act, args in out:
+                act(self, *args)
+        if self.left:
+            left, self.left = self.left, []
+            for call in left:
+                self.forget(call)
 
     def arriving(self, at: int, call: Call) -> None:
         call.node = self
@@ -296,10 +303,7 @@
         call.open = False
         if self.module is not None and self.calls.get(call.id) is call:
             self.post(self.module.client_left, (call.id,))
-            self.post(self.left, (call,))  # until the module knows, it may still act for the call
-
-    def left(self, now: int, call: Call) -> None:
-        self.forget(call)
+            self.left.append(call)  # until the module knows, it may still act for the call
 
     def news(self, kind: ListKind, entries: list[ServerEntry]) -> None:
         if self.module is None:
@@ -329,7 +333,7 @@
             world.referee.malformed(now, f"{self.name}: sends what is over or to a server it was not told of")
             return
         number = len(call.sent)
-        attempt = Attempt(call, number, server, self, scramble(call.key, number), now)
+        attempt = Attempt(call, number, server, self, call.key + number * STRIDE, now)
         left = min(timeout, call.until - now)
         if not call.open or left < 0 or number >= self.settings.max_attempts:
             attempt.ended = True
--- a/laurelspindle/world/server.py
+++ b/laurelspindle/world/server.py
@@ -58,6 +58,8 @@
         self.cell = spec.cell
         self.kind = spec.kind
         self.cores = spec.cores
+        self.slots = spec.slots
+        self.thrash_at = spec.thrash_at
         self.full_speed = spec.speed
         self.errors = world.streams.random(f"{spec.name}/errors")
         self.pauses = world.streams.random(f"{spec.name}/pauses")
@@ -133,11 +135,13 @@
     def schedule(self) -> None:
         """Sets the rate anew and sees to it that the next end of work is met."""
         n = self.running
-        if n == 0 or self.speed <= 0:
+        rate = self.speed
+        if n == 0 or rate <= 0:
             self.rate = 0.0
             return
-        rate = self.speed if n <= self.cores else self.speed * self.cores / n
-        over = self.in_work - self.spec.thrash_at
+        if n > self.cores:
+            rate *= self.cores / n
+        over = self.in_work - self.thrash_at
         if over > 0:
             rate /= 1 + self.spec.thrash * over / self.cores
         self.rate = rate
@@ -150,14 +154,18 @@
         if due != self.wake_at:  # an earlier end came up since
             return
         self.wake_at = -1
-        self.advance()
+        now = self.clock.now
+        self.served += self.rate * (now - self.at)
+        self.at = now
         marks = self.marks
         limit = self.served + 1e-6
         while marks and marks[0][0] <= limit:
             job = heappop(marks)[2]
             if job.state == RUNNING:
                 self.running -= 1
-                self.worked(job)
+                done = self.served - job.begun
+                self.busy += done
+                job.attempt.call.root.work += done
                 self.step(job)
         while marks and marks[0][2].state != RUNNING:
             heappop(marks)
@@ -177,14 +185,14 @@
         work = world.work(call.root, self.tier)
         if self.warmth < 1.0 and not self.bears(attempt, work):
             return
-        if self.draining or (self.in_work >= self.spec.slots and len(self.queue) >= self.spec.queue):
+        if self.draining or (self.in_work >= self.slots and len(self.queue) >= self.spec.queue):
             attempt.port.reply(attempt, Outcome.REJECTED)
             return
-        calls = world.calls(self.tier, call.key)
+        calls = world.calls(self.tier, call.key) if self.node is not None else 0
         job = attempt.job = Job(attempt, work + self.overhead, calls)
         self.overhead = 0.0
         self.held.add(job)
-        if self.in_work >= self.spec.slots:
+        if self.in_work >= self.slots:
             self.queue.append(job)
         else:
             self.advance()
@@ -193,7 +201,7 @@
 
     def begin(self, job: Job) -> None:
         self.in_work += 1
-        if job.calls and self.node is not None:
+        if job.calls:
             part = job.left * BEFORE
             job.left -= part
             self.run(job, part)
@@ -217,7 +225,7 @@
 
     def step(self, job: Job) -> None:
         """What comes after a piece of work: a call to the next tier, the rest of the work, or the answer."""
-        if job.calls and self.node is not None:
+        if job.calls:
             job.state = WAITING
             self.call(job)
         elif job.left > 0:
@@ -271,7 +279,7 @@
         """Frees the slot, and lets the first who waits have it."""
         self.held.discard(job)
         self.in_work -= 1
-        while self.queue and self.in_work < self.spec.slots:
+        while self.queue and self.in_work < self.slots:
             following = self.queue.popleft()
             if following.state != DONE:
                 self.advance()
@@ -376,8 +384,6 @@
         self.advance()
         self.up = False
         self.life += 1
-        if self.node is not None:
-            self.node.kill()
         for job in sorted(self.held, key=lambda j: j.attempt.call.id):
             if job.state == RUNNING:
                 self.worked(job)
@@ -390,3 +396,5 @@
         self.in_work = self.running = 0
         self.connections = 0
         self.schedule()
+        if self.node is not None:  # after its callers are gone: nobody is left to answer
+            self.node.kill()
--- a/laurelspindle/world/site.py
+++ b/laurelspindle/world/site.py
@@ -21,10 +21,9 @@
 from laurelspindle.world.network import Network, num, whole
 from laurelspindle.world.referee import Referee
 from laurelspindle.world.server import Server
-from laurelspindle.world.streams import Streams, scramble
+from laurelspindle.world.streams import Streams
 
 LEAST_SPEED = 0.3  # of its kind's mean, however wide the spread
-CALLS = 7  # what a call's draw of its number of further calls is for
 BEGIN = 10_000_000  # the clock begins at no particular value
 
 EFFECTS = {"safe": Effect.SAFE, "keyed": Effect.KEYED, "unsafe": Effect.UNSAFE}
@@ -260,7 +259,7 @@
         """How many calls a server makes to the next tier for this call."""
         mean = self.mean_calls[tier]
         least = floor(mean)
-        return least + (scramble(key, CALLS) < (mean - least) * 2**32)
+        return least + ((key >> 16) < (mean - least) * 2**16)
 
     def call(self, root: Request, key: int, tier: int, until: int, caller: Caller) -> Call:
         return Call(next(self.numbers), root, key, tier, until, caller)
