Cold members take an even share of the requests while no member is warm

Found: may_send() gives a cold member its part of `warm_rate`, what a warm member gets of this copy. A process that starts among cold servers alone (a node beside a server that is new itself, a subset of four in a fleet of which six in ten are replaced) has seen no warm member: the rate is 0 and nothing goes out until the first is warm.

Change: while no member is warm the measure is the copy's requests, clients' repeats left out, over its members; an older rate counts between that and 2.5 times it (EVEN_MOST).

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -67,6 +67,7 @@
 PICK_TRIES = 10  # so many members may be passed over for being slow
 OUTLIER = 2.0  # a member so many times slower than the subset does not speak for it
 FAIL_WEIGHT = 8  # a member that fails all its calls counts as so many times slower
+EVEN_MOST = 2.5  # with no warm member, a cold one takes its share of so many even parts of the requests
 FADE = 5_000_000  # what is known of a member's speed is forgotten after so long without an outcome
 USUAL_TIME = 3_000_000  # over so long the usual number of calls in flight is smoothed
 RAMP_RTTS = 2  # ...and, after a start, over so many mean round-trips
@@ -515,6 +516,9 @@
         self.rank = [0] * classes
         self.warm_rate = 0.0  # sends a second to a warm member, smoothed
         self.warm_sent = 0
+        self.asked = 0  # requests, without clients' repeats, since `asked_at`
+        self.asked_at = 0
+        self.ask_rate = 0.0  # of them a second, smoothed
         self.list_failures = 0
         self.blocked = 0  # rq_blocked
         self.rank_classes()
@@ -523,7 +527,7 @@
 
     def start(self, now: int) -> None:
         self.controller.start_pass(now)
-        self.spill_at = now
+        self.spill_at = self.asked_at = now
         for t in self.tenants:
             t.at = now
         if self.settings.list_on_request:
@@ -579,6 +583,8 @@
             useful = max(s.tick, c.aim - 2 * s.tick)
         r = Request(request, klass, c.effect if known else Effect.UNSAFE, now, useful)
         self.requests[request] = r
+        if not repeat:
+            self.count_asked(now)
         ctl = self.controller
         self.retry_tokens = min(self.retry_tokens + RETRY_RATIO, max(float(MIN_LIMIT), sqrt(ctl.limit)))
         self.flight += SMOOTH_FLIGHT * (ctl.in_flight - self.flight)
@@ -1117,6 +1123,27 @@
             self.eject(now, srv, silent=True)
         return srv.ejected
 
+    def count_asked(self, now: int) -> None:
+        """Keeps the rate of requests, the measure of a server's share while no member is warm."""
+        self.asked += 1
+        span = now - self.asked_at
+        if span >= WINDOW * WINDOW_STRETCH:
+            rate = self.asked * 1e6 / span
+            self.ask_rate += min(1.0, span / 2e6 if self.ask_rate else 1.0) * (rate - self.ask_rate)
+            self.asked, self.asked_at = 0, now
+
+    def fair_rate(self, now: int) -> float:
+        """What a warm member gets of this copy, in calls a second; or would get, where none is warm.
+
+        Failure prevented: a node that starts among servers that all are cold has seen no warm one, takes
+        their share of nothing, and sends nothing until the first is warm.
+        Failure prevented: the last warm members take all calls; what they got then pushes cold ones over.
+        """
+        if any(m.cold_until <= now and not m.ejected for m in self.members):
+            return self.warm_rate
+        even = self.ask_rate / max(1, len(self.members))
+        return min(max(self.warm_rate, even), EVEN_MOST * even)
+
     def may_send(self, now: int, srv: Server) -> bool:
         """Slow start: a cold server takes its present share of what a warm member gets from this copy.
 
@@ -1127,7 +1154,7 @@
             return True
         s = self.settings
         warmth = s.cold_share + (1 - s.cold_share) * max(0.0, 1 - (srv.cold_until - now) / s.cold_time)
-        srv.tokens = min(1.0, srv.tokens + self.warm_rate * warmth * (now - srv.tokens_at) / 1e6)
+        srv.tokens = min(1.0, srv.tokens + self.fair_rate(now) * warmth * (now - srv.tokens_at) / 1e6)
         srv.tokens_at = now
         if srv.tokens < 1:
             return False
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -670,3 +670,25 @@
     end(node, rec, 10_000, 1, 0, server, Outcome.OK)
     node.client_left(11_000, 1)
     assert end(node, rec, 12_000, 1, 0, server, Outcome.ERROR) == [] and node.controller.in_flight == 0
+
+
+@pytest.mark.parametrize(
+    ("seen", "least", "most"), [(0.0, 3, 14), (1000.0, 12, 40)], ids=["fresh", "crowded"]
+)
+def test_cold_members_alone_take_their_share_of_the_requests(seen, least, most):
+    """40 requests a second over 4 cold members, some 12 % warm: 5 a second are their even share.
+
+    A node that starts among cold servers alone has seen no warm one, and before its first window no
+    request either. What the last warm members were sent in a crowd is no measure for cold ones.
+    """
+    cold = [ServerEntry(i, ready_at=1) for i in range(1, 5)]
+    node, recorder = balancer(cold, cold_share=0.1, cold_time=40 * SEC)
+    node.warm_rate = seen
+    sent = 0
+    for i in range(80):
+        now = i * SEC // 40
+        action = ask(node, recorder, now, i + 1)
+        if action[0] == "send":
+            sent += 1
+            end(node, recorder, now, i + 1, 0, action[2], Outcome.OK, 5_000)
+    assert least <= sent <= most
