--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -35,12 +35,26 @@
     await node.drain()
 
 
+HELP = """usage: LB_CONFIG=FILE.json python -m brackenladder
+
+One load-balancer node, in the foreground until SIGTERM. FILE is its configuration: name, listen, discovery,
+seed, limits and settings; LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_MANAGEMENT override it. README.md has the
+first steps, docs/running.md what operators do with a node. To see one at work without servers: make demo."""
+NEXT = "name the node's configuration in LB_CONFIG, or see python -m brackenladder --help"
+
+
 def main() -> int:
     """Starts a node; 2 if it was told what it cannot start with."""
+    if len(sys.argv) > 1:
+        wanted = sys.argv[1] in ("-h", "--help")
+        print(HELP if wanted else f"brackenladder: {sys.argv[1]}: takes no arguments: {NEXT}",
+              file=sys.stdout if wanted else sys.stderr)  # fmt: skip
+        return 0 if wanted else 2
     try:
         config = load(os.environ)
     except ConfigError as e:
-        print(f"brackenladder: {e}", file=sys.stderr)
+        hint = f": {NEXT}" if str(e).startswith("LB_CONFIG") else ""
+        print(f"brackenladder: {e}{hint}", file=sys.stderr)
         return 2
     try:
         uvloop.run(serve(config))
--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -74,11 +74,11 @@
         with open(path, "rb") as file:
             table = json.loads(file.read())
     except OSError as e:
-        raise ConfigError(f"LB_CONFIG: {e.strerror}") from None
+        raise ConfigError(f"LB_CONFIG: {path}: {e.strerror}") from None
     except (ValueError, RecursionError):
-        raise ConfigError("LB_CONFIG: not JSON") from None
+        raise ConfigError(f"LB_CONFIG: {path}: not JSON") from None
     if not isinstance(table, dict):
-        raise ConfigError("LB_CONFIG: not an object")
+        raise ConfigError(f"LB_CONFIG: {path}: not an object")
     return table
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,6 +5,8 @@
 import os
 import signal
 import socket
+import subprocess
+import sys
 import time
 from contextlib import ExitStack, contextmanager
 from random import Random
@@ -836,6 +838,29 @@
 # ---- start and end -----------------------------------------------------------------------------------
 
 
+@pytest.mark.parametrize(
+    ("args", "env", "status", "words"),
+    [
+        (["--help"], {}, 0, ("usage: LB_CONFIG=FILE.json", "make demo")),
+        (["--port"], {}, 2, ("--port: takes no arguments", "--help")),
+        ([], {}, 2, ("LB_CONFIG is not set", "name the node's configuration")),
+        ([], {"LB_CONFIG": "no/such.json"}, 2, ("no/such.json: No such file", "--help")),
+    ],
+)
+def test_a_newcomer_is_told_what_to_do_next(args, env, status, words):
+    clean = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
+    done = subprocess.run(
+        [sys.executable, "-m", "brackenladder", *args],
+        env=clean | env,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    out = done.stdout + done.stderr
+    assert done.returncode == status and all(w in out for w in words)
+    assert status == 0 or out.count("\n") == 1
+
+
 def test_bad_configuration_is_one_plain_line(tmp_path):
     file = tmp_path / "config.json"
     with pytest.raises(ConfigError, match="not set"):
