--- a/laurelspindle/cli/experiment.py
+++ b/laurelspindle/cli/experiment.py
@@ -132,6 +132,26 @@
     return STATUS[found["all"]["verdict"]]
 
 
+@experiment.command()
+@click.argument("store")
+@click.option("-o", "folder", required=True, metavar="DIR", help="Where the page and its numbers go.")
+def report(store: str, folder: str) -> int:
+    """Draw STORE as one HTML page, with its numbers as CSV and JSON."""
+    from laurelspindle.report.page import report as draw  # drawing costs a second to load
+    from laurelspindle.report.page import write
+
+    opened = open_store(Path(store), write=False)
+    if not opened.rows():
+        raise Bad(f"{store}: no run in it")
+    files = draw(opened, f"laurelspindle experiment report {store} -o {folder}")
+    try:
+        write(files, Path(folder))
+    except OSError as e:
+        raise Bad(f"{folder}: cannot be written: {e.strerror}") from None
+    click.echo(f"{Path(folder) / 'index.html'}")
+    return 0
+
+
 def show(found: dict[str, Any]) -> None:
     console = Console(width=None if Console().is_terminal else 150)
     table = Table(box=None, pad_edge=False, header_style="bold", title=f"{found['b']} against {found['a']}")
--- a/laurelspindle/experiment/store.py
+++ b/laurelspindle/experiment/store.py
@@ -6,6 +6,7 @@
 import zlib
 from collections.abc import Iterable
 from pathlib import Path
+from time import monotonic, sleep
 from typing import Any
 
 import msgspec
@@ -65,12 +66,23 @@
         if version > len(MIGRATIONS):
             raise StoreError(f"{self.path}: written by a newer version of the product")
         if write:
-            self.db.execute("PRAGMA journal_mode = WAL")
+            self.set_wal()
             self.db.execute("PRAGMA synchronous = NORMAL")
             self.migrate()
         elif version < len(MIGRATIONS):
             self.migrate()
 
+    def set_wal(self) -> None:
+        """SQLite does not wait by itself where two set the mode of a new file at once."""
+        ends = monotonic() + WAIT
+        while self.db.execute("PRAGMA journal_mode").fetchone()[0] != "wal":
+            try:
+                self.db.execute("PRAGMA journal_mode = WAL")
+            except sqlite3.OperationalError:
+                if monotonic() > ends:
+                    raise
+                sleep(0.01)
+
     def migrate(self) -> None:
         self.db.execute("BEGIN IMMEDIATE")  # another process may be about the same
         version = self.db.execute("PRAGMA user_version").fetchone()[0]
--- a/laurelspindle/virtual/host.py
+++ b/laurelspindle/virtual/host.py
@@ -14,12 +14,14 @@
 from laurelspindle.policies import Policy
 from laurelspindle.virtual.heap import HeapClock
 from laurelspindle.world.call import Answer, Attempt, Call, is_answered, is_over
+from laurelspindle.world.network import TABLE
 from laurelspindle.world.server import Server
 from laurelspindle.world.site import World
 from laurelspindle.world.streams import scramble
 
 Post = tuple[Callable[..., None], tuple[Any, ...]]
 REPLY = 50  # an answer's network draw, beside those of the tries
+MASK = TABLE - 1
 STRIDE = 0x9E3779B1  # between the draws of a call's attempts
 REPLY_BITS = 14  # an attempt's answer takes the upper bits of its draw
 DRAIN_LOOK = 50_000  # a leaving node looks this often whether it is done
@@ -287,17 +289,24 @@
             self.world.trace(
                 root, self.name, f"takes call {call.id}, {(call.until - now) / 1000:.0f} ms left"
             )
-        if self.tier:  # clients have a timer of their own, and ask when their patience ends
-            self.clock.call_unless(call.until + self.world.slack, self.overdue, call, is_answered)
         repeat = not self.tier and call.number > 0
         self.post(self.module.request, (call.id, root.klass, 0, max(1, call.until - now), repeat))
 
     def overdue(self, call: Call) -> None:
+        """A call's time and slack are over, and its client or server has waited to the end."""
         if call.open and self.calls.get(call.id) is call:
             self.world.referee.overdue(self.clock.now, call)
-            self.drop(call)
+            self.dismiss(call)
 
     def drop(self, call: Call) -> None:
+        if self.tier and self.clock.now >= call.until:
+            # The server waited to the end: within the slack the node owes it an answer still.
+            self.clock.call_unless(call.until + self.world.slack, self.overdue, call, is_answered)
+        else:
+            self.dismiss(call)
+
+    def dismiss(self, call: Call) -> None:
+        """The caller has left: nothing is owed any more."""
         if not call.open:
             return
         call.open = False
@@ -340,7 +349,9 @@
             call.sent.append(attempt)
             self.tell_outcome(attempt, Outcome.NOT_SENT, not call.open)
             return
-        world.referee.sending(now, call, server, self.away.get(server_id, -1))
+        away = self.away.get(server_id, -1)
+        if away >= 0 or call.out or call.ran_on is not None:
+            world.referee.sending(now, call, server, away)
         call.sent.append(attempt)
         call.out += 1
         world.accounts.attempts[self.tier] += 1
@@ -353,7 +364,8 @@
                 f"sends call {call.id} to {server.spec.name}, {left / 1000:.0f} ms at most",
             )
         self.clock.call_unless(now + left, self.timed_out, attempt, is_over)
-        delay = self.network.between(self.zone, server.zone, attempt.draw)
+        network = self.network
+        delay = (network.same if server.zone == self.zone else network.cross)[attempt.draw & MASK]
         link = self.links.get(server_id)
         if link is None:
             link = self.links[server_id] = Link(server.life)
@@ -361,7 +373,7 @@
             link.life = server.life
             link.idle.clear()
         attempt.link = link
-        reached = self.network.reaches(self.zone, server.zone)
+        reached = not network.cut or network.reaches(self.zone, server.zone)
         if link.idle:
             link.idle.pop()
             if reached:
@@ -384,10 +396,11 @@
         self.clock.call_at(self.clock.now + wait, self.returned, (attempt, Outcome.CONNECT_FAILED))
 
     def reply(self, attempt: Attempt, outcome: Outcome) -> None:
-        server = attempt.server
-        if attempt.ended or not self.network.reaches(self.zone, server.zone):
+        zone = attempt.server.zone
+        network = self.network
+        if attempt.ended or (network.cut and not network.reaches(self.zone, zone)):
             return
-        delay = self.network.between(server.zone, self.zone, attempt.draw >> REPLY_BITS)
+        delay = (network.same if zone == self.zone else network.cross)[attempt.draw >> REPLY_BITS & MASK]
         self.ticker.tick_at(self.clock.now + delay).messages.append((self.returned, (attempt, outcome)))
 
     def returned(self, what: tuple[Attempt, Outcome]) -> None:
--- a/laurelspindle/world/server.py
+++ b/laurelspindle/world/server.py
@@ -58,6 +58,7 @@
         self.cell = spec.cell
         self.kind = spec.kind
         self.cores = spec.cores
+        self.works = world.work_table[spec.tier]  # of a call, by class
         self.slots = spec.slots
         self.thrash_at = spec.thrash_at
         self.full_speed = spec.speed
@@ -182,7 +183,8 @@
             return
         world = self.world
         call = attempt.call
-        work = world.work(call.root, self.tier)
+        root = call.root
+        work = self.works[root.klass] * root.factor
         if self.warmth < 1.0 and not self.bears(attempt, work):
             return
         if self.draining or (self.in_work >= self.slots and len(self.queue) >= self.spec.queue):
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -245,3 +245,16 @@
     assert account["tries_a_request"] == 3 and len(calls) == 3 * account["requests"]
     assert [(e["cause"], e["tier"]) for e in account["lost"]] == [("refused at the limit", 0)]
     assert run.result["goal"] == 0 and Answer.REFUSED
+
+
+@pytest.mark.parametrize("tier", [0, 1])
+def test_a_request_that_is_never_answered_breaks_the_rule(tier):
+    def deaf(settings, seed, actions, world):
+        module = POLICIES["random"][0](settings, seed, actions, world)
+        if settings.tier == tier:  # hears of requests, and never answers one
+            module.request = module.client_left = lambda *event: None
+        return module
+
+    run = play(draw(load("quiet", ["length_s=2", "servers=2", "clients.retries=0"]), 1), deaf)
+    assert run.result["rules"]["final_answer"] >= 0.9 * run.result["account"]["requests"]
+    assert "no answer in time" in run.broken[0] and run.result["goal"] < 0.1
