--- a/laurelspindle/cli/experiment.py
+++ b/laurelspindle/cli/experiment.py
@@ -135,15 +135,22 @@
 @experiment.command()
 @click.argument("store")
 @click.option("-o", "folder", required=True, metavar="DIR", help="Where the page and its numbers go.")
-def report(store: str, folder: str) -> int:
+@click.option(
+    "--against", default="", metavar="VARIANT", help="The variant that the others are held against."
+)
+def report(store: str, folder: str, against: str) -> int:
     """Draw STORE as one HTML page, with its numbers as CSV and JSON."""
     from laurelspindle.report.page import report as draw  # drawing costs a second to load
     from laurelspindle.report.page import write
 
     opened = open_store(Path(store), write=False)
-    if not opened.rows():
+    variants = {r.variant for r in opened.rows()}
+    if not variants:
         raise Bad(f"{store}: no run in it")
-    files = draw(opened, f"laurelspindle experiment report {store} -o {folder}")
+    if against and against not in variants:
+        raise Bad(f"{store}: no variant {against!r}: there are {', '.join(sorted(variants))}")
+    command = f"laurelspindle experiment report {store} -o {folder}"
+    files = draw(opened, command + (f" --against {against}" if against else ""), against)
     try:
         write(files, Path(folder))
     except OSError as e:
--- a/laurelspindle/report/figures.py
+++ b/laurelspindle/report/figures.py
@@ -44,6 +44,11 @@
     return Picture(name, caption, out.getvalue())
 
 
+def beside(axes: Axes) -> None:
+    """The legend beside the axes, where it covers nothing."""
+    axes.legend(fontsize=7, loc="center left", bbox_to_anchor=(1.0, 0.5))
+
+
 def spread(values: Array) -> float:
     """Half of a mean's 95% interval."""
     return 1.96 * float(values.std(ddof=1)) / len(values) ** 0.5 if len(values) > 1 else 0.0
@@ -61,7 +66,7 @@
         axes.set_yticks(range(len(scenarios)), scenarios)
         axes.invert_yaxis()
         axes.set_xlabel("goal, 0 to 1")
-        axes.legend(fontsize=8, loc="best")
+        beside(axes)
 
     caption = (
         "Goal by scenario: the mean over the seeds, and its 95% interval from the spread between seeds. Days "
@@ -100,7 +105,7 @@
         axes.set_yticks(range(len(rows)), [f"{s}: {v}" for s, v in rows], fontsize=8)
         axes.invert_yaxis()
         axes.set_xlabel("share of the worth asked for that was lost, %")
-        axes.legend(fontsize=7)
+        beside(axes)
 
     caption = "Where the lost worth went, by cause and tier (0 is the first), mean over the seeds."
     return picture("losses", caption, 1.3 + 0.3 * len(rows), draw)
@@ -116,7 +121,7 @@
         axes.set_ylim(0, 104)
         axes.set_xlabel("time of the day, s")
         axes.set_ylabel("worth served, %")
-        axes.legend(fontsize=8, loc="lower right")
+        beside(axes)
 
     caption = f"{days.scenario}: worth served in time, by the second in which it was asked for, mean over "
     caption += "the seeds; "
@@ -136,7 +141,7 @@
         axes.set_yticks(range(len(days)), [d.scenario for d in days])
         axes.invert_yaxis()
         axes.set_xlabel("latency of served requests, ms (logarithmic)")
-        axes.legend(fontsize=7, ncols=max(1, len(variants) // 4))
+        beside(axes)
 
     caption = "Latency at the client, over all tries, of the requests that were served: median, p90, "
     caption += "p99, each the "
@@ -171,7 +176,7 @@
             axes.set_xscale("log")
         axes.set_xlabel(key)
         axes.set_ylabel("goal, 0 to 1")
-        axes.legend(fontsize=8)
+        beside(axes)
 
     caption = f"Goal over {key}: means over the seeds, with their 95% intervals."
     return picture("sweep", caption, 3.6, draw)
--- a/laurelspindle/report/page.py
+++ b/laurelspindle/report/page.py
@@ -28,10 +28,10 @@
 """
 
 
-def report(store: Store, command: str) -> dict[str, bytes]:
+def report(store: Store, command: str, against: str = "") -> dict[str, bytes]:
     """The files of a report, by name: `index.html`, `comparisons.csv`, `runs.csv`, `report.json`."""
     rows = store.rows()
-    scenarios, variants = series.names(rows)
+    scenarios, variants = series.names(rows, against)
     found = [compare(rows, variants[0], b) for b in variants[1:]]
     pictures = draw(store, rows, scenarios, variants)
     lines = [line for f in found for line in figures.table_rows(f)]
--- a/laurelspindle/report/series.py
+++ b/laurelspindle/report/series.py
@@ -13,11 +13,16 @@
 CAUSES = 6  # shown one by one
 
 
-def names(rows: list[Row]) -> tuple[list[str], list[str]]:
-    """Scenarios in order, and variants in the order in which the store met them; "baseline" and "before"
-    first."""
+def names(rows: list[Row], against: str = "") -> tuple[list[str], list[str]]:
+    """Scenarios and variants in order; the one that the others are held against comes first: `against`, or
+    the first there is of baseline, before and today."""
     scenarios = sorted({r.scenario for r in rows})
-    variants = sorted({r.variant for r in rows}, key=lambda v: (v not in ("baseline", "before"), v))
+    variants = sorted({r.variant for r in rows})
+    for name in (against, "baseline", "before", "today"):
+        if name in variants:
+            variants.remove(name)
+            variants.insert(0, name)
+            break
     return scenarios, variants
 
 
