--- /dev/null
+++ b/brackenladder/membership/codec.py
@@ -0,0 +1,156 @@
+"""Datagrams: a versioned form under 1,200 bytes, authenticated by a shared key, safe against replays.
+
+    version (1 byte) | key's mark (4) | sender's clock in microseconds (8) | message (MessagePack) | tag (16)
+
+The tag is a keyed BLAKE2b over all before it. Two keys are valid at once, so that keys can be changed one
+instance after the other. What fails a check is counted by its reason and dropped; no input raises.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import os
+import stat
+from collections import Counter
+from pathlib import Path
+from struct import Struct
+
+import msgspec
+
+from brackenladder.membership.swim import Claim, Kind, Message, Status
+
+VERSION = 1
+HEAD = Struct("<B4sQ")
+TAG = 16
+MOST = 1200
+LEAST_KEY = 16
+NAME_MOST = 64
+CLOCK_SLACK = 30_000_000  # clocks of two machines differ by so much at most
+WINDOW = 64  # datagrams of one sender that may overtake one another
+
+WireClaim = tuple[str, str, int, int, int]
+Wire = tuple[int, str, int, str, list[WireClaim]]
+
+
+class KeyFault(Exception):
+    """A key file that cannot be used: one line."""
+
+
+class Replays:
+    """Which of a sender's datagrams have been seen: a bitmap behind the newest stamp."""
+
+    __slots__ = ("newest", "seen")
+
+    def __init__(self) -> None:
+        self.newest = 0
+        self.seen: list[int] = []
+
+    def fresh(self, stamp: int) -> bool:
+        """Whether a stamp is new; it is not new any more after this."""
+        if stamp in self.seen or (len(self.seen) >= WINDOW and stamp < self.seen[0]):
+            return False
+        self.seen.append(stamp)
+        self.seen.sort()
+        del self.seen[:-WINDOW]
+        self.newest = max(self.newest, stamp)
+        return True
+
+
+class Codec:
+    """Messages to datagrams and back. `keys`: the one to sign with first, then those still taken."""
+
+    def __init__(self, keys: list[bytes]) -> None:
+        if not keys or any(len(k) < LEAST_KEY for k in keys):
+            raise KeyFault(f"a key of at least {LEAST_KEY} bytes is needed")
+        self.keys = {mark(k): k for k in reversed(keys[:2])}
+        self.signing = keys[0]
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoder = msgspec.msgpack.Decoder(Wire)
+        self.replays: dict[str, Replays] = {}
+        self.stamp = 0
+        self.dropped: Counter[str] = Counter()
+
+    def encode(self, message: Message, clock: int) -> bytes:
+        """A datagram of a message. Claims that do not fit are left out, the last first. `clock`:
+        microseconds of a clock that all machines share roughly."""
+        self.stamp = max(self.stamp + 1, clock)
+        claims = [(c.name, c.address[0], c.address[1], int(c.status), c.incarnation) for c in message.claims]
+        while True:
+            wire: Wire = (int(message.kind), message.sender, message.seq, message.target, claims)
+            body = HEAD.pack(VERSION, mark(self.signing), self.stamp) + self.encoder.encode(wire)
+            if len(body) + TAG <= MOST or not claims:
+                return body + tag(self.signing, body)
+            claims.pop()
+
+    def decode(self, data: bytes, clock: int) -> Message | None:
+        """The message of a datagram, or None; `dropped` counts why. Costs no more than its length."""
+        reason, message = self.checked(data, clock)
+        if message is None:
+            self.dropped[reason] += 1
+        return message
+
+    def checked(self, data: bytes, clock: int) -> tuple[str, Message | None]:
+        if not HEAD.size + TAG < len(data) <= MOST:
+            return "length", None
+        version, key_mark, stamp = HEAD.unpack_from(data)
+        if version != VERSION:
+            return "version", None
+        key = self.keys.get(key_mark)
+        if key is None:
+            return "key", None
+        body = data[:-TAG]
+        if not hmac.compare_digest(tag(key, body), data[-TAG:]):
+            return "tag", None
+        if abs(stamp - clock) > CLOCK_SLACK:
+            return "clock", None
+        try:
+            wire = self.decoder.decode(body[HEAD.size :])
+            message = message_of(wire)
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            return "form", None
+        if not self.replays.setdefault(message.sender, Replays()).fresh(stamp):
+            return "replay", None
+        return "", message
+
+    def forget(self, sender: str) -> None:
+        """A member is gone for good: its stamps need no keeping."""
+        self.replays.pop(sender, None)
+
+
+def message_of(wire: Wire) -> Message:
+    """The message of a decoded form; a ValueError where a figure is impossible."""
+    kind, sender, seq, target, claims = wire
+    if not 0 < len(sender) <= NAME_MOST or len(target) > NAME_MOST or not 0 <= seq < 1 << 62:
+        raise ValueError("head")
+    out = []
+    for name, host, port, status, incarnation in claims:
+        if not 0 < len(name) <= NAME_MOST or not 0 < len(host) <= NAME_MOST or not 0 < port < 65536:
+            raise ValueError("claim")
+        if not 0 <= incarnation < 1 << 62:
+            raise ValueError("incarnation")
+        out.append(Claim(name, (host, port), Status(status), incarnation))
+    return Message(Kind(kind), sender, seq, target, tuple(out))
+
+
+def mark(key: bytes) -> bytes:
+    """What tells which key signed, and nothing of the key."""
+    return hashlib.blake2b(key, digest_size=4, person=b"mark").digest()
+
+
+def tag(key: bytes, body: bytes) -> bytes:
+    return hashlib.blake2b(body, digest_size=TAG, key=key[:64]).digest()
+
+
+def read_key(path: Path) -> bytes:
+    """The key in a file that only its owner may read. KeyFault."""
+    try:
+        found = os.stat(path)
+        key = path.read_bytes().strip()
+    except OSError as e:
+        raise KeyFault(f"{path}: {e.strerror}") from None
+    if stat.S_IMODE(found.st_mode) & 0o077:
+        raise KeyFault(f"{path}: others may read it: chmod 600 it")
+    if not LEAST_KEY <= len(key) <= 64:
+        raise KeyFault(f"{path}: a key has {LEAST_KEY} to 64 bytes, this one {len(key)}")
+    return key
--- /dev/null
+++ b/laurelspindle/explore/__init__.py
@@ -0,0 +1,1 @@
+"""State machines tried at scale and at random."""
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,229 @@
+"""Membership: a machine over lost, doubled, late and spoilt datagrams, and a codec that nothing upsets."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from brackenladder.membership.codec import Codec, KeyFault, read_key
+from brackenladder.membership.swim import Advice, Claim, Kind, Message, Status, Swim, overrides
+from laurelspindle.explore.members import KEY, Net
+
+SEC = 1_000_000
+A, S, D, L = Status.ALIVE, Status.SUSPECT, Status.DEAD, Status.LEFT
+
+
+@pytest.mark.parametrize(
+    ("held", "new", "taken"),
+    [
+        ((A, 1), (S, 1), True),
+        ((A, 1), (S, 0), False),
+        ((S, 1), (A, 1), False),
+        ((S, 1), (A, 2), True),
+        ((D, 1), (S, 1), False),
+        ((D, 1), (A, 2), True),
+        ((D, 1), (L, 1), True),
+        ((L, 1), (D, 1), False),
+        ((A, 1), (A, 1), False),
+    ],
+)
+def test_what_overrides_what(held, new, taken):
+    claim = [Claim("x", ("h", 1), status, incarnation) for status, incarnation in (held, new)]
+    assert overrides(claim[1], claim[0]) is taken
+
+
+@pytest.mark.parametrize(("count", "loss"), [(3, 0.0), (12, 0.1), (40, 0.2)])
+def test_a_death_is_known_to_all_and_no_living_member_stays_dead(count, loss):
+    net = Net(count, loss, seed=5)
+    assert net.until(net.complete, 90) < 90
+    net.run(30)
+    gone = net.kill(("10.0.0.1", count))
+    assert net.until(lambda: not any(gone in s.alive() for s in net.members.values()), 120) < 120
+    net.run(60)
+    assert net.wrong() == 0
+
+
+def test_a_cut_heals_and_a_restart_comes_back_under_its_name():
+    net = Net(8, 0.0, seed=2)
+    net.until(net.complete, 30)
+    net.cut = {("10.0.0.1", p) for p in (5, 6, 7, 8)}
+    net.run(40)
+    assert net.wrong() > 0  # each side holds the other dead
+    net.cut = set()
+    assert net.until(net.complete, 120) < 120
+    name = net.kill(("10.0.0.1", 3))
+    net.run(30)
+    again = net.add(("10.0.0.1", 3), [("10.0.0.1", 1)], incarnation=2)
+    assert again.me.name == name and net.until(net.complete, 60) < 60
+
+
+def test_who_leaves_is_not_suspected_first():
+    net = Net(6, 0.0, seed=3)
+    net.until(net.complete, 30)
+    leaver = net.members[("10.0.0.1", 6)]
+    before = sum(s.counts.suspected for s in net.members.values())
+    net.carry(leaver.me.address, leaver.leave())
+    net.kill(leaver.me.address)
+    net.until(lambda: all(s.status("n6") == L for s in net.members.values()), 10)
+    assert all(s.status("n6") == L for s in net.members.values())
+    assert sum(s.counts.suspected for s in net.members.values()) == before
+
+
+class Group(RuleBasedStateMachine):
+    """Three members whose datagrams hypothesis delivers, doubles, delays, or loses, while clocks step as it
+    likes."""
+
+    def __init__(self):
+        super().__init__()
+        self.clocks = [SEC, SEC, SEC]
+        seeds = [("h", i + 1) for i in range(3)]
+        self.members = [Swim(f"m{i}", seeds[i], 1, seeds, Random(i), SEC) for i in range(3)]
+        self.wire = []
+        self.highest = {}
+
+    def carry(self, i, sends):
+        self.wire += [(self.members[i].me.address, s.to, s.message) for s in sends]
+        del self.wire[:-200]
+
+    @rule(i=st.integers(0, 2), step=st.integers(0, 20 * SEC))
+    def pass_time(self, i, step):
+        self.clocks[i] += step
+        self.carry(i, self.members[i].tick(self.clocks[i]))
+
+    @rule(place=st.integers(0, 199), keep=st.booleans())
+    def deliver(self, place, keep):
+        if self.wire:
+            place %= len(self.wire)
+            source, to, message = self.wire[place] if keep else self.wire.pop(place)
+            i = to[1] - 1
+            self.carry(i, self.members[i].receive(self.clocks[i], source, message))
+
+    @rule(place=st.integers(0, 199))
+    def lose(self, place):
+        if self.wire:
+            self.wire.pop(place % len(self.wire))
+
+    @invariant()
+    def incarnations_never_fall_and_each_lives_for_itself(self):
+        for m in self.members:
+            assert m.me.status == A
+            for name, member in m.members.items():
+                key = (m.me.name, name)
+                assert member.claim.incarnation >= self.highest.get(key, 0) or name not in m.members
+                self.highest[key] = member.claim.incarnation
+                owner = self.members[int(name[1])]
+                assert member.claim.incarnation <= owner.me.incarnation  # only the owner raises it
+
+    def teardown(self):
+        """Whatever has happened: once messages pass, all agree in bounded time that all are alive."""
+        now = max(self.clocks)
+        for step in range(400):
+            now += SEC // 4
+            queue = list(self.wire) if step == 0 else []
+            for m in self.members:
+                queue += [(m.me.address, s.to, s.message) for s in m.tick(now)]
+            while queue:
+                source, to, message = queue.pop(0)
+                m = self.members[to[1] - 1]
+                queue += [(m.me.address, s.to, s.message) for s in m.receive(now, source, message)]
+        for m in self.members:
+            assert all(m.status(o.me.name) == A for o in self.members)
+
+
+Group.TestCase.settings = settings(max_examples=30, stateful_step_count=40, deadline=None, derandomize=True)
+TestGroup = Group.TestCase
+
+CLAIM = Claim("n2", ("10.0.0.2", 7000), S, 9)
+MESSAGE = Message(Kind.PING_REQ, "n1", 77, "n2", (CLAIM,))
+
+
+def test_datagrams_come_back_as_they_were_and_fit():
+    codec, other = Codec([KEY]), Codec([KEY])
+    assert other.decode(codec.encode(MESSAGE, SEC), SEC) == MESSAGE
+    full = Message(
+        Kind.SYNC, "n" * 64, 0, "", tuple(Claim(f"{i:064}", ("h" * 64, 1), A, 1) for i in range(40))
+    )
+    data = codec.encode(full, SEC)
+    got = other.decode(data, SEC)
+    assert len(data) <= 1200 and got is not None and 0 < len(got.claims) < 40
+
+
+@pytest.mark.parametrize(
+    ("spoil", "reason"),
+    [
+        (lambda d: d[:10], "length"),
+        (lambda d: d + b"x" * 1200, "length"),
+        (lambda d: b"\x02" + d[1:], "version"),
+        (lambda d: d[:1] + b"abcd" + d[5:], "key"),
+        (lambda d: d[:-1] + bytes([d[-1] ^ 1]), "tag"),
+        (lambda d: d[:20] + bytes([d[20] ^ 1]) + d[21:], "tag"),
+    ],
+)
+def test_what_fails_a_check_is_counted_and_dropped(spoil, reason):
+    codec = Codec([KEY])
+    assert codec.decode(spoil(codec.encode(MESSAGE, SEC)), SEC) is None
+    assert codec.dropped == {reason: 1}
+
+
+def test_replays_old_clocks_and_keys_in_change():
+    codec, other = Codec([KEY]), Codec([b"another key, sixteen", KEY])
+    data = codec.encode(MESSAGE, SEC)
+    late = [codec.encode(MESSAGE, SEC) for _ in range(3)]
+    assert other.decode(data, SEC) and other.decode(data, SEC) is None
+    assert all(other.decode(d, SEC) for d in reversed(late))  # overtaken, not repeated
+    assert other.decode(codec.encode(MESSAGE, SEC), 100 * SEC) is None
+    assert codec.decode(other.encode(MESSAGE, SEC), SEC) is None
+    assert other.dropped == {"replay": 1, "clock": 1} and codec.dropped == {"key": 1}
+    for _ in range(200):
+        other.decode(codec.encode(MESSAGE, SEC), SEC)
+    assert other.decode(data, SEC) is None  # behind the window
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.binary(max_size=1300), st.binary(max_size=300))
+def test_no_input_upsets_the_decoder(noise, body):
+    from brackenladder.membership.codec import HEAD, mark, tag
+
+    codec = Codec([KEY])
+    assert codec.decode(noise, SEC) is None
+    signed = HEAD.pack(1, mark(KEY), SEC) + body  # by one who has the key, and sends nonsense
+    codec.decode(signed + tag(KEY, signed), SEC)
+
+
+@pytest.mark.parametrize(
+    ("mode", "data", "word"),
+    [
+        (0o600, b"k" * 32, ""),
+        (0o644, b"k" * 32, "others may read"),
+        (0o600, b"k", "16 to 64"),
+        (None, b"", "No such"),
+    ],
+)
+def test_a_key_comes_from_a_file_of_its_owners(tmp_path, mode, data, word):
+    path = tmp_path / "key"
+    if mode is not None:
+        path.write_bytes(data)
+        path.chmod(mode)
+    if word:
+        with pytest.raises(KeyFault, match=word):
+            read_key(path)
+    else:
+        assert read_key(path) == data
+
+
+def test_advice_wants_a_quorum_of_the_living_and_leaves_most_servers():
+    advice = Advice(quorum=2, share_most=0.34, fresh=10 * SEC)
+    for reporter, server in (("a", 1), ("a", 1), ("b", 2), ("c", 2), ("b", 9), ("c", 9), ("a", 2)):
+        advice.tell(0, reporter, server, aside=True)
+    listed, alive = range(1, 7), ["a", "b", "c"]
+    assert advice.aside(SEC, listed, alive) == [2]  # 1 has one reporter, 9 is not listed
+    assert advice.aside(SEC, listed, ["a"]) == [] and advice.aside(11 * SEC, listed, alive) == []
+    for server in listed:
+        for reporter in alive:
+            advice.tell(SEC, reporter, server, aside=True)
+    assert advice.aside(SEC, listed, alive) == [1, 2]  # a third of six at most
+    advice.drop("a")
+    advice.tell(SEC, "b", 1, aside=False)
+    assert 1 not in advice.aside(SEC, listed, alive)
