virtual/host.py: the ticker and the recorder of actions in files of their own

Change: Tick and Ticker in virtual/ticker.py, Recorder in virtual/recorder.py; actions are kept by name, so the recorder knows no Node.

--- a/laurelspindle/virtual/host.py
+++ b/laurelspindle/virtual/host.py
@@ -13,6 +13,8 @@
 from brackenladder.interface import Events, ListKind, Outcome, ServerEntry, Settings, State
 from laurelspindle.policies import Policy
 from laurelspindle.virtual.heap import HeapClock
+from laurelspindle.virtual.recorder import Recorder
+from laurelspindle.virtual.ticker import Ticker
 from laurelspindle.world.call import Answer, Attempt, Call, is_answered, is_over
 from laurelspindle.world.network import TABLE, num
 from laurelspindle.world.server import Server
@@ -36,89 +38,6 @@
 }
 
 
-class Recorder:
-    """A module's actions, kept until its batch is done."""
-
-    __slots__ = ("out",)
-
-    def __init__(self) -> None:
-        self.out: list[Post] = []
-
-    def send(self, request: int, server: int, timeout: int) -> None:
-        self.out.append((Node.send, (request, server, timeout)))
-
-    def cancel(self, request: int, attempt: int) -> None:
-        self.out.append((Node.cancel, (request, attempt)))
-
-    def refuse(self, request: int, retry_after: int) -> None:
-        self.out.append((Node.refuse, (request, retry_after)))
-
-    def fail(self, request: int) -> None:
-        self.out.append((Node.fail, (request,)))
-
-    def probe(self, server: int) -> None:
-        self.out.append((Node.probe, (server,)))
-
-    def set_timer(self, delay: int, token: int) -> None:
-        self.out.append((Node.set_timer, (delay, token)))
-
-    def tell(self, peer: int, data: bytes) -> None:
-        self.out.append((Node.tell, (peer, data)))
-
-    def watch(self, on: bool) -> None:
-        self.out.append((Node.watch, (on,)))
-
-    def fetch(self) -> None:
-        self.out.append((Node.fetch, ()))
-
-    def close(self, server: int) -> None:
-        self.out.append((Node.close, (server,)))
-
-    def log(self, text: str) -> None:
-        self.out.append((Node.log, (text,)))
-
-
-class Tick:
-    """What is due at one tick: messages that have come to nodes by then, and nodes with a batch to handle."""
-
-    __slots__ = ("messages", "nodes")
-
-    def __init__(self) -> None:
-        self.messages: list[tuple[Callable[[Any], None], Any]] = []
-        self.nodes: list[Node] = []
-
-
-class Ticker:
-    """One event a tick, whatever the number of messages that come to nodes and of nodes that handle them."""
-
-    def __init__(self, clock: HeapClock, tick: int) -> None:
-        self.clock = clock
-        self.tick = tick
-        self.due: dict[int, Tick] = {}
-        self.done = -1
-        self.module_ns = 0
-
-    def tick_at(self, at: int) -> Tick:
-        """The first tick at or after a time."""
-        at = -(-at // self.tick) * self.tick
-        if at <= self.done:
-            at = self.done + self.tick
-        tick = self.due.get(at)
-        if tick is None:
-            self.due[at] = tick = Tick()
-            self.clock.call_at(at, self.flush, at)
-        return tick
-
-    def flush(self, at: int) -> None:
-        tick = self.due[at]
-        for take, message in tick.messages:
-            take(message)
-        del self.due[at]
-        self.done = at
-        for node in tick.nodes:
-            node.handle(at)
-
-
 class Link:
     """A node's connections to one server: since when each idle one has been idle."""
 
@@ -261,7 +180,7 @@
         if out:
             self.actions.out = []
             for act, args in out:
-                act(self, *args)
+                getattr(self, act)(*args)
         if self.left:
             left, self.left = self.left, []
             for call in left:
