--- /dev/null
+++ b/brackenladder/net/message.py
@@ -0,0 +1,51 @@
+"""A client's request as it was read, and the words of answers."""
+
+from __future__ import annotations
+
+from brackenladder.net.passing import Upload
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    429: b"Too Many Requests",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class Message:
+    """A request as it came, or why it could not be read (`error`, a status)."""
+
+    __slots__ = (
+        "error",
+        "method",
+        "target",
+        "version",
+        "lines",
+        "headers",
+        "body",
+        "upload",
+        "expects",
+        "keep",
+        "size",
+    )
+
+    def __init__(self, error: int = 0) -> None:
+        self.error = error
+        self.method = b""
+        self.target = b""
+        self.version = "1.1"
+        self.lines: list[tuple[bytes, bytes, bytes]] = []  # headers: lower-case name, name, value
+        self.headers: dict[bytes, bytes] = {}  # by lower-case name; of several the first
+        self.body = b""
+        self.upload: Upload | None = None  # the body, if it is long and passes through
+        self.expects = False  # the client waits for a word before it sends the body
+        self.keep = error == 0
+        self.size = 0  # bytes that count as held while it waits or is open
