net/node.py: requests, the roster and the module's turns in files of their own

Change: requests.py (Open, Passage, Requests: taken, attempted, answered), roster.py (discovery's news to endpoints and entries), turns.py (clock, event queue); the module's actions are bound to the parts that do them.

--- /dev/null
+++ b/brackenladder/net/requests.py
@@ -0,0 +1,389 @@
+"""Requests from the last byte of their head to their one answer: checked, attempted, answered.
+
+The decisions are the module's: what it asks for a request is carried out here, and its attempts' outcomes go
+back to it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from brackenladder.balance import Balancer
+from brackenladder.interface import NEVER_RAN, Effect, Outcome
+from brackenladder.net.caller import Caller
+from brackenladder.net.config import Config
+from brackenladder.net.connection import Answer
+from brackenladder.net.counters import Counters
+from brackenladder.net.lifecycle import Lifecycle
+from brackenladder.net.log import Log
+from brackenladder.net.message import Message
+from brackenladder.net.passing import Source, Upload
+from brackenladder.net.servers import Exchange, Pool
+from brackenladder.net.turns import Turns
+
+GUARD = 10_000  # after the deadline: a request that the module has left open is failed
+FULL_ADVICE = 500_000  # after so long there may be room again for a client that found none
+# Headers that end at this hop or are written anew for the next.
+HOP = frozenset(
+    b"connection keep-alive proxy-connection proxy-authorization te trailer transfer-encoding upgrade expect"
+    b" content-length x-budget-ms".split()
+)
+KEPT = frozenset((b"host", b"x-call-id", b"idempotency-key"))  # go on, whatever `Connection` names
+METHODS = {Effect.SAFE: b"GET", Effect.KEYED: b"POST", Effect.UNSAFE: b"POST"}
+
+
+class Open:
+    """A request that has been taken and not answered, or whose attempt is still out."""
+
+    __slots__ = ("id", "caller", "message", "klass", "left", "deadline", "attempts", "out", "guard", "flow")
+
+    def __init__(
+        self, number: int, caller: Caller, message: Message, klass: int, now: int, left: int
+    ) -> None:
+        self.id = number
+        self.caller: Caller | None = caller  # None once answered, or once the client has left
+        self.message = message
+        self.klass = klass
+        self.left = left  # of its time, when it came
+        self.deadline = now + left
+        self.attempts = 0
+        self.out: Exchange | None = None
+        self.guard: asyncio.TimerHandle | None = None
+        self.flow: Passage | None = None  # its answer, once it flows
+
+    def coming(self) -> Upload | None:
+        """Its body, if that is still on its way from the client."""
+        upload = self.message.upload
+        return upload if upload is not None and not upload.whole else None
+
+
+class Passage:
+    """An answer on its way from a server to a client: the `Flow` of one request."""
+
+    def __init__(self, owner: Requests, request: Open, caller: Caller, began: int) -> None:
+        self.owner = owner
+        self.request = request
+        self.caller = caller
+        self.began = began  # when its first byte came
+
+    def piece(self, data: bytes) -> None:
+        self.caller.piece(data)
+
+    def end(self) -> None:
+        if self.request.caller is not None:
+            self.owner.close_request(self.request, 200)
+            self.caller.end()
+
+    def cut(self) -> None:
+        if self.request.caller is not None:
+            self.owner.close_request(self.request, 502)
+            self.caller.cut()
+
+
+class Requests:
+    """The open requests: a `Handler` for the crowd of clients, and the module's actions on requests."""
+
+    def __init__(
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        pool: Pool,
+        life: Lifecycle,
+        log: Log,
+        counters: Counters,
+        turns: Turns,
+    ) -> None:
+        self.config = config
+        self.settings = config.settings
+        self.loop = loop
+        self.pool = pool
+        self.life = life
+        self.log = log
+        self.counters = counters
+        self.turns = turns
+        self.module: Balancer  # what decides; it is made with these actions, and set then
+        self.open: dict[int, Open] = {}
+        self.by_caller: dict[Caller, Open] = {}
+        self.last_id = 0
+        self.last_answer: int | None = None  # when an ending node gives its last answer
+        self.guarded = 0
+        self.classes = {name.encode(): i for i, name in enumerate(config.classes)}
+        self.tenants = {name.encode(): i for i, name in enumerate(config.tenants)}
+        self.counts: Counter[str] = Counter()  # attempts by outcome and answers by status, in all
+
+    def message(self, caller: Caller, message: Message) -> None:
+        """A client's request, whole.
+
+        Failure prevented: an exception here would close the connection with no answer.
+        """
+        try:
+            self.accept(caller, message)
+        except Exception as e:  # whatever it is, it is this request's failure alone
+            self.log.line(f"request: {type(e).__name__}: {e}")
+            caller.answer(500)
+
+    def class_of(self, message: Message) -> int | None:
+        """The class that the first part of a request's path names, if there is such a class."""
+        path = message.target.partition(b"?")[0]
+        return self.classes.get(path[1:].partition(b"/")[0]) if path[:1] == b"/" else None
+
+    def accept(self, caller: Caller, message: Message) -> None:
+        """Checks a request and hands it to the module."""
+        now = self.turns.now()
+        klass = self.class_of(message)
+        if klass is None:
+            if message.target.partition(b"?")[0] != b"/ready":
+                caller.answer(404)
+            elif message.method != b"GET":
+                caller.answer(405, headers=b"Allow: GET\r\n")
+            else:
+                caller.answer(200 if self.life.serving else 503)
+            return
+        effect = self.settings.classes[klass].effect
+        if message.method != METHODS[effect]:
+            caller.answer(405, headers=b"Allow: %b\r\n" % METHODS[effect])
+            return
+        budget = message.headers.get(b"x-budget-ms") or b""
+        keyed = effect != Effect.KEYED or message.headers.get(b"idempotency-key")
+        tenant = message.headers.get(b"x-caller")
+        if not (
+            message.headers.get(b"x-call-id")
+            and keyed
+            and (tenant or not self.tenants)
+            and budget.isdigit()
+            and len(budget) <= 9
+        ):
+            caller.answer(400)
+            return
+        if len(self.open) >= self.settings.max_open:
+            self.beyond(caller, message)
+            return
+        left = int(budget) * 1000
+        if self.last_answer is not None:
+            # Failure prevented: the process is killed with a request that it took while it was ending.
+            left = min(left, max(0, self.last_answer - now))
+        self.last_id += 1
+        request = Open(self.last_id, caller, message, klass, now, left)
+        self.open[request.id] = self.by_caller[caller] = request
+        if request.coming() is None:
+            self.watch_over(request)
+        repeat = message.headers.get(b"x-again") == b"1"
+        number = self.tenants.get(tenant or b"", len(self.tenants))
+        self.turns.post(self.module.request, request.id, klass, number, left, repeat)
+
+    def beyond(self, caller: Caller, message: Message) -> None:
+        """Refuses a request for which the node itself has no room; the module never hears of it.
+
+        Failure prevented: a client that is not told when to come back does so at once.
+        """
+        klass = self.class_of(message)
+        if klass is not None:
+            self.counters.end(klass, 503)
+        caller.answer(503, headers=self.full_advice())
+
+    def full_advice(self) -> bytes:
+        """When to come back where the module has not been asked."""
+        return advice(min(FULL_ADVICE, self.settings.max_retry_after))
+
+    def watch_over(self, request: Open) -> None:
+        """The request's time begins."""
+        request.guard = self.loop.call_later((request.left + GUARD) / 1e6, self.expire, request)
+
+    def spoilt(self, caller: Caller, status: int) -> None:
+        """A client's request will never come whole: it gets an error, and its attempt is given up."""
+        request = self.by_caller.get(caller)
+        if request is not None:
+            self.conclude(request.id, status)
+            self.give_up(request)
+
+    def left(self, caller: Caller) -> None:
+        """A client closed its connection with its request open."""
+        request = self.by_caller.get(caller)
+        if request is not None:
+            self.release(request)
+            self.give_up(request)
+
+    def give_up(self, request: Open) -> None:
+        """Nobody waits for this request any more."""
+        self.turns.post(self.module.client_left, request.id)
+        if request.out is not None and (request.flow is not None or request.coming() is not None):
+            request.out.stop(Outcome.CANCELLED)
+
+    def expire(self, request: Open) -> None:
+        """The guard: a request still open after its deadline. The module should have answered it."""
+        self.guarded += 1
+        self.log.line(f"guard: request {request.id} was still open at its deadline")
+        self.conclude(request.id, 504)
+        self.turns.post(self.module.client_left, request.id)
+
+    # ---- answers --------------------------------------------------------------------------------------
+
+    def conclude(self, number: int, status: int, body: bytes = b"", headers: bytes = b"") -> None:
+        """Gives the client its one final answer."""
+        request = self.open.get(number)
+        if request is not None and request.caller is not None and request.flow is None:
+            caller = request.caller
+            self.close_request(request, status)
+            caller.answer(status, body, headers)
+
+    def close_request(self, request: Open, status: int) -> None:
+        """Counts a request at its end."""
+        self.counts[f"answered_{status}"] += 1
+        self.counters.end(request.klass, status)
+        self.release(request)
+
+    def release(self, request: Open) -> None:
+        """Nothing more is owed to the client."""
+        if request.caller is not None:
+            del self.by_caller[request.caller]
+            request.caller = None
+        if request.guard is not None:
+            request.guard.cancel()
+        if request.out is None:
+            self.open.pop(request.id, None)
+
+    # ---- the module's actions on requests -----------------------------------------------------------------
+
+    def send(self, request: int, server: int, timeout: int) -> None:
+        """Starts the request's next attempt. What may not be sent ends as NOT_SENT, after this event."""
+        r = self.open.get(request)
+        endpoint = self.pool.endpoints.get(server)
+        number = r.attempts if r is not None else 0
+        if r is not None:
+            r.attempts += 1
+        if (
+            r is None
+            or r.caller is None
+            or r.out is not None
+            or number >= self.settings.max_attempts
+            or endpoint is None
+            or not endpoint.ready
+            or (r.message.upload is not None and r.message.upload.spent)
+        ):
+            self.turns.post(self.module.outcome, request, number, server, Outcome.NOT_SENT, 0, False, ())
+            return
+        now = self.turns.now()
+        coming = r.coming() is not None
+        expires = now + min(timeout, r.left) if coming else min(now + timeout, r.deadline)
+
+        def compose() -> bytes | None:
+            left = expires - self.turns.now()
+            return head_of(r.message, left // 1000) if r.caller is not None and left > 0 else None
+
+        def sent() -> None:
+            self.counters.sent()
+            if coming:
+                self.uploaded(r, number)
+
+        def begin(answer: Answer, source: Source) -> Passage | None:
+            return self.begin_flow(r, number, server, now, answer, source)
+
+        def done(outcome: Outcome, answer: Answer | None) -> None:
+            self.ended(r, number, server, now, outcome, answer)
+
+        exchange = Exchange(self.pool, endpoint, compose, done, sent, begin, r.message.upload)
+        r.out = exchange
+        if coming:
+            self.turns.post(self.module.upload, request, number, True)
+        exchange.start(max(0, expires - now) / 1e6)
+
+    def uploaded(self, r: Open, number: int) -> None:
+        """The last byte of a long body has gone to the server: only now the request's time begins."""
+        if r.caller is not None:
+            r.deadline = self.turns.now() + r.left
+            self.watch_over(r)
+        self.turns.post(self.module.upload, r.id, number, False)
+
+    def begin_flow(
+        self, r: Open, number: int, server: int, sent: int, answer: Answer, source: Source
+    ) -> Passage | None:
+        """A long answer begins: its client gets it as it comes, and no guard cuts it from now on."""
+        if r.caller is None or r.out is None:
+            return None
+        now = self.turns.now()
+        r.flow = Passage(self, r, r.caller, now)
+        if r.guard is not None:
+            r.guard.cancel()
+        kind = answer.content_type
+        r.caller.begin(source, answer.length, b"Content-Type: %b\r\n" % kind if kind else b"")
+        self.turns.post(self.module.response_started, r.id, number, server, now - sent)
+        return r.flow
+
+    def ended(
+        self, r: Open, number: int, server: int, began: int, outcome: Outcome, answer: Answer | None
+    ) -> None:
+        """An attempt's end: an answer goes to the client at once, then the module hears of it."""
+        r.out = None
+        self.counts[f"attempts_{outcome.name.lower()}"] += 1
+        report: tuple[float, ...] = ()
+        if answer is not None:
+            if self.config.inline_reports:
+                report = self.report(answer.report)
+            if outcome == Outcome.OK and r.caller is not None:
+                kind = answer.content_type
+                self.conclude(r.id, 200, answer.body, b"Content-Type: %b\r\n" % kind if kind else b"")
+        if r.message.upload is not None and r.message.upload.spent:
+            # What was thrown away can go to no other server. Before its last byte nothing has run.
+            if outcome in NEVER_RAN:
+                self.conclude(r.id, 503, headers=self.full_advice())
+            else:
+                self.conclude(r.id, 502)
+        final = r.caller is None
+        if final:
+            self.open.pop(r.id, None)
+        latency = (self.turns.now() if r.flow is None else r.flow.began) - began
+        self.turns.post(self.module.outcome, r.id, number, server, outcome, latency, final, report)
+
+    def cancel(self, request: int, attempt: int) -> None:
+        """Gives an attempt up; its outcome follows after this event."""
+        r = self.open.get(request)
+        if r is not None and r.out is not None and attempt == r.attempts - 1:
+            r.out.stop(Outcome.CANCELLED)
+
+    def refuse(self, request: int, retry_after: int) -> None:
+        """Answers 503, with advice when to come back."""
+        self.conclude(request, 503, headers=advice(retry_after))
+
+    def fail(self, request: int) -> None:
+        """Answers 502: nothing is promised."""
+        self.conclude(request, 502)
+
+    def report(self, text: bytes) -> tuple[float, ...]:
+        """A load report's values in the settings' order; nothing if one is missing or unreadable."""
+        values = dict(pair.strip().partition("=")[::2] for pair in text.decode("latin-1").split(","))
+        try:
+            return tuple(
+                float(values[name] if name in values else values[plain])
+                for name, plain in self.config.report_names
+            )
+        except (KeyError, ValueError):
+            return ()
+
+
+def advice(wait: int) -> bytes:
+    """The header that tells a client when to come back, if there is anything to tell."""
+    return b"Retry-After: %.3f\r\n" % (wait / 1e6) if wait > 0 else b""
+
+
+def hop_headers(message: Message) -> frozenset[bytes]:
+    """The headers that end here: the usual ones and those that the client's `Connection` names."""
+    if b"connection" not in message.headers:
+        return HOP
+    named = [value for key, _, value in message.lines if key == b"connection"]
+    return HOP | {name.strip().lower() for name in b",".join(named).split(b",")} - KEPT
+
+
+def head_of(message: Message, budget: int) -> bytes:
+    """The request as it goes on to a server."""
+    lines = [b"%b %b HTTP/1.1" % (message.method, message.target)]
+    hop = hop_headers(message)
+    lines += [b"%b: %b" % (name, value) for key, name, value in message.lines if key not in hop]
+    lines.append(b"X-Budget-Ms: %d" % budget)
+    upload = message.upload
+    if upload is not None:
+        length = upload.length
+        lines.append(b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length)
+    elif message.body or message.method != b"GET":
+        lines.append(b"Content-Length: %d" % len(message.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + message.body
--- a/tests/test_counters.py
+++ b/tests/test_counters.py
@@ -5,7 +5,7 @@
 from test_management import OPERATED, operate
 
 from brackenladder.net.counters import Counters
-from brackenladder.net.node import number_of
+from brackenladder.net.roster import number_of
 
 FULL = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 BROKEN = b"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\noops"
@@ -56,7 +56,7 @@
         assert ended == {"view/answered": 1, "invite/errored": 1, "offer/deferred": 1}
         assert (found["lb_sends"], found["lb_current"]) == (4, 1)
         open_one.writer.close()
-        await until(lambda: not bench.node.by_caller)
+        await until(lambda: not bench.node.requests.by_caller)
         assert (await figures(bench))["lb_current"] == 0
 
     play(scene)
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -227,13 +227,13 @@
         client = await bench.client()
         assert (await client.ask(READY))[0] == 200
         drain = asyncio.create_task(bench.node.drain())
-        await until(lambda: bench.node.last_answer is not None)
+        await until(lambda: bench.node.requests.last_answer is not None)
         assert (await operate(bench, "/control/in-service", "PUT"))[0] == 409
         client.send(call("invite", budget=19000))
         await until(lambda: len(server.requests) == 1)
         assert int(server.requests[0].headers["x-budget-ms"]) <= 3500
-        (request,) = bench.node.requests.values()
-        bench.node.expire(request)
+        (request,) = bench.node.requests.open.values()
+        bench.node.requests.expire(request)
         assert (await client.receive())[0] == 504
         client.writer.close()
         await asyncio.wait_for(drain, 20)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -36,9 +36,10 @@
 
 from brackenladder.interface import ListKind, Outcome
 from brackenladder.net import discovery as node_discovery
-from brackenladder.net.callers import SLOW
+from brackenladder.net.caller import SLOW
 from brackenladder.net.config import ConfigError, load, read
-from brackenladder.net.servers import Connection, Exchange
+from brackenladder.net.connection import Connection
+from brackenladder.net.servers import Exchange
 
 FULL = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 BUSY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
@@ -316,7 +317,7 @@
         client = await bench.client()
         client.send(call("invite", body=b"x" * 65536))
         connection, _ = await asyncio.get_running_loop().sock_accept(listener)
-        await until(lambda: any(r.out and r.out.connection for r in bench.node.requests.values()))
+        await until(lambda: any(r.out and r.out.connection for r in bench.node.requests.open.values()))
         listener.close()
         connection.close()
         assert (await client.receive())[0] == 503
@@ -334,7 +335,7 @@
         assert (await bench.once(call("invite", budget=1000)))[0] == 502
         assert time.monotonic() - began >= 0.9
         await until(lambda: server.closed == 1)
-        assert bench.node.guarded == 0
+        assert bench.node.requests.guarded == 0
         assert (await bench.once(call("invite")))[0] == 200 and server.connections == 2
 
     play(scene)
@@ -349,7 +350,7 @@
         await until(lambda: len(server.requests) == 2)
         leaving.writer.close()
         await until(lambda: server.closed == 1)
-        assert len(bench.node.requests) == 1 and server.connections == 2
+        assert len(bench.node.requests.open) == 1 and server.connections == 2
 
     play(scene)
 
@@ -460,7 +461,7 @@
         await until(lambda: len(server.requests) == 1)
         assert float((await bench.once(call()))[1]["retry-after"]) > 0  # by the node
         first.writer.close()
-        await until(lambda: not bench.node.requests)
+        await until(lambda: not bench.node.requests.open)
         bench.node.balancer.controller.in_flight = 1000
         status, headers, _ = await bench.once(call())  # by the module
         assert status == 503 and float(headers["retry-after"]) > 0
@@ -485,7 +486,7 @@
         bench = await Bench(Server()).start()
         bench.node.balancer.request = lambda *args: None
         assert (await bench.once(call(budget=50)))[0] == 504
-        assert bench.node.guarded == 1
+        assert bench.node.requests.guarded == 1
 
     play(scene)
 
@@ -495,10 +496,10 @@
 
     async def scene():
         bench = await Bench(Server()).start()
-        bench.node.classes = None
+        bench.node.requests.classes = None
         client = await bench.client()
         assert (await client.ask(call()))[0] == 500
-        bench.node.classes = {b"view": 0}
+        bench.node.requests.classes = {b"view": 0}
         assert (await client.ask(call()))[0] == 200
 
     play(scene)
@@ -747,7 +748,7 @@
             for i in range(100):
                 stranger.sendto(b"stray", peers.transport.get_extra_info("sockname"))
                 await until(lambda i=i: len(seen) > i)
-        bench.node.classes = None
+        bench.node.requests.classes = None
         assert (await bench.once(call()))[0] == 500
 
     play(scene)
@@ -795,7 +796,7 @@
         for _ in range(most):
             clients.append(await bench.client())
             clients[-1].send(call("invite"))
-            await until(lambda: len(bench.node.by_caller) == len(clients))
+            await until(lambda: len(bench.node.requests.by_caller) == len(clients))
         assert await idle.ended()
         status, headers, _ = await bench.once(call("invite"))
         assert status == 503 and float(headers["retry-after"]) > 0  # or it would be back at once
@@ -815,7 +816,7 @@
         assert status == 503 and float(headers["retry-after"]) > 0
         first.writer.close()
         server.handle = always(OK)
-        await until(lambda: not bench.node.requests)
+        await until(lambda: not bench.node.requests.open)
         assert (await bench.once(call()))[0] == 200
 
     play(scene)
@@ -1133,7 +1134,7 @@
 def test_now_never_goes_back_and_is_unix_time():
     async def scene():
         bench = await Bench().start()
-        times = [bench.node.now() for _ in range(1000)]
+        times = [bench.node.turns.now() for _ in range(1000)]
         assert times == sorted(times)
         assert abs(times[0] - time.time_ns() // 1000) < 60 * MOMENT
 
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -8,7 +8,7 @@
 
 from brackenladder.interface import Outcome
 from brackenladder.net import servers as node_servers
-from brackenladder.net.callers import LINGER, SLOW
+from brackenladder.net.caller import LINGER, SLOW
 from brackenladder.net.passing import WHOLE
 from brackenladder.net.room import LEAST, PIECE_LEAST, PIECE_MOST, Room
 
@@ -106,7 +106,7 @@
             head, body = await receive(client)
             assert head.startswith(b"HTTP/1.1 200 ") and (expected is None or body == expected)
             assert body and b"chunked" not in body
-        assert bench.node.room.held == 0 and not bench.node.requests
+        assert bench.node.room.held == 0 and not bench.node.requests.open
         assert bench.node.counters.ended[0] == {"answered": 3, "deferred": 0, "errored": 0}
 
     play(scene)
@@ -144,8 +144,8 @@
         slow = await bench.client()
         slow.writer.transport.pause_reading()
         slow.send(call())
-        await until(lambda: any(r.flow for r in node.requests.values()))
-        (request,) = node.requests.values()
+        await until(lambda: any(r.flow for r in node.requests.open.values()))
+        (request,) = node.requests.open.values()
         await until(lambda: request.out.connection.held)
         (caller,) = (c for c in node.callers.callers if c.open is not None)
         assert caller.transport.get_write_buffer_size() <= 3 * node.room.piece
@@ -172,15 +172,15 @@
         bench = await Bench(Server(halves)).start()
         client = await bench.client()
         client.send(call(budget=300))
-        await until(lambda: any(r.flow for r in bench.node.requests.values()))
-        (request,) = bench.node.requests.values()
+        await until(lambda: any(r.flow for r in bench.node.requests.open.values()))
+        (request,) = bench.node.requests.open.values()
         head = await client.reader.readuntil(b"\r\n\r\n")
         assert await client.reader.readexactly(100) == LONG[:100]  # not held back for the rest
-        await until(lambda: bench.node.now() > request.deadline + 100_000)
+        await until(lambda: bench.node.turns.now() > request.deadline + 100_000)
         release.set()
         assert head and await client.reader.readexactly(len(LONG) - 100) == LONG[100:]
-        await until(lambda: not bench.node.requests)
-        assert bench.node.guarded == 0
+        await until(lambda: not bench.node.requests.open)
+        assert bench.node.requests.guarded == 0
 
     play(scene)
 
@@ -200,7 +200,7 @@
             await receive(client)
         assert outcomes == [Outcome.RESET]
         assert bench.node.counters.ended[0]["errored"] == 1
-        await until(lambda: not bench.node.requests)
+        await until(lambda: not bench.node.requests.open)
 
     play(scene)
 
@@ -228,7 +228,7 @@
         client.send(call())
         await client.reader.readuntil(b"\r\n\r\n")
         client.writer.close()
-        await until(lambda: server.closed == 1 and not bench.node.requests)
+        await until(lambda: server.closed == 1 and not bench.node.requests.open)
         assert outcomes == [Outcome.CANCELLED]
         assert not any(s.in_flight for s in bench.node.balancer.servers.values())
         assert not bench.node.balancer.flowing
@@ -261,7 +261,7 @@
 
 def test_what_grows_longer_than_any_is_cut(monkeypatch):
     """Failure prevented: chunks without end keep a server, a client and their connections for good."""
-    for module in ("callers", "servers"):
+    for module in ("caller", "connection"):
         monkeypatch.setattr(f"brackenladder.net.{module}.LARGEST", 200_000)
 
     async def scene():
@@ -275,7 +275,7 @@
         client.send(upload(chunks(LONG, 9000), b"Transfer-Encoding: chunked"))
         head, _ = await receive(client)
         assert head.startswith(b"HTTP/1.1 413 ")
-        await until(lambda: not bench.node.requests)
+        await until(lambda: not bench.node.requests.open)
         assert len(server.bodies) == 1  # the first request's, which had none
 
     play(scene)
@@ -289,7 +289,7 @@
         bench.node.room.most = 10000
         client = await bench.client()
         client.send(call())
-        await until(lambda: any(r.flow for r in bench.node.requests.values()))
+        await until(lambda: any(r.flow for r in bench.node.requests.open.values()))
         server.writers[0].write(answer[20000:])
         assert (await receive(client))[1] == body
 
@@ -345,7 +345,7 @@
         client.send(upload(body, b"Content-Length: %d" % len(body)))
         await until(lambda: bool(server.heads))
         (caller,) = node.callers.callers
-        (request,) = node.requests.values()
+        (request,) = node.requests.open.values()
         await until(lambda: caller.paused and request.out.connection.full())
         assert request.out.connection.transport.get_write_buffer_size() <= 3 * node.room.piece
         assert caller.due is None  # it is not the client that is late
@@ -380,7 +380,7 @@
         client = await bench.client()
         client.send(upload(LONG, b"Content-Length: %d" % (len(LONG) + 1)))
         await until(lambda: any(s.heads for s in bench.servers))
-        (request,) = bench.node.requests.values()
+        (request,) = bench.node.requests.open.values()
         await until(lambda: request.message.upload.spent)
         next(s for s in bench.servers if s.heads).writers[0].transport.abort()
         head, _ = await receive(client)
@@ -399,7 +399,7 @@
         client.send(upload(LONG, b"Content-Length: %d" % (2 * len(LONG))))
         await until(lambda: bool(server.heads))
         client.writer.transport.abort()
-        await until(lambda: server.closed == 1 and not bench.node.requests)
+        await until(lambda: server.closed == 1 and not bench.node.requests.open)
         assert not any(s.in_flight or s.uploads for s in bench.node.balancer.servers.values())
 
     play(scene)
@@ -414,9 +414,9 @@
         data = upload(LONG, b"Content-Length: %d" % len(LONG)).replace(b"15000", b"600")
         client.send(data[:-1])
         await until(lambda: bool(server.heads))
-        (request,) = bench.node.requests.values()
-        began = bench.node.now()
-        await until(lambda: bench.node.now() > began + 800_000)
+        (request,) = bench.node.requests.open.values()
+        began = bench.node.turns.now()
+        await until(lambda: bench.node.turns.now() > began + 800_000)
         assert request.guard is None
         client.send(data[-1:])
         assert (await receive(client))[1] == b"ok"
@@ -445,7 +445,7 @@
         assert head.startswith(b"HTTP/1.1 400 ") and b"Connection: close" in head
         assert await client.ended()
         assert not server.bodies
-        await until(lambda: not bench.node.requests)
+        await until(lambda: not bench.node.requests.open)
 
     play(scene)
 
@@ -502,7 +502,7 @@
         client.send(data)
         await until(lambda: bool(callers.callers) and bool(server.heads))
         (caller,) = callers.callers
-        (request,) = bench.node.requests.values()
+        (request,) = bench.node.requests.open.values()
         await until(lambda: caller.due is not None and not caller.rest and not caller.paused)
         caller.moved, now = len(LONG), bench.node.loop.time()
         monkeypatch.setattr(callers, "loop", Clock(bench.node.loop, now + SLOW + 1))
@@ -512,7 +512,7 @@
         callers.sweep()
         head, _ = await receive(client)
         assert head.startswith(b"HTTP/1.1 408 ") and await client.ended()
-        await until(lambda: server.closed == 1 and not bench.node.requests)
+        await until(lambda: server.closed == 1 and not bench.node.requests.open)
         assert request.caller is None and not server.bodies
 
     play(scene)
@@ -520,7 +520,7 @@
 
 def test_a_client_that_reads_its_last_answer_slowly_gets_all_of_it(monkeypatch):
     """Failure prevented: the connection is ended while a part of the answer is still in the process."""
-    monkeypatch.setattr("brackenladder.net.callers.LINGER", 0.0)
+    monkeypatch.setattr("brackenladder.net.caller.LINGER", 0.0)
 
     async def scene():
         body = LONG * 16
@@ -529,7 +529,7 @@
         client = await bench.client()
         client.writer.transport.pause_reading()
         client.send(call(extra=b"Connection: close\r\n"))
-        await until(lambda: any(r.flow for r in bench.node.requests.values()))
+        await until(lambda: any(r.flow for r in bench.node.requests.open.values()))
         (caller,) = bench.node.callers.callers
         await until(lambda: caller.full)
         client.writer.transport.resume_reading()
