brackenladder/membership moves to brackenladder/fleet/membership

Need: the fleet's parts stand in one package that a node imports only where its configuration names a fleet.

--- a/brackenladder/membership/__init__.py
+++ b/brackenladder/fleet/membership/__init__.py
@@ -1,5 +1,4 @@
-"""Membership between instances: who is alive, and what others know. Off where the settings name no peers.
+"""Membership between instances: who is alive, and what others know.
 
-`swim.py` decides, without sockets or clocks; `codec.py` makes datagrams of its messages. Nothing of a node
-in service imports this package yet.
+`swim.py` decides, without sockets or clocks; `codec.py` makes datagrams of its messages.
 """
--- a/brackenladder/membership/codec.py
+++ b/brackenladder/fleet/membership/codec.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from brackenladder.membership.swim import Claim, Kind, Message, Status
+from brackenladder.fleet.membership.swim import Claim, Kind, Message, Status
 
 VERSION = 1
 HEAD = Struct("<B4sQ")
--- a/laurelspindle/explore/members.py
+++ b/laurelspindle/explore/members.py
@@ -7,8 +7,8 @@
 from random import Random
 from typing import Any
 
-from brackenladder.membership.codec import Codec
-from brackenladder.membership.swim import Address, Message, Send, Status, Swim
+from brackenladder.fleet.membership.codec import Codec
+from brackenladder.fleet.membership.swim import Address, Message, Send, Status, Swim
 from laurelspindle.virtual.heap import HeapClock
 
 DELAY = 2_000  # mean of a datagram's way, microseconds
