A node takes part in a fleet: its section, membership on datagrams, GET /fleet

Change: the fleet section is checked at the start, all faults at once; fleet/host.py runs membership over a datagram socket and serves its view beside the management pages; leaving is said at SIGTERM; a process that takes a node's socket over takes the port when the elder lets it go. A node alone imports nothing of it. Found on the way and mended: where all processes start at once, a first exchange lost before the seed's port was open came again only after 15 s; it now comes each period until one member is known (2 s instead of 15). An unknown kind of message is counted as such; stamps are kept of 4,096 senders at most.

--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -54,7 +54,8 @@
         config = load(os.environ)
     except ConfigError as e:
         hint = f": {NEXT}" if str(e).startswith("LB_CONFIG") else ""
-        print(f"brackenladder: {e}{hint}", file=sys.stderr)
+        for line in str(e).splitlines():
+            print(f"brackenladder: {line}{hint}", file=sys.stderr)
         return 2
     try:
         uvloop.run(serve(config))
--- /dev/null
+++ b/brackenladder/fleet/config.py
@@ -0,0 +1,158 @@
+"""The `fleet` section of a node's configuration, checked: all faults at once, a line each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from brackenladder.fleet.membership.codec import NAME_MOST, KeyFault, read_key
+from brackenladder.fleet.membership.swim import Address
+
+VOTERS = (0, 3, 5)
+SEEDS_MOST = 64
+PERIOD_MS = (100, 60_000)
+KEYS = [
+    "name",
+    "zone",
+    "region",
+    "listen",
+    "advertise",
+    "seeds",
+    "key",
+    "old_key",
+    "voters",
+    "period_ms",
+    "lab",
+]
+
+
+class FleetFault(ValueError):
+    """What is wrong with the section: a line for each fault."""
+
+
+@dataclass(frozen=True)
+class FleetConfig:
+    """One process's place in its fleet. Times in microseconds."""
+
+    name: str
+    zone: str
+    region: str
+    listen: Address  # where datagrams come in...
+    advertise: Address  # ...and where others send them, which an address translation may set apart
+    seeds: tuple[Address, ...]
+    keys: tuple[bytes, ...]  # the one that signs, then one that is still taken
+    voters: tuple[str, ...]
+    period: int  # of membership's probes
+    clock_file: str | None  # lab: an offset of the wall clock in milliseconds, read again each period
+
+
+class Section:
+    """Reads a table's keys and collects what is wrong with them."""
+
+    def __init__(self, table: dict[str, Any], where: str) -> None:
+        self.table = table
+        self.where = where
+        self.faults: list[str] = []
+
+    def fault(self, key: str, found: Any, allowed: str) -> None:
+        shown = "missing" if found is None else repr(found)[:60]
+        self.faults.append(f"{self.where}.{key}: {shown}: {allowed}")
+
+    def only(self, *known: str) -> None:
+        for key in self.table:
+            if key not in known:
+                self.faults.append(f"{self.where}.{key}: unknown key: known are {', '.join(known)}")
+
+    def text(self, key: str, default: str | None = None, most: int = NAME_MOST) -> str:
+        value = self.table.get(key, default)
+        if isinstance(value, str) and (0 < len(value) <= most or value == default):
+            return value
+        self.fault(key, value, f"must be text of 1 to {most} characters")
+        return default or ""
+
+    def whole(self, key: str, default: int, low: int, high: int) -> int:
+        value = self.table.get(key, default)
+        if isinstance(value, int) and not isinstance(value, bool) and low <= value <= high:
+            return value
+        self.fault(key, value, f"must be a whole number from {low} to {high}")
+        return default
+
+    def address(self, key: str, value: Any) -> Address:
+        if isinstance(value, str):
+            host, _, port = value.rpartition(":")
+            if host and port.isascii() and port.isdigit() and 0 < int(port) < 65536:
+                return host, int(port)
+        self.fault(key, value, "must be an address of the form host:port")
+        return "", 0
+
+    def listed(self, key: str, most: int) -> list[Any]:
+        value = self.table.get(key, [])
+        if isinstance(value, list) and len(value) <= most:
+            return value
+        self.fault(key, value, f"must be a list of at most {most}")
+        return []
+
+    def key_of(self, key: str) -> bytes:
+        path = self.text(key, most=4096)
+        if not path:
+            return b""
+        try:
+            return read_key(Path(path))
+        except KeyFault as e:
+            self.faults.append(f"{self.where}.{key}: {e}")
+            return b""
+
+
+def read_fleet(table: object, node: str) -> FleetConfig:
+    """The section, for a node of this name. FleetFault."""
+    if not isinstance(table, dict):
+        raise FleetFault("fleet: not an object")
+    s = Section(table, "fleet")
+    s.only(
+        "name",
+        "zone",
+        "region",
+        "listen",
+        "advertise",
+        "seeds",
+        "key",
+        "old_key",
+        "voters",
+        "period_ms",
+        "lab",
+    )
+    listen = s.address("listen", table.get("listen"))
+    advertise = s.address("advertise", table["advertise"]) if "advertise" in table else listen
+    if advertise[0] in ("0.0.0.0", "::"):
+        s.fault("advertise", table.get("advertise"), "must be given where listen names no one address")
+    keys = [s.key_of("key")] + ([s.key_of("old_key")] if "old_key" in table else [])
+    lab = table.get("lab", {})
+    extra = Section(lab if isinstance(lab, dict) else {}, "fleet.lab")
+    extra.only("clock_file")
+    found = FleetConfig(
+        name=s.text("name", node),
+        zone=s.text("zone"),
+        region=s.text("region", ""),
+        listen=listen,
+        advertise=advertise,
+        seeds=tuple(s.address(f"seeds[{i}]", v) for i, v in enumerate(s.listed("seeds", SEEDS_MOST))),
+        keys=tuple(keys),
+        voters=voters(s),
+        period=s.whole("period_ms", 1000, *PERIOD_MS) * 1000,
+        clock_file=extra.text("clock_file", most=4096) if "clock_file" in extra.table else None,
+    )
+    if s.faults or extra.faults:
+        raise FleetFault("\n".join(s.faults + extra.faults))
+    return found
+
+
+def voters(s: Section) -> tuple[str, ...]:
+    names = s.listed("voters", max(VOTERS))
+    named = all(isinstance(n, str) and 0 < len(n) <= NAME_MOST for n in names)
+    if not named or len(set(names)) != len(names):
+        s.fault("voters", names, "must be names, none of them twice")
+    elif len(names) not in VOTERS:
+        why = ": a majority of two is both, so either one's end stops all duties" if len(names) == 2 else ""
+        s.fault("voters", names, f"must be 3 or 5, or none where no duties are held{why}")
+    return tuple(str(n) for n in names)
--- /dev/null
+++ b/brackenladder/fleet/host.py
@@ -0,0 +1,191 @@
+"""The fleet's parts on a node's event loop: clock, datagrams, log and page.
+
+The only file that knows both sides: the parts know no socket and no clock, `brackenladder.net` knows no part.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from contextlib import suppress
+from pathlib import Path
+from random import Random
+from time import time_ns
+from typing import Any, cast
+
+from brackenladder.fleet.config import FleetConfig
+from brackenladder.fleet.membership.codec import Codec
+from brackenladder.fleet.membership.swim import Claim, Send, Swim, Timing
+from brackenladder.net.log import Log
+
+LOUD = ("join", "suspect", "dead", "left", "alive", "refuted")  # changes that the log tells
+LATE = 50_000  # microseconds: a tick so late is counted, since the process itself was slow
+LEAVES = 3  # times that a leaving process says so, since a datagram may be lost
+
+
+class Host(asyncio.DatagramProtocol):
+    """One process's part in the fleet. Open from `open` to `close`; each life is a new incarnation."""
+
+    def __init__(self, config: FleetConfig, loop: asyncio.AbstractEventLoop, seed: int, log: Log) -> None:
+        self.config = config
+        self.loop = loop
+        self.log = log
+        self.rng = Random(f"fleet {config.name} {seed}")
+        self.codec = Codec(list(config.keys))
+        self.transport: asyncio.DatagramTransport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.swim: Swim | None = None
+        self.offset = 0  # of the wall clock, microseconds; a lab's alone
+        self.sent: Counter[str] = Counter()
+        self.received: Counter[str] = Counter()
+        self.events: Counter[str] = Counter()
+        self.bytes_out = self.bytes_in = self.late = 0
+
+    async def open(self) -> None:
+        """Takes the port and joins. An OSError if the address cannot be had."""
+        await self.loop.create_datagram_endpoint(lambda: self, local_addr=self.config.listen)
+        c = self.config
+        self.swim = Swim(
+            c.name,
+            c.advertise,
+            self.wall(),
+            [s for s in c.seeds if s != c.advertise],
+            self.rng,
+            self.now(),
+            Timing(period=c.period, ack_within=c.period * 3 // 10),
+            self.told,
+        )
+        self.log.line(
+            f"fleet joins name={c.name} zone={c.zone} region={c.region or '-'} listen={spelled(c.listen)}"
+            f" advertise={spelled(c.advertise)} seeds={len(c.seeds)} incarnation={self.swim.me.incarnation}"
+        )
+        self.tick()
+
+    def leave(self) -> None:
+        """SIGTERM: the others are told, and nothing is heard or said after that."""
+        if self.swim is not None and self.transport is not None:
+            last = self.swim.leave()
+            for _ in range(LEAVES):
+                self.send(last)
+        self.close()
+
+    def close(self) -> None:
+        """Lets the port go, without a word: another process of this node goes on under its name."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.transport is not None:
+            self.transport.close()
+            self.transport = None
+
+    # ---- clocks -----------------------------------------------------------------------------------------
+
+    def now(self) -> int:
+        """Monotonic microseconds."""
+        return int(self.loop.time() * 1e6)
+
+    def wall(self) -> int:
+        """Microseconds of Unix time, which may step."""
+        if self.config.clock_file is not None:
+            with suppress(OSError, ValueError):
+                self.offset = int(Path(self.config.clock_file).read_text()) * 1000
+        return time_ns() // 1000 + self.offset
+
+    # ---- the parts' life --------------------------------------------------------------------------------
+
+    def tick(self) -> None:
+        """Does what is due, and comes back when something is due again."""
+        assert self.swim is not None
+        now = self.now()
+        self.late += now - self.swim.due() > LATE
+        self.send(self.swim.tick(now))
+        self.arm()
+
+    def arm(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.transport is not None and self.swim is not None:
+            wait = max(1000, self.swim.due() - self.now())
+            self.timer = self.loop.call_later(wait / 1e6, self.tick)
+
+    def told(self, what: str, claim: Claim) -> None:
+        """Membership's view has changed."""
+        self.events[what] += 1
+        if what == "forgotten":
+            self.codec.forget(claim.name)
+        if what in LOUD:
+            at = spelled(claim.address)
+            self.log.line(f"fleet {what} member={claim.name} at={at} incarnation={claim.incarnation}")
+
+    # ---- datagrams --------------------------------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        if self.swim is None:
+            return
+        self.bytes_in += len(data)
+        message = self.codec.decode(data, self.wall())
+        if message is None:
+            return
+        self.received[message.kind.name.lower()] += 1
+        due = self.swim.due()
+        self.send(self.swim.receive(self.now(), (addr[0], addr[1]), message))
+        if self.swim.due() < due:
+            self.arm()
+
+    def send(self, sends: list[Send]) -> None:
+        if self.transport is None:
+            return
+        for send in sends:
+            data = self.codec.encode(send.message, self.wall())
+            self.sent[send.message.kind.name.lower()] += 1
+            self.bytes_out += len(data)
+            self.transport.sendto(data, send.to)
+
+    def error_received(self, exc: Exception) -> None:
+        """A peer's port is closed, or the network is: membership learns of it by silence."""
+        self.events["unreachable"] += 1
+
+    # ---- what operators see -----------------------------------------------------------------------------
+
+    def view(self) -> dict[str, Any]:
+        """The page: this process's own view, with ages in seconds, and its counters."""
+        swim, c, now = self.swim, self.config, self.now()
+        members = []
+        if swim is not None:
+            for name, m in sorted(swim.members.items()):
+                members.append(
+                    {
+                        "name": name,
+                        "address": spelled(m.claim.address),
+                        "state": m.claim.status.name.lower(),
+                        "incarnation": m.claim.incarnation,
+                        "age_s": round((now - m.since) / 1e6, 3),
+                    }
+                )
+        return {
+            "name": c.name,
+            "zone": c.zone,
+            "region": c.region,
+            "open": self.transport is not None,
+            "incarnation": swim.me.incarnation if swim is not None else 0,
+            "members": members,
+            "sent": dict(self.sent),
+            "received": dict(self.received),
+            "refused": dict(self.codec.dropped),
+            "events": dict(self.events),
+            "bytes_out": self.bytes_out,
+            "bytes_in": self.bytes_in,
+            "late_ticks": self.late,
+        }
+
+    def page(self) -> tuple[int, bytes]:
+        """`GET /fleet`."""
+        return 200, json.dumps(self.view()).encode() + b"\n"
+
+
+def spelled(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
--- a/brackenladder/fleet/membership/codec.py
+++ b/brackenladder/fleet/membership/codec.py
@@ -29,6 +29,9 @@
 CLOCK_SLACK = 30_000_000  # clocks of two machines differ by so much at most
 WINDOW = 64  # datagrams of one sender that may overtake one another
 
+KINDS = frozenset(Kind)
+SENDERS_MOST = 4096  # whose stamps are kept: over that, those of the one heard of first go
+
 WireClaim = tuple[str, str, int, int, int]
 Wire = tuple[int, str, int, str, list[WireClaim]]
 
@@ -37,6 +40,10 @@
     """A key file that cannot be used: one line."""
 
 
+class UnknownKind(ValueError):
+    """A message of a kind that a later version has: not a fault of form."""
+
+
 class Replays:
     """Which of a sender's datagrams have been seen: its newest stamps, in order."""
 
@@ -105,9 +112,17 @@
         try:
             wire = self.decoder.decode(body[HEAD.size :])
             message = message_of(wire)
+        except UnknownKind:
+            return "kind", None
         except (msgspec.MsgspecError, ValueError, RecursionError):
             return "form", None
-        if not self.replays.setdefault(message.sender, Replays()).fresh(stamp):
+        seen = self.replays.get(message.sender)
+        if seen is None:
+            # Failure prevented: whoever has the key makes names up until the memory is full.
+            while len(self.replays) >= SENDERS_MOST:
+                del self.replays[next(iter(self.replays))]
+            seen = self.replays[message.sender] = Replays()
+        if not seen.fresh(stamp):
             return "replay", None
         return "", message
 
@@ -119,6 +134,8 @@
 def message_of(wire: Wire) -> Message:
     """The message of a decoded form; a ValueError where a figure is impossible."""
     kind, sender, seq, target, claims = wire
+    if kind not in KINDS:
+        raise UnknownKind(kind)
     if not 0 < len(sender) <= NAME_MOST or len(target) > NAME_MOST or not 0 <= seq < 1 << 62:
         raise ValueError("head")
     out = []
--- a/brackenladder/fleet/membership/swim.py
+++ b/brackenladder/fleet/membership/swim.py
@@ -15,7 +15,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
 from math import ceil, log2
@@ -122,13 +122,18 @@
     died: int = 0
 
 
+def untold(what: str, claim: Claim) -> None:
+    """Where nobody wants to know."""
+
+
 class Swim:
     """One instance's part in the group. Every call may return datagrams to send; `due` says when to `tick`
     next.
 
     `incarnation` must be higher than that of the instance's last life: its start in Unix seconds serves.
     `seeds` are the configured peers, asked for the whole state at the start and again as long as they are
-    not known alive.
+    not known alive. `tell` hears of each change of what is held true: what it is ("join", "alive", "suspect",
+    "dead", "left", "refuted", "forgotten") and the claim.
     """
 
     def __init__(
@@ -140,7 +145,9 @@
         rng: Random,
         now: int,
         timing: Timing | None = None,
+        tell: Callable[[str, Claim], None] = untold,
     ) -> None:
+        self.tell = tell
         self.me = Claim(name, address, Status.ALIVE, incarnation)
         self.seeds = [s for s in seeds if s != address]
         self.rng = rng
@@ -194,6 +201,7 @@
             elif m.gone and now >= m.since + self.timing.forget_after:
                 del self.members[name]
                 self.news.pop(name, None)
+                self.tell("forgotten", m.claim)
         probe = self.probe
         if probe is not None and not probe.asked and not probe.acked and now >= probe.ask_at:
             probe.asked = True
@@ -201,7 +209,11 @@
         if now >= self.next_period:
             out += self.begin_period(now)
         if now >= self.next_sync:
-            self.next_sync = now + int(self.timing.sync_every * (0.75 + 0.5 * self.rng.random()))
+            # Failure prevented: all start at once, the seed's port is not open yet, and the group finds
+            # itself only at the next exchange.
+            alone = bool(self.seeds) and not self.alive()
+            wait = self.timing.period if alone else self.timing.sync_every
+            self.next_sync = now + int(wait * (0.75 + 0.5 * self.rng.random()))
             out += self.begin_sync()
         return out
 
@@ -329,6 +341,7 @@
                 # Failure prevented: an earlier life's death is told of this one.
                 self.counts.refuted += 1
                 self.me = Claim(self.me.name, self.me.address, Status.ALIVE, claim.incarnation + 1)
+                self.tell("refuted", claim)
             return
         held = self.members.get(claim.name)
         if held is not None and not overrides(claim, held.claim):
@@ -340,6 +353,8 @@
         if claim.status == Status.SUSPECT:
             self.counts.suspected += 1
         self.members[claim.name] = Member(claim, now, due)
+        if held is None or held.claim.status != claim.status:
+            self.tell("join" if held is None else claim.status.name.lower(), claim)
         self.news[claim.name] = 0
         if held is None and self.round:
             self.round.insert(int(self.rng.random() * (len(self.round) + 1)), claim.name)
--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -5,7 +5,7 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from brackenladder.interface import ListKind, Settings
 from brackenladder.net import management
@@ -13,13 +13,16 @@
 from brackenladder.net.listing import Listing, read_listing
 from brackenladder.settings import COLUMNS, Fields, settings_of
 
+if TYPE_CHECKING:
+    from brackenladder.fleet.config import FleetConfig
+
 # The event loop's own (10), the listener, UDP, discovery, the standard streams, and some to spare.
 RESERVED_SOCKETS = 26
 LEAST_CONNECTIONS = 8
 
 
 class ConfigError(Exception):
-    """The node cannot start with what it was told; the text is one plain line."""
+    """The node cannot start with what it was told; the text is one plain line for each fault."""
 
 
 @dataclass(frozen=True)
@@ -49,6 +52,7 @@
     idle_time: float  # seconds after which a server closes an idle connection
     inline_reports: bool
     report_names: tuple[tuple[str, str], ...]  # a load report's values: the settings' word, the plain one
+    fleet: FleetConfig | None  # None: the process stands alone
 
     def connections(self, parts: int = 1) -> int:
         """Descriptors that clients and servers may use together, in each of so many processes."""
@@ -103,6 +107,17 @@
     return read_address(read_file(environ).get("discovery"), "discovery")
 
 
+def fleet_of(table: dict[str, Any], name: str) -> FleetConfig | None:
+    """The `fleet` section, if there is one; without it nothing of the fleet is imported. ConfigError."""
+    if table.get("fleet") is None:
+        return None
+    try:
+        from brackenladder.fleet.config import read_fleet
+    except ImportError as e:
+        raise ConfigError(f"fleet: needs the extra fleet: {e.name} is not installed") from None
+    return read_fleet(table["fleet"], name)
+
+
 def read(table: dict[str, Any]) -> Config:
     """A Config from the decoded file. What is missing or impossible is a ValueError or a ConfigError."""
     name, seed = table.get("name"), table.get("seed", "0")
@@ -116,7 +131,7 @@
     given = fields.sub("limits", optional=True)
     sockets = given.whole("sockets", 1024)
     operators = table.get("management")
-    reserved = RESERVED_SOCKETS + (management.RESERVED if operators else 0)
+    reserved = RESERVED_SOCKETS + (management.RESERVED if operators else 0) + (table.get("fleet") is not None)
     if sockets < reserved + LEAST_CONNECTIONS:
         raise ConfigError(f"limits.sockets: at least {reserved + LEAST_CONNECTIONS} are needed")
     peer_listen, peers_all = table.get("peer_listen"), table.get("peers_all")
@@ -150,4 +165,5 @@
         idle_time=limits.whole("conn_idle", 15_000_000) / 1e6,
         inline_reports=report.text("how", "off") == "inline",
         report_names=tuple((c, COLUMNS.get(c, c)) for c in columns),
+        fleet=fleet_of(table, name),
     )
--- a/brackenladder/net/management.py
+++ b/brackenladder/net/management.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable, Mapping
-from typing import cast
+from typing import NamedTuple, cast
 
 import httptools
 
@@ -29,8 +29,21 @@
     503: b"Service Unavailable",
 }
 
+PLAIN = b"text/plain; version=0.0.4; charset=utf-8"
+JSON = b"application/json"
+
 Act = Callable[[], tuple[int, bytes]]  # a call's status and text
-Paths = Mapping[bytes, tuple[bytes, Act]]  # by path: the method, and what is done
+
+
+class Page(NamedTuple):
+    """What stands at a path."""
+
+    method: bytes
+    act: Act
+    kind: bytes = PLAIN
+
+
+Paths = Mapping[bytes, Page]
 
 
 class Operator(asyncio.Protocol):
@@ -70,26 +83,25 @@
         if path not in self.owner.paths:
             self.answer(404)
             return
-        method, act = self.owner.paths[path]
-        if self.parser.get_method() != method:
-            self.answer(405, headers=b"Allow: %b\r\n" % method)
+        page = self.owner.paths[path]
+        if self.parser.get_method() != page.method:
+            self.answer(405, headers=b"Allow: %b\r\n" % page.method)
             return
         try:
-            self.answer(*act())
+            self.answer(*page.act(), kind=page.kind)
         except Exception as e:  # the call fails, and nothing else
             self.owner.failed(f"management: {type(e).__name__}: {e}")
             self.answer(500)
 
-    def answer(self, status: int, text: bytes = b"", headers: bytes = b"") -> None:
+    def answer(self, status: int, text: bytes = b"", headers: bytes = b"", kind: bytes = PLAIN) -> None:
         """Answers once. Our end is closed first: closing both at once may reset the answer on its way."""
         if self.answered or self.transport.is_closing():
             return
         self.answered = True
         text = text or REASONS[status] + b"\n"
         self.transport.write(
-            b"HTTP/1.1 %d %b\r\n%bContent-Type: text/plain; version=0.0.4; charset=utf-8\r\n"
-            b"Content-Length: %d\r\nConnection: close\r\n\r\n%b"
-            % (status, REASONS[status], headers, len(text), text)
+            b"HTTP/1.1 %d %b\r\n%bContent-Type: %b\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%b"
+            % (status, REASONS[status], headers, kind, len(text), text)
         )
         self.transport.write_eof()
         self.limit(LINGER)
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections.abc import Mapping
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from brackenladder.balance import Balancer
 from brackenladder.interface import Outcome, State
@@ -21,7 +21,7 @@
 from brackenladder.net.lifecycle import Lifecycle, Stage
 from brackenladder.net.listener import listening
 from brackenladder.net.log import LINES_A_SECOND, STRAYS_A_SECOND, Log
-from brackenladder.net.management import Management, Paths
+from brackenladder.net.management import JSON, Management, Page, Paths
 from brackenladder.net.peers import Peers
 from brackenladder.net.requests import Requests
 from brackenladder.net.room import Room
@@ -29,6 +29,9 @@
 from brackenladder.net.servers import Exchange, Pool
 from brackenladder.net.turns import Event, Turns
 
+if TYPE_CHECKING:
+    from brackenladder.fleet.host import Host
+
 LONGEST = 3_000_000  # after SIGTERM the platform waits for the longest deadline, for so long at most...
 LAST = 500_000  # ...and 0.7 s more; so long into that, a request that came late must have its answer
 PEERS_RETRY = 0.05  # seconds
@@ -57,6 +60,7 @@
         self.callers = Callers(loop, self.budget, self.requests, self.life, self.room)
         self.pool.spare = self.callers.make_room
         self.callers.relief = self.pool.relieve
+        self.fleet = self.fleet_part()
         self.management = Management(loop, self.paths(), self.log_lines.line)
         self.roster = Roster(config, loop, self.pool, self.life, self.log_lines, strays, self.turns)
         self.discovery = self.roster.discovery
@@ -78,6 +82,7 @@
         elif c.inherited is not None:
             self.log_lines.line(f"LB_INHERITED_FD={c.inherited} is no listening socket: listening for itself")
         await self.open_peers()
+        await self.open_fleet()
         if c.management is not None:
             self.management.start(c.management)
         self.callers.start(inherited or listening(c.listen), shared=inherited is not None)
@@ -107,6 +112,28 @@
                 raise
             self.loop.call_later(PEERS_RETRY, lambda: self.loop.create_task(self.open_peers()))
 
+    def fleet_part(self) -> Host | None:
+        """This process's part in the fleet, if it has one."""
+        if self.config.fleet is None:
+            return None
+        from brackenladder.fleet.host import Host  # a node alone does without it, and without its packages
+
+        return Host(self.config.fleet, self.loop, self.config.seed, self.log_lines)
+
+    async def open_fleet(self) -> None:
+        """Joins the fleet; a port that the process before still has is tried for again."""
+        fleet = self.fleet
+        if fleet is None or fleet.transport is not None:
+            return
+        if self.handover.elder or self.life.stage == Stage.ENDING:
+            return
+        try:
+            await fleet.open()
+        except OSError:
+            if not self.handover.shared:
+                raise
+            self.loop.call_later(PEERS_RETRY, lambda: self.loop.create_task(self.open_fleet()))
+
     def share(self, shared: bool) -> None:
         """Another process of this node has come, and both get half; or it has gone."""
         parts = 2 if shared else 1
@@ -116,8 +143,11 @@
         self.callers.shrink()
         if self.handover.elder:
             self.peers.close()
+            if self.fleet is not None:
+                self.fleet.close()
         elif not shared:
             self.loop.create_task(self.open_peers())
+            self.loop.create_task(self.open_fleet())
 
     def fits(self) -> bool:
         """Whether this process keeps to its half."""
@@ -142,12 +172,15 @@
 
     def paths(self) -> Paths:
         """What operators may call."""
-        return {
-            b"/control/ready": (b"GET", self.ready),
-            b"/control/counters": (b"GET", self.figures),
-            b"/control/out-of-service": (b"PUT", self.take_out),
-            b"/control/in-service": (b"PUT", self.take_back),
+        paths = {
+            b"/control/ready": Page(b"GET", self.ready),
+            b"/control/counters": Page(b"GET", self.figures),
+            b"/control/out-of-service": Page(b"PUT", self.take_out),
+            b"/control/in-service": Page(b"PUT", self.take_back),
         }
+        if self.fleet is not None:
+            paths[b"/fleet"] = Page(b"GET", self.fleet.page, JSON)
+        return paths
 
     def ready(self) -> tuple[int, bytes]:
         """Whether this process takes clients."""
@@ -175,6 +208,8 @@
         longest = max(c.deadline for c in self.config.settings.classes)
         self.requests.last_answer = self.turns.now() + min(longest, LONGEST) + LAST
         self.peers.close()
+        if self.fleet is not None:
+            self.fleet.leave()
         await self.callers.drain()
         self.discovery.close()
         self.handover.close()
