--- a/laurelspindle/world/clients.py
+++ b/laurelspindle/world/clients.py
@@ -82,7 +82,7 @@
             self.clock.call_at(self.world.begin + self.times[0], self.arrive, 0)
 
     def arrive(self, i: int) -> None:
-        now = self.clock.now
+        now = self.world.begin + self.times[i]  # when it is due, however late a clock in real time may be
         if i + 1 < len(self.times):
             self.clock.call_at(self.world.begin + self.times[i + 1], self.arrive, i + 1)
         klass = self.classes[i]
--- a/laurelspindle/world/site.py
+++ b/laurelspindle/world/site.py
@@ -123,7 +123,7 @@
             for i in range(self.instances[0])
         ]
         self.clients = Clients(self, self.rate())
-        self.troubles = [Trouble(self, fault, i) for i, fault in enumerate(day.fault)]
+        self.troubles: list[Trouble] = []
 
     # ---- what there is --------------------------------------------------------------------------------
 
@@ -271,8 +271,10 @@
     # ---- its run --------------------------------------------------------------------------------------
 
     def start(self) -> None:
-        """Starts the nodes, the front's spread over some time before the first arrival counts, and the
-        clients."""
+        """The day begins now: troubles and clients by its time, and the nodes, the front's spread over some
+        of it."""
+        self.begin = self.accounts.begin = self.clock.now
+        self.troubles = [Trouble(self, fault, i) for i, fault in enumerate(self.day.fault)]
         for tier in self.tiers:
             for server in tier:
                 if server.node is not None:
