--- a/laurelspindle/cli/__init__.py
+++ b/laurelspindle/cli/__init__.py
@@ -7,8 +7,11 @@
 import click
 
 import laurelspindle
+from laurelspindle.cli.emulate import emulate
 from laurelspindle.cli.errors import Bad
 from laurelspindle.cli.experiment import experiment
+from laurelspindle.cli.lab import lab
+from laurelspindle.cli.load import load
 from laurelspindle.cli.scenario import scenario
 from laurelspindle.cli.simulate import simulate
 
@@ -22,6 +25,9 @@
 cli.add_command(simulate)
 cli.add_command(scenario)
 cli.add_command(experiment)
+cli.add_command(lab)
+cli.add_command(load)
+cli.add_command(emulate)
 
 
 def main() -> None:
--- /dev/null
+++ b/laurelspindle/cli/emulate.py
@@ -0,0 +1,41 @@
+"""`laurelspindle emulate`: a day's servers and discovery on loopback, for a node started by hand."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import click
+import uvloop
+
+from laurelspindle.cli.errors import Bad
+from laurelspindle.live.emulate import emulate as serve
+from laurelspindle.live.places import NoPlace
+from laurelspindle.scenario.load import ScenarioError, draw, load
+
+
+@click.command()
+@click.argument("scenario")
+@click.option("--seed", type=click.IntRange(0), help="Of the day's draw; by default the scenario's own.")
+@click.option("--seconds", type=click.FloatRange(0.1, 86_400), default=3600.0, help="At the most; an hour.")
+@click.option("--set", "overrides", multiple=True, metavar="KEY=VALUE", help="Override a key by its path.")
+def emulate(scenario: str, seed: int | None, seconds: float, overrides: tuple[str, ...]) -> int:
+    """Serve SCENARIO's servers and discovery on sockets, and print how to start its nodes.
+
+    SCENARIO is a file or the name of one that ships; it must have one tier, as `lab` has. Its faults come as
+    planned. Nothing is sent: `laurelspindle load` does that.
+    """
+    try:
+        day = draw(load(scenario, list(overrides)), seed)
+    except ScenarioError as e:
+        raise Bad(str(e)) from None
+    if len(day.tier) != 1 or day.discovery.mode != "push":
+        raise Bad(
+            f"{scenario}: {len(day.tier)} tiers, discovery {day.discovery.mode}: must be one tier and push"
+        )
+    with tempfile.TemporaryDirectory(prefix="emulate-") as folder:
+        try:
+            uvloop.run(serve(day, Path(folder), seconds, click.echo))
+        except NoPlace as e:
+            raise Bad(str(e)) from None
+    return 0
--- /dev/null
+++ b/laurelspindle/cli/lab.py
@@ -0,0 +1,125 @@
+"""`laurelspindle lab`: several real processes of the node, faults between them, and what came of it."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn
+
+from laurelspindle.cli.errors import Bad, writable, write_whole
+from laurelspindle.lab.checkers import check
+from laurelspindle.lab.history import HistoryError, read
+from laurelspindle.lab.plan import Plan, PlanError, draw, scenario, shipped
+from laurelspindle.lab.timeline import report
+from laurelspindle.lab.truth import Truth
+
+
+@click.group()
+def lab() -> None:
+    """Run several processes of the node with faults between them."""
+
+
+@lab.command("list")
+def list_plans() -> None:
+    """The plans that ship with the product."""
+    for name, title in shipped().items():
+        click.echo(f"{name:12} {title}")
+
+
+@lab.command()
+@click.argument("plan")
+@click.option("--seed", type=click.IntRange(0), help="Of what the plan draws; by default its own.")
+@click.option("--nodes", type=click.IntRange(1), help="Processes, in place of the plan's.")
+@click.option("--keep", metavar="DIR", help="Keep the history and the nodes' configurations in a folder.")
+@click.option("--alone", is_flag=True, help="Without the fleet: no process knows of another.")
+def run(plan: str, seed: int | None, nodes: int | None, keep: str | None, alone: bool) -> int:
+    """Play PLAN, a file or the name of one that ships (`laurelspindle lab list`).
+
+    Exits 1 where a checker fails or the run was broken off, 2 on bad input, 3 where the machine was too late
+    for the run to count.
+    """
+    from laurelspindle.lab.run import run as play  # the workbench's other commands do without its weight
+    from laurelspindle.live.places import NoPlace
+
+    changes: dict[str, Any] = ({"nodes": nodes} if nodes else {}) | ({"fleet": False} if alone else {})
+    folder = folder_of(keep) if keep else None
+    try:
+        drawn = draw(plan, seed, changes)
+        scenario(drawn)
+        out = with_progress(drawn, lambda tell: play(drawn, folder, tell))
+    except PlanError as e:
+        raise Bad(str(e)) from None
+    except NoPlace as e:
+        raise Bad(str(e)) from None
+    broken = tell(out.events)
+    if out.stopped:
+        raise click.Abort
+    return 1 if broken or out.trouble else 0 if out.counted else 3
+
+
+@lab.command()
+@click.argument("history")
+@click.option("--plot", "plot_file", metavar="FILE.png", help="Draw it, a lane for each process.")
+def show(history: str, plot_file: str | None) -> int:
+    """The timeline of HISTORY, a file that `lab run --keep` left."""
+    target = writable(plot_file) if plot_file else None
+    events = events_of(history)
+    tell(events)
+    if target is not None:
+        from laurelspindle.lab.timeline import plot
+
+        write_whole(target, lambda path: plot(Truth(events), path))
+    return 0
+
+
+@lab.command("check")
+@click.argument("history")
+def check_again(history: str) -> int:
+    """Repeat the checkers over HISTORY. Exits 1 where one fails."""
+    from laurelspindle.lab.timeline import verdicts
+
+    found = check(events_of(history))
+    console().print(verdicts(found))
+    return 1 if any(found.values()) else 0
+
+
+def folder_of(keep: str) -> Path:
+    folder = Path(keep)
+    if folder.exists() and not folder.is_dir():
+        raise Bad(f"{keep}: is a file: a folder is wanted")
+    if (folder / "history.jsonl").exists():
+        raise Bad(f"{keep}: holds a history already: name another folder")
+    if not folder.parent.is_dir():
+        raise Bad(f"{keep}: no such folder: {folder.parent}")
+    return folder
+
+
+def events_of(history: str) -> list[dict[str, Any]]:
+    path = Path(history)
+    try:
+        return read(str(path / "history.jsonl" if path.is_dir() else path))
+    except HistoryError as e:
+        raise Bad(str(e)) from None
+
+
+def console() -> Console:
+    return Console(width=None if sys.stdout.isatty() else 150)
+
+
+def tell(events: list[dict[str, Any]]) -> bool:
+    """Prints what came of it; whether something was broken."""
+    found = check(events)
+    console().print(report(Truth(events), found), highlight=False)
+    return any(found.values())
+
+
+def with_progress(plan: Plan, play: Any) -> Any:
+    screen = Console(stderr=True)
+    columns = (TextColumn("{task.description}"), BarColumn(), TextColumn("{task.fields[what]}"))
+    with Progress(*columns, console=screen, transient=True, disable=not screen.is_terminal) as p:
+        task = p.add_task(plan.title or "playing", total=1.0, what="")
+        return play(lambda what, share: p.update(task, completed=share, what=what))
--- a/laurelspindle/scenario/load.py
+++ b/laurelspindle/scenario/load.py
@@ -6,6 +6,7 @@
 import re
 import tomllib
 from importlib.resources import files
+from importlib.resources.abc import Traversable
 from pathlib import Path
 from typing import Any
 
@@ -23,30 +24,42 @@
     """What is wrong with a user's scenario: one line a fault, each with the file's name."""
 
 
-def shipped() -> dict[str, str]:
-    """The names of the scenarios that ship with the product, and their titles."""
-    folder = files("laurelspindle") / "scenarios"
+def titles(folder: Traversable) -> dict[str, str]:
+    """The names of the files in a folder of the product's, and their titles."""
     names = sorted(f.name[:-5] for f in folder.iterdir() if f.name.endswith(".toml"))
     return {
         name: str(tomllib.loads((folder / f"{name}.toml").read_text()).get("title", "")) for name in names
     }
 
 
-def read(source: str) -> dict[str, Any]:
-    """The decoded TOML of a file, or of a shipped scenario where no such file is there. ScenarioError."""
+def read_toml(source: str, folder: Traversable, fault: type[Exception]) -> dict[str, Any]:
+    """The decoded TOML of a file, or of one that ships in `folder` where no such file is there. `fault`."""
     path = Path(source)
     name = source.removesuffix(".toml")
-    inside = files("laurelspindle") / "scenarios" / f"{name}.toml"
+    inside = folder / f"{name}.toml"
     if not path.is_file() and re.fullmatch(r"[\w-]+", name) and inside.is_file():
         return tomllib.loads(inside.read_text())
     try:
         return tomllib.loads(path.read_text())
     except FileNotFoundError:
-        raise ScenarioError(f"{source}: no such file: shipped are {', '.join(shipped())}") from None
+        raise fault(f"{source}: no such file: shipped are {', '.join(titles(folder))}") from None
     except OSError as e:
-        raise ScenarioError(f"{source}: cannot be read: {e.strerror}") from None
+        raise fault(f"{source}: cannot be read: {e.strerror}") from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
-        raise ScenarioError(f"{source}: not TOML: {e}") from None
+        raise fault(f"{source}: not TOML: {e}") from None
+
+
+SHIPPED = files("laurelspindle") / "scenarios"
+
+
+def shipped() -> dict[str, str]:
+    """The names of the scenarios that ship with the product, and their titles."""
+    return titles(SHIPPED)
+
+
+def read(source: str) -> dict[str, Any]:
+    """The decoded TOML of a file, or of a shipped scenario where no such file is there. ScenarioError."""
+    return read_toml(source, SHIPPED, ScenarioError)
 
 
 def scenario_of(table: dict[str, Any], source: str = "scenario") -> Scenario:
