--- /dev/null
+++ b/laurelspindle/lab/checkers.py
@@ -0,0 +1,172 @@
+"""Checkers: each reads a history alone and names what was broken, when and by whom.
+
+They know nothing of the node's inside: what clients got, what came to servers, when discovery told what, what
+signals the lab gave, and what nodes say on their pages. Times in a history's fields are microseconds of the
+lab's clock; `t` is in seconds.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from laurelspindle.lab.history import Event
+from laurelspindle.lab.truth import HELD, Truth, seconds
+
+MAY_HAVE_RAN = ("error", "reset", "timeout", "cancelled")
+FAILURE = re.compile(r"Traceback|\b[A-Z]\w*(Error|Exception)\b|floods its log")
+REPEATED = 8  # stories of one checker that are told one by one
+
+
+@dataclass(frozen=True)
+class Broken:
+    """One thing that was broken."""
+
+    checker: str
+    at: float
+    who: str
+    what: str
+
+    def __str__(self) -> str:
+        return f"{self.at:8.3f} s  {self.who:6}  {self.checker}: {self.what}"
+
+
+Found = Iterator[tuple[float, str, str]]
+
+
+def answers(truth: Truth) -> Found:
+    """Every request at a node that lives, runs and is not told to end gets one answer by its time and slack,
+    with what a server made for it."""
+    for e in truth.of("request"):
+        until = seconds(e["until"])
+        node = e["node"]
+        if e["answer"] == "spoilt":
+            yield e["t"], node, f"request {e['id']}: a 200 that no server made for it"
+        excused = truth.excused(node, seconds(e["sent"]), until + truth.slack)
+        if e["answer"] == "none" and not excused:
+            yield e["t"], node, f"request {e['id']}: no answer by its time, {until:.3f} s, and the slack"
+
+
+def attempts(truth: Truth) -> Found:
+    """At most so many attempts a request, one at a time, and none of a request that may not be repeated after
+    one that may have run."""
+    by_call: dict[str, list[Event]] = defaultdict(list)
+    for e in truth.of("attempt"):
+        by_call[e["id"]].append(e)
+    for call, sent in by_call.items():
+        sent.sort(key=lambda e: (e["began"], e["ended"]))
+        node = sent[0]["node"]
+        if len(sent) > truth.max_attempts:
+            yield sent[-1]["t"], node, f"request {call}: {len(sent)} attempts, {truth.max_attempts} allowed"
+        for before, after in zip(sent, sent[1:], strict=False):
+            at = seconds(after["began"])
+            if after["began"] < before["ended"]:
+                yield at, node, f"request {call}: at {after['server']} while it was out at {before['server']}"
+            elif after["effect"] == "unsafe" and before["outcome"] in MAY_HAVE_RAN:
+                yield at, node, f"request {call}: sent again though it may have run at {before['server']}"
+
+
+def drains(truth: Truth) -> Found:
+    """Nothing goes to a server so long after its node was told that it drains or is gone."""
+    for e in truth.of("attempt"):
+        late = e["began"] - e["away"]
+        if e["away"] >= 0 and late > truth.stop_sending:
+            at = seconds(e["began"])
+            yield at, e["node"], f"sent to {e['server']} {late / 1000:.0f} ms after it was told away"
+
+
+def processes(truth: Truth) -> Found:
+    """No process ends unasked or fails to get ready; one that was asked to ends well."""
+    for e in truth.of("process"):
+        if e["what"] == "exit" and not e["asked"]:
+            yield e["t"], e["node"], f"life {e['life']} ended unasked, status {e['status']}"
+        elif e["what"] == "exit" and e["status"] not in (0, -9):
+            yield e["t"], e["node"], f"life {e['life']} ended with status {e['status']}"
+        elif e["what"] == "not ready":
+            yield e["t"], e["node"], f"life {e['life']} never became ready"
+
+
+def logs(truth: Truth) -> Found:
+    """No line of a log tells of an exception, and none is a flood."""
+    for e in truth.of("log"):
+        if FAILURE.search(e["text"]):
+            yield e["t"], e["node"], f"logged: {e['text']}"
+
+
+def views(truth: Truth) -> Found:
+    """Once the faults are over and the plan's time has passed, each view holds alive just those that run."""
+    if not truth.fleet:
+        return
+    end = truth.end
+    since = max([truth.go, *(at for at, _ in truth.changes)])
+    if end - since < truth.agree:
+        return
+    living = truth.members_at(end)
+    for name in sorted(living):
+        seen = truth.view_at(name, end)
+        held = {n for n, (state, _) in seen.items() if state in HELD}
+        others = living - {name}
+        missing, extra = others - held, held - others
+        late = f"{end - since:.1f} s after the last change"
+        if missing:
+            yield (
+                end,
+                name,
+                f"does not see {', '.join(sorted(missing))} {late}",
+            )
+        if extra:
+            yield (
+                end,
+                name,
+                f"still sees {', '.join(sorted(extra))} {late}",
+            )
+
+
+def deaths(truth: Truth) -> Found:
+    """Nobody is held dead who runs, hears and is heard; the plan's time is allowed after each change."""
+    if not truth.fleet:
+        return
+    for e in truth.of("view"):
+        for name, (state, _) in e["members"].items():
+            if state in ("dead", "left") and not truth.may_seem_dead(e["node"], name, e["t"]):
+                yield e["t"], e["node"], f"holds {name} {state}, which runs and is not cut off"
+
+
+def incarnations(truth: Truth) -> Found:
+    """What a process holds of a member's incarnation never goes back, and a new life has a higher one."""
+    held: dict[tuple[str, int, str], int] = {}
+    own: dict[str, tuple[int, int]] = {}
+    for e in truth.of("view"):
+        before = own.get(e["node"], (0, 0))
+        if e["own"] < before[1]:
+            yield e["t"], e["node"], f"its own incarnation went back from {before[1]} to {e['own']}"
+        own[e["node"]] = (e["life"], max(e["own"], before[1]))
+        for name, (_, incarnation) in e["members"].items():
+            key = (e["node"], e["life"], name)
+            if incarnation < held.get(key, 0):
+                yield e["t"], e["node"], f"{name}'s incarnation went back from {held[key]} to {incarnation}"
+            held[key] = max(incarnation, held.get(key, 0))
+
+
+def cold(truth: Truth) -> Found:
+    """No cold server is pushed over by what nodes send that knew of its start."""
+    for e in truth.of("end"):
+        for story in e["broken"]:
+            if "cold_server" in story:
+                yield e["t"], "all", story
+
+
+CHECKERS: dict[str, Callable[[Truth], Found]] = {
+    f.__name__: f for f in (answers, attempts, drains, processes, logs, views, deaths, incarnations, cold)
+}
+
+
+def check(events: list[Event]) -> dict[str, list[Broken]]:
+    """What each checker found, by its name; empty lists where all was kept."""
+    truth = Truth(events)
+    return {
+        name: [Broken(name, at, who, what) for at, who, what in checker(truth)]
+        for name, checker in CHECKERS.items()
+    }
--- /dev/null
+++ b/laurelspindle/lab/faults.py
@@ -0,0 +1,116 @@
+"""The faults of a plan at work, each told in the history as it begins and as it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+from laurelspindle.lab.network import Rule
+from laurelspindle.lab.plan import Fault, number
+
+if TYPE_CHECKING:
+    from laurelspindle.lab.fleet import Member
+    from laurelspindle.lab.run import Lab
+
+END_MOST = 10.0  # seconds that a process has to end after SIGTERM
+
+
+class Faults:
+    """Plays them side by side, a task each. `over_at`: the loop's time when the last was over."""
+
+    def __init__(self, lab: Lab) -> None:
+        self.lab = lab
+        self.tasks: list[asyncio.Task[None]] = []
+        self.open = 0
+        self.over_at: float | None = None
+
+    def begin(self) -> None:
+        plan = self.lab.plan
+        self.open = len(plan.fault)
+        if not self.open:
+            self.over_at = self.lab.loop.time()
+        for i, fault in enumerate(plan.fault):
+            self.tasks.append(self.lab.loop.create_task(self.play(i, fault)))
+
+    def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+    async def play(self, i: int, fault: Fault) -> None:
+        await asyncio.sleep(number(fault.at_s))
+        names = self.lab.pick(fault, f"fault/{i}")
+        self.lab.tell("fault", what="begin", number=i, type=fault.type, on=names, way=fault.way)
+        await getattr(self, f"play_{fault.type}")(fault, names)
+        self.lab.tell("fault", what="end", number=i, type=fault.type, on=names)
+        self.open -= 1
+        if not self.open:
+            self.over_at = self.lab.loop.time()
+
+    def members(self, names: list[str]) -> list[Member]:
+        return [m for m in self.lab.fleet.members if m.name in names]
+
+    # ---- processes ------------------------------------------------------------------------------------
+
+    async def play_kill(self, fault: Fault, names: list[str]) -> None:
+        await self.end(fault, names, signal.SIGKILL)
+
+    async def play_term(self, fault: Fault, names: list[str]) -> None:
+        await self.end(fault, names, signal.SIGTERM)
+
+    async def end(self, fault: Fault, names: list[str], how: signal.Signals) -> None:
+        for member in self.members(names):
+            member.signal(how)
+        await asyncio.sleep(number(fault.for_s))
+        if fault.back:
+            await asyncio.gather(*(self.back(m) for m in self.members(names)))
+
+    async def play_pause(self, fault: Fault, names: list[str]) -> None:
+        for member in self.members(names):
+            member.signal(signal.SIGSTOP)
+        await asyncio.sleep(number(fault.for_s))
+        for member in self.members(names):
+            member.signal(signal.SIGCONT)
+
+    async def play_replace(self, fault: Fault, names: list[str]) -> None:
+        """One after the other, each once its successor takes clients."""
+        for member in self.members(names) or self.lab.fleet.members:
+            member.signal(signal.SIGTERM)
+            await self.back(member)
+
+    async def back(self, member: Member) -> None:
+        """The process ends, and another comes up in its place."""
+        try:
+            await asyncio.wait_for(member.gone.wait(), END_MOST)
+        except TimeoutError:
+            member.signal(signal.SIGKILL)
+            await member.gone.wait()
+        member.start()
+        try:
+            await asyncio.wait_for(member.ready.wait(), number(self.lab.plan.ready_s))
+        except TimeoutError:
+            self.lab.tell("process", node=member.name, what="not ready", life=member.life)
+
+    # ---- the network and clocks -----------------------------------------------------------------------
+
+    async def play_cut(self, fault: Fault, names: list[str]) -> None:
+        await self.rule(fault, names)
+
+    async def play_links(self, fault: Fault, names: list[str]) -> None:
+        await self.rule(fault, names)
+
+    async def rule(self, fault: Fault, names: list[str]) -> None:
+        zones = {n.zone for n in self.lab.site.nodes}
+        inside = {z for z in zones if all(n.name in names for n in self.lab.site.nodes if n.zone == z)}
+        rule = Rule(fault, names, inside)
+        self.lab.links.lay(rule, True)
+        await asyncio.sleep(number(fault.for_s))
+        self.lab.links.lay(rule, False)
+
+    async def play_clock(self, fault: Fault, names: list[str]) -> None:
+        for member in self.members(names):
+            member.clock_file.write_text(str(int(number(fault.offset_ms))))
+        await asyncio.sleep(number(fault.for_s))
+        if fault.back:
+            for member in self.members(names):
+                member.clock_file.write_text("0")
--- /dev/null
+++ b/laurelspindle/lab/fleet.py
@@ -0,0 +1,289 @@
+"""The nodes of a lab: their processes, their configurations, and what their pages say."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from laurelspindle.lab.plan import Plan, number
+from laurelspindle.lab.process import Process, command
+from laurelspindle.live.config import node_table
+from laurelspindle.live.http import Lines, Reply
+from laurelspindle.live.nodes import LiveNode, Site
+from laurelspindle.live.places import CALLS, PAGES, PORT
+
+READY_LOOK = 0.02  # seconds
+KEY = "the key of this lab's fleet only\n"
+WRONG_KEY = "another key, of another fleet...\n"
+SEEDS = 3  # nodes that all others ask first
+
+WORDS = {
+    signal.SIGKILL: "kill",
+    signal.SIGTERM: "term",
+    signal.SIGSTOP: "stop",
+    signal.SIGCONT: "cont",
+}
+
+Story = Callable[..., None]
+
+
+class Member:
+    """One node of the lab, over all lives of its process."""
+
+    def __init__(self, fleet: Fleet, node: LiveNode, mischief: str) -> None:
+        self.fleet = fleet
+        self.node = node
+        self.name = node.name
+        self.mischief = mischief
+        self.folder = fleet.folder / self.name
+        self.folder.mkdir()
+        self.clock_file = self.folder / "clock"
+        self.clock_file.write_text("0")
+        self.process: Process | None = None
+        self.life = 0
+        self.asked_to_end = False
+        self.ready = asyncio.Event()
+        self.gone = asyncio.Event()
+        self.gone.set()
+        self.pages = Lines(fleet.loop, fleet.site.places.node(node.index), PAGES)
+        self.asking = False
+        self.view: dict[str, list[Any]] | None = None
+        self.own = 0  # the incarnation that it says of itself
+        self.page: dict[str, Any] = {}
+
+    @property
+    def running(self) -> bool:
+        return self.process is not None and self.process.running
+
+    def last_line(self) -> str:
+        """The last that its process logged."""
+        return self.process.last[-1] if self.process and self.process.last else "it logged nothing"
+
+    def start(self) -> None:
+        """A new process, from nothing."""
+        if self.running:
+            return
+        fleet = self.fleet
+        self.life += 1
+        self.asked_to_end = False
+        self.view = None
+        self.ready.clear()
+        self.gone.clear()
+        self.process = Process(
+            fleet.loop,
+            self.name,
+            command(self.mischief if self.mischief != "wrong_key" else ""),
+            self.folder / "config.json",
+            self.table(),
+            self.logged,
+            self.exited,
+        )
+        fleet.tell("process", node=self.name, what="start", life=self.life, pid=self.process.pid)
+        fleet.loop.create_task(self.wait_ready(self.life))
+
+    def table(self) -> dict[str, Any]:
+        """Its configuration now: the list as its agent has it, and its fleet."""
+        fleet, places = self.fleet, self.fleet.site.places
+        index = self.node.index
+        table = node_table(fleet.site, self.node, fleet.plan.seed * 1000 + index)
+        if not fleet.plan.fleet:
+            return table
+        key = self.folder / "key"
+        key.write_text(WRONG_KEY if self.mischief == "wrong_key" else KEY)
+        key.chmod(0o600)
+        zone = self.node.zone
+        seeds = range(min(SEEDS, len(fleet.site.nodes)))
+        return table | {
+            "fleet": {
+                "zone": fleet.site.zone_name(zone),
+                "region": f"r{zone % int(number(fleet.plan.regions))}",
+                "listen": f"{places.node(index)}:{PORT}",
+                "advertise": f"{places.seen(index)}:{PORT}",
+                "seeds": [f"{places.seen(i)}:{PORT}" for i in seeds],
+                "key": str(key),
+                "period_ms": int(number(fleet.plan.period_ms)),
+                "lab": {"clock_file": str(self.clock_file)},
+            }
+        }
+
+    def logged(self, text: str) -> None:
+        if " stats " not in text:
+            self.fleet.tell("log", node=self.name, text=text)
+
+    def exited(self, status: int) -> None:
+        """The process has ended, asked or not."""
+        self.fleet.tell(
+            "process", node=self.name, what="exit", life=self.life, status=status, asked=self.asked_to_end
+        )
+        self.node.up = self.node.ready = False
+        self.node.forget()
+        self.node.lines.close()
+        self.fleet.site.world.front.died(self.node)
+        self.ready.clear()
+        self.gone.set()
+        if not self.asked_to_end:
+            self.fleet.fell(self)
+
+    async def wait_ready(self, life: int) -> None:
+        """Asks for readiness until it is there; the front takes the node in then."""
+        lines = Lines(self.fleet.loop, self.fleet.site.places.node(self.node.index), CALLS)
+        while self.life == life and self.running:
+            reply = await ask(self.fleet.loop, lines, b"/ready", 1.0)
+            if reply is not None and reply.status == 200:
+                self.node.up = self.node.ready = True
+                self.fleet.site.clock.catch_up()
+                self.fleet.site.world.front.ready(self.node)
+                self.fleet.tell("process", node=self.name, what="ready", life=life)
+                self.ready.set()
+                break
+            await asyncio.sleep(READY_LOOK)
+        lines.close()
+
+    def signal(self, number: signal.Signals) -> None:
+        """A signal that the lab gives, and the history tells."""
+        if self.process is None or not self.process.running:
+            return
+        self.asked_to_end = self.asked_to_end or number in (signal.SIGKILL, signal.SIGTERM)
+        self.fleet.tell("process", node=self.name, what=WORDS[number], life=self.life)
+        if number == signal.SIGTERM:
+            self.fleet.site.world.front.leaving(self.node)
+        self.process.signal(number)
+
+    async def look(self) -> None:
+        """Asks for the node's view of its fleet; the history gets it when it has changed."""
+        if self.asking or not self.running or self.process is None or self.process.paused:
+            return
+        self.asking = True
+        life = self.life
+        reply = await ask(self.fleet.loop, self.pages, b"/fleet", 2.0)
+        self.asking = False
+        if reply is None or reply.status != 200 or life != self.life:
+            return
+        page = msgspec.json.decode(reply.body)
+        self.page = page
+        view = {m["name"]: [m["state"], m["incarnation"]] for m in page["members"]}
+        if (view, page["incarnation"]) != (self.view, self.own):
+            self.view, self.own = view, page["incarnation"]
+            self.fleet.tell("view", node=self.name, life=life, own=page["incarnation"], members=view)
+
+    def sees(self) -> set[str]:
+        """Those that it last held alive."""
+        return {name for name, (state, _) in (self.view or {}).items() if state == "alive"}
+
+    def sample(self) -> None:
+        """What it costs, and what its fleet has sent."""
+        if self.process is not None and self.process.running:
+            cpu, memory = self.process.usage()
+            page = self.page
+            self.fleet.tell(
+                "sample",
+                node=self.name,
+                life=self.life,
+                cpu_s=round(cpu, 3),
+                memory_mb=round(memory, 2),
+                sent=sum(page.get("sent", {}).values()),
+                bytes_out=page.get("bytes_out", 0),
+                refused=page.get("refused", {}),
+                late_ticks=page.get("late_ticks", 0),
+            )
+
+
+class Fleet:
+    """All nodes of a lab; a `Control` for the world's own faults."""
+
+    def __init__(self, plan: Plan, site: Site, folder: Path, tell: Story) -> None:
+        self.plan = plan
+        self.site = site
+        self.loop = site.loop
+        self.folder = folder
+        self.tell = tell
+        self.members: list[Member] = []
+        self.fallen: list[str] = []  # those that ended unasked, and why
+        self.trouble = asyncio.Event()
+
+    def add(self, mischief: dict[str, str]) -> None:
+        self.members = [Member(self, n, mischief.get(n.name, "")) for n in self.site.nodes]
+
+    def boot(self, node: LiveNode) -> None:
+        if self.members:
+            self.members[node.index].start()
+
+    def leave(self, node: LiveNode) -> None:
+        self.members[node.index].signal(signal.SIGTERM)
+
+    def kill(self, node: LiveNode) -> None:
+        self.members[node.index].signal(signal.SIGKILL)
+
+    def fell(self, member: Member) -> None:
+        """A process has ended by itself."""
+        self.fallen.append(f"{member.name}: life {member.life} ended unasked: {member.last_line()}")
+        self.trouble.set()
+
+    async def all_ready(self) -> str:
+        """Waits until every node is ready; what is wrong otherwise, with the node's name."""
+        waits = {self.loop.create_task(m.ready.wait()): m for m in self.members}
+        trouble = self.loop.create_task(self.trouble.wait())
+        try:
+            patience = number(self.plan.ready_s)
+            end = self.loop.time() + patience
+            while waits:
+                done, _ = await asyncio.wait(
+                    {*waits, trouble},
+                    timeout=max(0, end - self.loop.time()),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if trouble in done:
+                    return self.fallen[0]
+                if not done:
+                    late = sorted((m for m in waits.values()), key=lambda m: m.node.index)[0]
+                    last = (
+                        late.process.last[-1] if late.process and late.process.last else "it logged nothing"
+                    )
+                    return f"{late.name}: not ready after {patience:g} s: {last}"
+                for task in done:
+                    del waits[task]
+            return ""
+        finally:
+            for task in (*waits, trouble):
+                task.cancel()
+
+    async def stop(self, patience: float) -> None:
+        """Ends all processes: SIGTERM, and SIGKILL to what is still there after its patience."""
+        for member in self.members:
+            if member.process is not None and member.process.paused:
+                member.signal(signal.SIGCONT)
+            member.signal(signal.SIGTERM)
+        gone = [self.loop.create_task(m.gone.wait()) for m in self.members]
+        if gone:
+            await asyncio.wait(gone, timeout=patience)
+        for member in self.members:
+            if member.running:
+                member.signal(signal.SIGKILL)
+        if gone:
+            await asyncio.wait(gone, timeout=5.0)
+        for task in gone:
+            task.cancel()
+        for member in self.members:
+            member.pages.close()
+
+
+async def ask(loop: asyncio.AbstractEventLoop, lines: Lines, path: bytes, patience: float) -> Reply | None:
+    """One GET; None where no whole answer came in time."""
+    answer: asyncio.Future[Reply] = loop.create_future()
+
+    def done(reply: Reply) -> None:
+        if not answer.done():
+            answer.set_result(reply)
+
+    side = lines.ask(b"GET %b HTTP/1.1\r\nHost: node\r\n\r\n" % path, done)
+    try:
+        reply = await asyncio.wait_for(answer, patience)
+    except TimeoutError:
+        side.drop()
+        return None
+    return reply if reply.status else None
--- /dev/null
+++ b/laurelspindle/lab/mischief.py
@@ -0,0 +1,209 @@
+"""A node that misbehaves on purpose, for the checkers to catch, or that is of another version, to be borne.
+
+`python -m laurelspindle.lab.mischief KIND` starts the node as `python -m brackenladder` does, with one part
+of it changed. The product has no such switch.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import sys
+import threading
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import brackenladder.__main__ as program
+from brackenladder.fleet.host import Host
+from brackenladder.fleet.membership.swim import Claim, Kind, Message, Status, Swim
+from brackenladder.interface import State
+from brackenladder.net.lifecycle import Lifecycle
+from brackenladder.net.requests import Requests, head_of
+from brackenladder.net.roster import Roster
+from brackenladder.net.servers import Exchange
+
+EVERY = 15  # requests between two that are treated badly
+SOON = 3.0  # seconds until what happens once
+NEWER = 77  # a kind of message that no version has yet
+
+
+def each(count: int) -> Callable[[], bool]:
+    """Says yes one time in so many."""
+    seen = [0]
+
+    def turn() -> bool:
+        seen[0] += 1
+        return seen[0] % count == 0
+
+    return turn
+
+
+def wrap(owner: Any, name: str, around: Callable[..., Any]) -> None:
+    """Puts `around(original, self, ...)` in a method's place."""
+    original = getattr(owner, name)
+    setattr(owner, name, lambda self, *args, **more: around(original, self, *args, **more))
+
+
+def mute() -> None:
+    """Some requests never get an answer."""
+    turn = each(EVERY)
+    wrap(Requests, "message", lambda go, self, *args: None if turn() else go(self, *args))
+
+
+def spoil() -> None:
+    """Some answers are not the server's."""
+    turn = each(EVERY)
+
+    def conclude(go: Any, self: Any, number: int, status: int, body: bytes = b"", *more: Any) -> None:
+        go(self, number, status, b"made up" if status == 200 and turn() else body, *more)
+
+    wrap(Requests, "conclude", conclude)
+
+
+def twice() -> None:
+    """Some requests go to a second server while they are out at the first."""
+    turn = each(EVERY)
+
+    def send(go: Any, self: Any, request: int, server: int, timeout: int) -> None:
+        go(self, request, server, timeout)
+        r = self.open.get(request)
+        other = [e for n, e in self.pool.endpoints.items() if n != server and e.ready]
+        if r is not None and other and turn():
+            data = head_of(r.message, timeout // 1000)
+            Exchange(self.pool, other[0], lambda: data, lambda outcome, answer: None).start(2.0)
+
+    wrap(Requests, "send", send)
+
+
+def deaf() -> None:
+    """News that a server drains or is gone is passed over."""
+
+    def told(go: Any, self: Any, listing: Any) -> None:
+        if listing is not None:
+            lines = tuple(x for x in listing.lines if x.state == State.READY)
+            listing = dataclasses.replace(listing, lines=lines)
+        go(self, listing)
+
+    wrap(Roster, "told", told)
+
+
+def pile() -> None:
+    """All goes to the server that was started last."""
+
+    def send(go: Any, self: Any, request: int, server: int, timeout: int) -> None:
+        ready = {n: e.started for n, e in self.pool.endpoints.items() if e.ready}
+        go(self, request, max(ready, key=lambda n: ready[n], default=server), timeout)
+
+    wrap(Requests, "send", send)
+
+
+def blind() -> None:
+    """Nobody is ever held dead."""
+
+    def accept(go: Any, self: Any, now: int, claim: Claim) -> None:
+        if claim.status == Status.ALIVE:
+            go(self, now, claim)
+
+    wrap(Swim, "accept", accept)
+
+
+def slander() -> None:
+    """Says again and again that members are dead."""
+    rng = Random(1)
+
+    def tick(go: Any, self: Any) -> None:
+        go(self)
+        swim = self.swim
+        for name in rng.sample(swim.alive(), min(1, len(swim.alive()))):
+            claim = swim.members[name].claim
+            lie = Claim(name, claim.address, Status.DEAD, claim.incarnation + 1)
+            for other in swim.alive():
+                if other != name:
+                    speak(
+                        self,
+                        swim.members[other].claim.address,
+                        Message(Kind.ACK, swim.me.name, 0, "", (lie,)),
+                    )
+
+    wrap(Host, "tick", tick)
+
+
+def speak(host: Any, to: tuple[str, int], message: Message) -> None:
+    if host.transport is not None:
+        host.transport.sendto(host.codec.encode(message, host.wall()), to)
+
+
+def newer() -> None:
+    """A later version: kinds of message that today's does not know, beside those that it does."""
+
+    def tick(go: Any, self: Any) -> None:
+        go(self)
+        for name in self.swim.alive():
+            message = Message(NEWER, self.swim.me.name)  # type: ignore[arg-type]
+            speak(self, self.swim.members[name].claim.address, message)
+
+    wrap(Host, "tick", tick)
+
+
+def rewind() -> None:
+    """Its own incarnation falls back."""
+    begun = time.monotonic()
+    done: list[bool] = []
+
+    def tick(go: Any, self: Any) -> None:
+        go(self)
+        if not done and time.monotonic() - begun > SOON:
+            done.append(True)
+            self.swim.me = dataclasses.replace(self.swim.me, incarnation=1)
+
+    wrap(Host, "tick", tick)
+
+
+def crash() -> None:
+    """Ends by itself some seconds after its start."""
+    threading.Timer(SOON, lambda: os._exit(3)).start()
+
+
+def raises() -> None:
+    """Some requests meet an exception."""
+    turn = each(EVERY)
+
+    def accept(go: Any, self: Any, *args: Any) -> None:
+        if turn():
+            raise RuntimeError("on purpose")
+        go(self, *args)
+
+    wrap(Requests, "accept", accept)
+
+
+def unready() -> None:
+    """Never takes clients."""
+    wrap(Lifecycle, "list_came", lambda go, self: None)
+
+
+def flood() -> None:
+    """Logs without end."""
+
+    def shout() -> None:
+        while True:
+            os.write(2, b"noise " * 100 + b"\n")
+
+    threading.Thread(target=shout, daemon=True).start()
+
+
+KINDS = {
+    f.__name__: f
+    for f in (mute, spoil, twice, deaf, pile, blind, slander, newer, rewind, crash, raises, unready, flood)
+}
+
+
+def main() -> int:
+    """Changes the node as the kind says, and starts it."""
+    KINDS[sys.argv.pop(1)]()
+    return program.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/laurelspindle/lab/plan.py
@@ -0,0 +1,192 @@
+"""The plan of a lab: a TOML file, checked as strictly as scenarios are; one run is drawn out of its
+ranges."""
+
+from __future__ import annotations
+
+from importlib.resources import files
+from math import ceil
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+from laurelspindle.live.places import MOST
+from laurelspindle.scenario.check import type_faults
+from laurelspindle.scenario.load import ScenarioError, fix, load, read_toml, titles
+from laurelspindle.scenario.model import Any0, Count, From0, Number, Over0, Scenario, Share, Some
+from laurelspindle.world.streams import Streams
+
+Value = int | float | str | bool | list[float]
+
+
+class PlanError(Exception):
+    """What is wrong with a lab's plan: a line for each fault."""
+
+
+class Section(Struct, forbid_unknown_fields=True, kw_only=True):
+    """A table of the file."""
+
+
+class Who(Section):
+    """Which nodes: those named, those of a zone or region, or so many (or such a part of all) drawn."""
+
+    nodes: list[str] = field(default_factory=list)
+    zone: Annotated[Count, Meta(extra_json_schema={"minimum": -1})] = -1
+    region: Annotated[Count, Meta(extra_json_schema={"minimum": -1})] = -1
+    count: Any0 = 0
+    part: Share = 0.0
+
+
+class Fault(Who, forbid_unknown_fields=True, kw_only=True):
+    """One fault. What does not belong to its type is not looked at."""
+
+    type: Literal["kill", "pause", "term", "replace", "cut", "links", "clock"]
+    at_s: From0 = 3.0
+    for_s: From0 = 5.0  # then the process is started, resumed, the link healed, the clock set right
+    back: bool = True  # whether what was killed or ended is started again
+    way: Literal["both", "out", "in"] = "both"  # of a cut: what those chosen say, what they hear
+    servers: bool = False  # the cut and the links' faults also lie between nodes and servers of other sides
+    loss: Share = 0.0
+    duplicate: Share = 0.0
+    reorder: Share = 0.0
+    delay_ms: From0 = 0.0
+    jitter_ms: From0 = 0.0
+    kbytes_s: From0 = 0.0  # 0: as many as come
+    offset_ms: Number = 0.0  # of a clock
+
+
+class Mischief(Who, forbid_unknown_fields=True, kw_only=True):
+    """Nodes that are started in another way than the product is: to be caught, or to be borne."""
+
+    kind: Literal[
+        "wrong_key",
+        "newer",
+        "mute",
+        "spoil",
+        "twice",
+        "deaf",
+        "pile",
+        "blind",
+        "slander",
+        "rewind",
+        "crash",
+        "raises",
+        "unready",
+        "flood",
+    ]
+
+
+class Plan(Section):
+    """A whole file. `scenario` and `set` give servers, clients and load; the rest is the lab's."""
+
+    title: str = ""
+    seed: Annotated[int, Meta(extra_json_schema={"minimum": 0})] = 1
+    nodes: Some = 5
+    zones: Some = 3
+    regions: Some = 1
+    length_s: Over0 = 20.0
+    scenario: str = "lab"
+    set: dict[str, Value] = field(default_factory=dict)  # keys of the scenario
+    fleet: bool = True
+    period_ms: Over0 = 300.0  # of membership's probes
+    ready_s: Over0 = 20.0  # that a process has to get ready
+    join_s: Over0 = 30.0  # that the processes have at most to find one another before the clients begin
+    agree_s: Over0 = 12.0  # so long after the last fault all views must agree
+    fault: list[Fault] = field(default_factory=list)
+    mischief: list[Mischief] = field(default_factory=list)
+
+
+SHIPPED = files("laurelspindle") / "lab" / "plans"
+
+
+def shipped() -> dict[str, str]:
+    """The names of the plans that ship with the product, and their titles."""
+    return titles(SHIPPED)
+
+
+def plan_of(table: dict[str, Any], source: str = "plan") -> Plan:
+    """The typed plan. PlanError holds every fault, a line each."""
+    found = type_faults(table, Plan) or list(relations(table))
+    if found:
+        raise PlanError("\n".join(f"{source}: {line}" for line in found))
+    return msgspec.convert(table, Plan)
+
+
+def relations(table: dict[str, Any]) -> list[str]:
+    """What does not fit between keys that are right by themselves."""
+    out = []
+    length = least(table.get("length_s", 20.0))
+    if most(table.get("nodes", 5)) > MOST:
+        out.append(f"nodes: {table['nodes']}: must be at most {MOST}")
+    if most(table.get("regions", 1)) > least(table.get("zones", 3)):
+        out.append(f"regions: {table['regions']}: must be at most zones, {table.get('zones', 3)}")
+    for i, f in enumerate(table.get("fault", ())):
+        if most(f.get("at_s", 3.0)) >= length:
+            out.append(f"fault[{i}].at_s: {f.get('at_s', 3.0)}: must be under length_s, {length:g}")
+        if f["type"] not in ("replace", "links") and not any(
+            f.get(k) not in (None, [], 0, 0.0, -1) or (k in ("zone", "region") and f.get(k) == 0)
+            for k in ("nodes", "zone", "region", "count", "part")
+        ):
+            out.append(f"fault[{i}]: nobody is chosen: give nodes, zone, region, count or part")
+    return out
+
+
+def most(value: Any) -> float:
+    return float(max(value) if isinstance(value, (list, tuple)) else value)
+
+
+def least(value: Any) -> float:
+    return float(min(value) if isinstance(value, (list, tuple)) else value)
+
+
+def draw(source: str, seed: int | None = None, changes: dict[str, Any] | None = None) -> Plan:
+    """One run: every range of the plan fixed by the seed. `changes` replace keys of the file. PlanError."""
+    table = read_toml(source, SHIPPED, PlanError) | (changes or {})
+    plan = plan_of(table, source)
+    number = plan.seed if seed is None else seed
+    plain = msgspec.to_builtins(plan) | {"seed": number}
+    fixed = fix({k: v for k, v in plain.items() if k != "set"}, "", Streams(number))
+    return msgspec.convert(fixed | {"set": plain["set"]}, Plan)
+
+
+def scenario(plan: Plan) -> Scenario:
+    """The plan's scenario with its keys, zones and length. PlanError."""
+    keys = [f"{k}={word(v)}" for k, v in plan.set.items()]
+    keys += [f"zones.count={plan.zones}", f"nodes.count={plan.nodes}", f"length_s={plan.length_s}"]
+    try:
+        found = load(plan.scenario, keys)
+    except ScenarioError as e:
+        raise PlanError(str(e)) from None
+    if len(found.tier) != 1:
+        raise PlanError(f"{plan.scenario}: tier: {len(found.tier)} tiers: a lab has one")
+    if found.discovery.mode != "push":
+        raise PlanError(f"{plan.scenario}: discovery.mode: {found.discovery.mode!r}: must be push in a lab")
+    return found
+
+
+def word(value: Value) -> str:
+    return {True: "true", False: "false"}[value] if isinstance(value, bool) else str(value)
+
+
+def chosen(
+    who: Who, names: list[str], zones: list[int], regions: int, streams: Streams, key: str
+) -> list[str]:
+    """The nodes that a fault or a mischief takes, in order; drawn from a stream of its own."""
+    if who.nodes:
+        return [n for n in names if n in who.nodes]
+    able = [
+        n
+        for n, z in zip(names, zones, strict=True)
+        if who.zone in (-1, z) and (who.region in (-1, z % regions))
+    ]
+    count = int(number(who.count)) or (ceil(number(who.part) * len(able)) if who.part else 0)
+    if not count:
+        return able if who.zone != -1 or who.region != -1 else []
+    picked = streams.random(key).sample(able, min(count, len(able)))
+    return [n for n in names if n in picked]
+
+
+def number(value: Any) -> float:
+    """A figure of a run, in which every range is fixed."""
+    assert not isinstance(value, (tuple, list)), "a run has no ranges"
+    return float(value)
--- /dev/null
+++ b/laurelspindle/lab/process.py
@@ -0,0 +1,135 @@
+"""A node's process: started, watched, stopped by signals; none of it outlives the lab."""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+READ = 65536
+FLOOD = 2 << 20  # bytes of log in all: a node writes some 300 a second
+KEPT = 5  # last lines of its log
+PR_SET_PDEATHSIG = 1
+TICK = os.sysconf("SC_CLK_TCK")
+
+LIBC = ctypes.CDLL(None, use_errno=True)
+
+
+def die_with_parent() -> None:
+    """In the child, before it becomes the node: SIGKILL when the lab ends, however that ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Process:
+    """One life of a node. `line` hears of each log line, `over` of its end, with its status."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        name: str,
+        command: list[str],
+        config: Path,
+        table: dict[str, Any],
+        line: Callable[[str], None],
+        over: Callable[[int], None],
+    ) -> None:
+        self.loop = loop
+        self.name = name
+        self.line = line
+        self.over = over
+        self.rest = b""
+        self.size = 0
+        self.last: deque[str] = deque(maxlen=KEPT)
+        self.paused = False
+        config.write_text(json.dumps(table))
+        env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
+        self.popen = subprocess.Popen(
+            command,
+            env=env | {"LB_CONFIG": str(config), "TMPDIR": str(config.parent)},
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+            preexec_fn=die_with_parent,
+            process_group=0,  # Ctrl-C is the lab's, which then ends its nodes in order
+        )
+        self.pid = self.popen.pid
+        assert self.popen.stderr is not None
+        self.log = self.popen.stderr.fileno()
+        os.set_blocking(self.log, False)
+        self.ended = os.pidfd_open(self.pid)
+        loop.add_reader(self.log, self.read)
+        loop.add_reader(self.ended, self.exited)
+
+    @property
+    def running(self) -> bool:
+        return self.popen.returncode is None
+
+    def read(self) -> None:
+        """What it has logged; a flood of it ends the process, and not the lab."""
+        try:
+            data = os.read(self.log, READ)
+        except BlockingIOError:
+            return
+        if not data:
+            self.loop.remove_reader(self.log)
+            return
+        self.size += len(data)
+        if self.size > FLOOD:
+            self.loop.remove_reader(self.log)
+            self.line(f"{self.name}: floods its log: {self.size} bytes")
+            self.signal(signal.SIGKILL)
+            return
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        for line in lines:
+            text = line.decode(errors="replace")
+            if " stats " not in text:
+                self.last.append(text)
+            self.line(text)
+
+    def exited(self) -> None:
+        self.loop.remove_reader(self.ended)
+        os.close(self.ended)
+        status = self.popen.wait()
+        self.loop.remove_reader(self.log)
+        with suppress(OSError):
+            while data := os.read(self.log, READ):
+                self.rest += data
+        for line in self.rest.decode(errors="replace").splitlines():
+            self.last.append(line)
+            self.line(line)
+        assert self.popen.stderr is not None
+        self.popen.stderr.close()
+        self.over(status)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to this process alone, if it still runs."""
+        if self.running:
+            with suppress(ProcessLookupError):
+                self.popen.send_signal(number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.paused = number == signal.SIGSTOP
+
+    def usage(self) -> tuple[float, float]:
+        """Processor seconds used so far, and resident megabytes. Zeros once it is gone."""
+        try:
+            stat = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+            pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+        except (OSError, IndexError):
+            return 0.0, 0.0
+        return (int(stat[11]) + int(stat[12])) / TICK, pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
+
+
+def command(mischief: str) -> list[str]:
+    """The start line of a node, or of one that misbehaves on purpose."""
+    if mischief:
+        return [sys.executable, "-m", "laurelspindle.lab.mischief", mischief]
+    return [sys.executable, "-m", "brackenladder"]
--- /dev/null
+++ b/laurelspindle/lab/run.py
@@ -0,0 +1,265 @@
+"""One run of a lab: nodes up, clients on, faults by plan, and a history of all that was seen."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import shutil
+import signal
+import tempfile
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from time import time_ns
+from typing import Any
+
+import msgspec
+import uvloop
+
+from laurelspindle.lab.faults import Faults
+from laurelspindle.lab.fleet import Fleet
+from laurelspindle.lab.history import Event, History, read
+from laurelspindle.lab.network import End, Links, Relay
+from laurelspindle.lab.plan import Plan, chosen, number, scenario
+from laurelspindle.live.clock import LiveClock
+from laurelspindle.live.links import Link
+from laurelspindle.live.nodes import LiveNode, Site
+from laurelspindle.live.places import Places
+from laurelspindle.scenario.load import draw as draw_day
+from laurelspindle.virtual.play import made
+from laurelspindle.world.network import num
+from laurelspindle.world.site import BEGIN, World
+from laurelspindle.world.streams import Streams
+
+LOOK = 0.25  # seconds between two looks at the nodes' views
+SAMPLE = 1.0
+TAIL = 10.0  # seconds that open requests have after the last one came
+STOP = 5.0  # seconds that processes have to end
+LATE = 50.0  # milliseconds: a machine that was later makes a run that does not count
+
+Progress = Callable[[str, float], None]
+
+
+@dataclass
+class Outcome:
+    """What came of a run. `trouble`: why it was broken off, if it was; `counted`: the machine kept up."""
+
+    events: list[Event] = field(default_factory=list)
+    trouble: str = ""
+    counted: bool = True
+    late_ms: float = 0.0
+    stopped: bool = False  # by Ctrl-C
+
+
+class Lab:
+    """Everything that one run holds; `run` lets go of it all."""
+
+    def __init__(self, plan: Plan, folder: Path, history: Path, progress: Progress) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.progress = progress
+        self.loop = asyncio.get_running_loop()
+        self.day = draw_day(scenario(plan), plan.seed)
+        self.streams = Streams(plan.seed)
+        self.clock = LiveClock(self.loop, BEGIN)
+        self.places = Places()
+        self.history = History(history)
+        self.late_ms = 0.0
+        self.relay_late = 0.0
+        network = self.day.network
+        same, cross = int(num(network.same_ms) * 1000), int(num(network.cross_ms) * 1000)
+        self.links = Links(self.clock, self.streams, lambda a, b: same if a == b else cross)
+        epoch = time_ns() // 1_000_000 - BEGIN // 1000
+        self.site = Site(self.loop, self.clock, self.places, self, self.tell, self.link, epoch)
+        self.world = World(self.day, self.clock, self.site)
+        self.ends = [End(n.name, n.zone, True) for n in self.site.nodes]
+        self.relay = Relay(self.loop, self.clock, self.places, self.links)
+        self.fleet = Fleet(plan, self.site, folder, self.tell)
+        self.faults = Faults(self)
+        self.stop = asyncio.Event()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    # ---- what its parts ask ---------------------------------------------------------------------------
+
+    def tell(self, event: str, **fields: Any) -> None:
+        """One line of the history, now."""
+        self.history.write((self.clock.real() - BEGIN) / 1e6, event, **fields)
+
+    def link(self, a: str, zone: int, b: str, other: int) -> Link:
+        return self.links.between(End(a, zone, a in self.node_names()), End(b, other, b in self.node_names()))
+
+    def node_names(self) -> set[str]:
+        return {n.name for n in self.site.nodes}
+
+    def pick(self, who: Any, key: str) -> list[str]:
+        """The nodes that a fault or mischief of the plan takes."""
+        names, zones = [n.name for n in self.site.nodes], [n.zone for n in self.site.nodes]
+        return chosen(who, names, zones, int(number(self.plan.regions)), self.streams, key)
+
+    def boot(self, node: LiveNode) -> None:
+        self.fleet.boot(node)
+
+    def leave(self, node: LiveNode) -> None:
+        self.fleet.leave(node)
+
+    def kill(self, node: LiveNode) -> None:
+        self.fleet.kill(node)
+
+    # ---- the run --------------------------------------------------------------------------------------
+
+    async def run(self) -> str:
+        """Plays the plan. What went wrong before its end, or nothing."""
+        self.tell(
+            "run",
+            plan=msgspec.to_builtins(self.plan),
+            made=made(self.day, "lab", []),
+            nodes=[[n.name, n.zone] for n in self.site.nodes],
+            aims={
+                k.name: [c.aim, c.deadline] for k, c in zip(self.day.klass, self.world.classes, strict=True)
+            },
+            slack=self.world.slack,
+            stop_sending=self.world.referee.stop_sending,
+            max_attempts=self.site.nodes[0].settings.max_attempts,
+        )
+        trouble = ""
+        try:
+            trouble = await self.play()
+        finally:
+            await self.finish(trouble)
+        return trouble
+
+    async def play(self) -> str:
+        self.progress("starting", 0.0)
+        self.site.start()
+        await self.relay.open(self.ends)
+        mischief: dict[str, str] = {
+            name: m.kind for i, m in enumerate(self.plan.mischief) for name in self.pick(m, f"mischief/{i}")
+        }
+        for name, kind in mischief.items():
+            self.tell("mischief", node=name, kind=kind)
+        self.fleet.add(mischief)
+        for member in self.fleet.members:
+            member.start()
+        trouble = await self.fleet.all_ready()
+        if trouble or self.stop.is_set():
+            return trouble
+        self.spawn(self.watch())
+        await self.joined(mischief)
+        gc.collect()
+        gc.freeze()
+        self.clock.catch_up()
+        self.clock.take_late()
+        self.late_ms = 0.0  # what came before is the start of many processes at once
+        self.world.start()
+        self.tell("go")
+        self.faults.begin()
+        await self.until_over()
+        return ""
+
+    async def joined(self, mischief: dict[str, str]) -> None:
+        """Waits until the views are whole, where they can be."""
+        if not self.plan.fleet:
+            return
+        self.progress("joining", 0.0)
+        able = {m.name for m in self.fleet.members if m.mischief != "wrong_key"}
+        end = self.loop.time() + number(self.plan.join_s)
+        while self.loop.time() < end and not self.stop.is_set():
+            if all(m.sees() >= able - {m.name} for m in self.fleet.members if m.name in able):
+                return
+            await asyncio.sleep(LOOK / 5)
+
+    async def until_over(self) -> None:
+        """The plan's length, the faults' ends, and the time that the views have to agree after the last."""
+        begun = self.loop.time()
+        length = num(self.day.length_s)
+        settle = number(self.plan.agree_s) if self.plan.fleet and self.plan.fault else 0.0
+        while not self.stop.is_set():
+            passed = self.loop.time() - begun
+            self.progress("playing", min(1.0, passed / length))
+            calm = self.faults.over_at is not None and self.loop.time() >= self.faults.over_at + settle
+            over = passed >= length and (self.world.over() or passed >= length + TAIL)
+            if over and (calm or not self.plan.fault):
+                return
+            await asyncio.sleep(0.05)
+
+    async def watch(self) -> None:
+        """Views and costs, every so often; and how late the machine was."""
+        turn = 0
+        while True:
+            if self.plan.fleet:
+                for member in self.fleet.members:
+                    self.spawn(member.look())
+            if turn % int(SAMPLE / LOOK) == 0:
+                late = self.clock.take_late() / 1000
+                self.late_ms = max(self.late_ms, late)
+                self.tell("lab", late_ms=round(late, 3), relay=dict(self.relay.counts))
+                for member in self.fleet.members:
+                    member.sample()
+            turn += 1
+            await asyncio.sleep(LOOK)
+
+    def spawn(self, work: Any) -> asyncio.Task[None]:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def finish(self, trouble: str) -> None:
+        """Ends every process, and the history with a word how it ended."""
+        self.progress("stopping", 1.0)
+        for task in list(self.tasks):
+            task.cancel()
+        self.faults.stop()
+        self.tell("stopping")
+        await self.fleet.stop(STOP)
+        account = self.world.accounts.summary()
+        self.tell(
+            "end",
+            trouble=trouble,
+            stopped=self.stop.is_set(),
+            late_ms=round(self.late_ms, 3),
+            counted=self.late_ms <= LATE,
+            goal=account["goal"],
+            worth=account["whole"],
+            requests=account["requests"],
+            attempts_a_call=account["attempts_a_call"],
+            rules=self.world.referee.counts,
+            broken=self.world.referee.stories,
+        )
+        self.clock.stop()
+        self.relay.close()
+        self.site.close()
+        self.places.close()
+        self.history.close()
+
+
+def run(plan: Plan, keep: Path | None = None, progress: Progress = lambda what, share: None) -> Outcome:
+    """Plays a drawn plan and reads its history. `keep`: a folder for the history and the configurations.
+
+    NoPlace; an OSError where `keep` cannot be written.
+    """
+    folder = Path(tempfile.mkdtemp(prefix="lab-"))
+    history = (keep or folder) / "history.jsonl"
+    if keep is not None:
+        keep.mkdir(parents=True, exist_ok=True)
+    out = Outcome()
+
+    async def played() -> None:
+        lab = Lab(plan, folder, history, progress)
+        for number_ in (signal.SIGINT, signal.SIGTERM):
+            lab.loop.add_signal_handler(number_, lab.stop.set)
+        out.trouble = await lab.run()
+        out.stopped = lab.stop.is_set()
+        out.late_ms = lab.late_ms
+
+    try:
+        uvloop.run(played())
+        out.events = read(str(history))
+        out.counted = out.late_ms <= LATE
+        if keep is not None:
+            for config in sorted(folder.glob("*/config.json")):
+                shutil.copy(config, keep / f"{config.parent.name}.json")
+    finally:
+        gc.unfreeze()
+        shutil.rmtree(folder, ignore_errors=True)
+    return out
