--- a/laurelspindle/lab/process.py
+++ b/laurelspindle/lab/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import ctypes
 import json
 import os
 import signal
@@ -18,15 +17,17 @@
 READ = 65536
 FLOOD = 2 << 20  # bytes of log in all: a node writes some 300 a second
 KEPT = 5  # last lines of its log
-PR_SET_PDEATHSIG = 1
 TICK = os.sysconf("SC_CLK_TCK")
 
-LIBC = ctypes.CDLL(None, use_errno=True)
-
-
-def die_with_parent() -> None:
-    """In the child, before it becomes the node: SIGKILL when the lab ends, however that ends."""
-    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+# Becomes the node, once the kernel knows to kill it when the lab ends, however that ends. In a small process
+# of its own: a hook of Popen's between fork and exec would copy the lab's memory map and hold the lab up.
+STARTER = """
+import ctypes, os, sys
+parent = int(sys.argv[1])
+ctypes.CDLL(None).prctl(1, 9)
+if os.getppid() == parent:
+    os.execv(sys.argv[2], sys.argv[2:])
+"""
 
 
 class Process:
@@ -53,12 +54,11 @@
         config.write_text(json.dumps(table))
         env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
         self.popen = subprocess.Popen(
-            command,
+            [sys.executable, "-I", "-S", "-c", STARTER, str(os.getpid()), *command],
             env=env | {"LB_CONFIG": str(config), "TMPDIR": str(config.parent)},
             stdin=subprocess.DEVNULL,
             stdout=subprocess.DEVNULL,
             stderr=subprocess.PIPE,
-            preexec_fn=die_with_parent,
             process_group=0,  # Ctrl-C is the lab's, which then ends its nodes in order
         )
         self.pid = self.popen.pid
