Duties: leases by a majority of voters without a disk, and a command held under one

Change: duties/ has voter, asker, settings, messages, votes on a disk, as state machines; the envelope of datagrams carries bodies of several parts; PUT /fleet/hold and /fleet/give beside GET /fleet; laurelspindle fleet hold. The host reads CLOCK_BOOTTIME instead of the loop's time, which stands still within a turn and while suspended. explore/ plays duties on the virtual network with all faults drawn at once, shrinks what fails.

--- a/brackenladder/fleet/config.py
+++ b/brackenladder/fleet/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -12,19 +13,11 @@
 VOTERS = (0, 3, 5)
 SEEDS_MOST = 64
 PERIOD_MS = (100, 60_000)
-KEYS = [
-    "name",
-    "zone",
-    "region",
-    "listen",
-    "advertise",
-    "seeds",
-    "key",
-    "old_key",
-    "voters",
-    "period_ms",
-    "lab",
-]
+LEASE_MS = (200, 600_000)
+KEYS = (
+    *("name", "zone", "region", "listen", "advertise", "seeds", "key", "old_key"),
+    *("voters", "old_voters", "lease_ms", "longest_lease_ms", "votes", "period_ms", "lab"),
+)
 
 
 class FleetFault(ValueError):
@@ -43,6 +36,10 @@
     seeds: tuple[Address, ...]
     keys: tuple[bytes, ...]  # the one that signs, then one that is still taken
     voters: tuple[str, ...]
+    old_voters: tuple[str, ...]  # while the list is being changed: the one before
+    lease: int  # of a duty
+    longest: int  # that any process of the fleet asks for, and that a voter abstains after its start
+    votes: Path | None  # a folder that outlives the process, where there is one
     period: int  # of membership's probes
     clock_file: str | None  # lab: an offset of the wall clock in milliseconds, read again each period
 
@@ -109,19 +106,7 @@
     if not isinstance(table, dict):
         raise FleetFault("fleet: not an object")
     s = Section(table, "fleet")
-    s.only(
-        "name",
-        "zone",
-        "region",
-        "listen",
-        "advertise",
-        "seeds",
-        "key",
-        "old_key",
-        "voters",
-        "period_ms",
-        "lab",
-    )
+    s.only(*KEYS)
     listen = s.address("listen", table.get("listen"))
     advertise = s.address("advertise", table["advertise"]) if "advertise" in table else listen
     if advertise[0] in ("0.0.0.0", "::"):
@@ -138,21 +123,38 @@
         advertise=advertise,
         seeds=tuple(s.address(f"seeds[{i}]", v) for i, v in enumerate(s.listed("seeds", SEEDS_MOST))),
         keys=tuple(keys),
-        voters=voters(s),
+        voters=voters(s, "voters"),
+        old_voters=voters(s, "old_voters"),
+        lease=s.whole("lease_ms", 3_000, *LEASE_MS) * 1000,
+        longest=s.whole("longest_lease_ms", 10_000, *LEASE_MS) * 1000,
+        votes=folder(s, "votes"),
         period=s.whole("period_ms", 1000, *PERIOD_MS) * 1000,
         clock_file=extra.text("clock_file", most=4096) if "clock_file" in extra.table else None,
     )
+    if found.lease > found.longest:
+        s.fault("lease_ms", found.lease // 1000, f"must be at most longest_lease_ms, {found.longest // 1000}")
+    if found.old_voters and not found.voters:
+        s.fault("voters", None, "must be given where old_voters is")
     if s.faults or extra.faults:
         raise FleetFault("\n".join(s.faults + extra.faults))
     return found
 
 
-def voters(s: Section) -> tuple[str, ...]:
-    names = s.listed("voters", max(VOTERS))
+def voters(s: Section, key: str) -> tuple[str, ...]:
+    names = s.listed(key, max(VOTERS))
     named = all(isinstance(n, str) and 0 < len(n) <= NAME_MOST for n in names)
     if not named or len(set(names)) != len(names):
-        s.fault("voters", names, "must be names, none of them twice")
+        s.fault(key, names, "must be names, none of them twice")
     elif len(names) not in VOTERS:
         why = ": a majority of two is both, so either one's end stops all duties" if len(names) == 2 else ""
-        s.fault("voters", names, f"must be 3 or 5, or none where no duties are held{why}")
+        s.fault(key, names, f"must be 3 or 5, or none where no duties are held{why}")
     return tuple(str(n) for n in names)
+
+
+def folder(s: Section, key: str) -> Path | None:
+    if key not in s.table:
+        return None
+    path = Path(s.text(key, most=4096))
+    if not path.is_dir() or not os.access(path, os.W_OK):
+        s.fault(key, str(path), "must be a folder that this process may write to")
+    return path
--- a/brackenladder/fleet/host.py
+++ b/brackenladder/fleet/host.py
@@ -8,17 +8,24 @@
 import asyncio
 import json
 from collections import Counter
+from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 from random import Random
-from time import time_ns
+from time import CLOCK_BOOTTIME, clock_gettime_ns, time_ns
 from typing import Any, cast
+from urllib.parse import parse_qs
 
 from brackenladder.fleet.config import FleetConfig
-from brackenladder.fleet.membership.codec import Codec
-from brackenladder.fleet.membership.swim import Claim, Send, Swim, Timing
+from brackenladder.fleet.duties.messages import DutyMessage
+from brackenladder.fleet.duties.part import Duties
+from brackenladder.fleet.duties.voter import Out
+from brackenladder.fleet.membership.codec import NAME_MOST, Codec
+from brackenladder.fleet.membership.swim import Address, Claim, Send, Swim, Timing
 from brackenladder.net.log import Log
 
+Act = Callable[[str, str, Duties], tuple[dict[str, Any], Out]]
+
 LOUD = ("join", "suspect", "dead", "left", "alive", "refuted")  # changes that the log tells
 LATE = 50_000  # microseconds: a tick so late is counted, since the process itself was slow
 LEAVES = 3  # times that a leaving process says so, since a datagram may be lost
@@ -32,7 +39,8 @@
         self.loop = loop
         self.log = log
         self.rng = Random(f"fleet {config.name} {seed}")
-        self.codec = Codec(list(config.keys))
+        self.duties = Duties(config, log) if config.voters else None
+        self.codec = Codec(list(config.keys), [self.duties.wire] if self.duties is not None else [])
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.swim: Swim | None = None
@@ -60,11 +68,15 @@
             f"fleet joins name={c.name} zone={c.zone} region={c.region or '-'} listen={spelled(c.listen)}"
             f" advertise={spelled(c.advertise)} seeds={len(c.seeds)} incarnation={self.swim.me.incarnation}"
         )
+        if self.duties is not None:
+            self.duties.open(self.swim.me.incarnation, self.now(), lambda: self.wall() // 1000, self.rng)
         self.tick()
 
     def leave(self) -> None:
         """SIGTERM: the others are told, and nothing is heard or said after that."""
         if self.swim is not None and self.transport is not None:
+            if self.duties is not None:
+                self.speak(self.duties.leave(self.now()))
             last = self.swim.leave()
             for _ in range(LEAVES):
                 self.send(last)
@@ -82,8 +94,9 @@
     # ---- clocks -----------------------------------------------------------------------------------------
 
     def now(self) -> int:
-        """Monotonic microseconds."""
-        return int(self.loop.time() * 1e6)
+        """Microseconds of a clock that goes on while the process or the machine is paused, read now: the
+        loop's own time stands still within a turn."""
+        return clock_gettime_ns(CLOCK_BOOTTIME) // 1000
 
     def wall(self) -> int:
         """Microseconds of Unix time, which may step."""
@@ -100,13 +113,21 @@
         now = self.now()
         self.late += now - self.swim.due() > LATE
         self.send(self.swim.tick(now))
+        if self.duties is not None:
+            self.speak(self.duties.tick(now))
         self.arm()
 
+    def due(self) -> int:
+        """When a part has something to do."""
+        assert self.swim is not None
+        duties = self.duties.deadline() if self.duties is not None else None
+        return self.swim.due() if duties is None else min(self.swim.due(), duties)
+
     def arm(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
         if self.transport is not None and self.swim is not None:
-            wait = max(1000, self.swim.due() - self.now())
+            wait = max(1000, self.due() - self.now())
             self.timer = self.loop.call_later(wait / 1e6, self.tick)
 
     def told(self, what: str, claim: Claim) -> None:
@@ -131,19 +152,39 @@
         if message is None:
             return
         self.received[message.kind.name.lower()] += 1
-        due = self.swim.due()
-        self.send(self.swim.receive(self.now(), (addr[0], addr[1]), message))
-        if self.swim.due() < due:
+        due = self.due()
+        if isinstance(message, DutyMessage):
+            assert self.duties is not None
+            self.speak(self.duties.received(self.now(), message))
+        else:
+            self.send(self.swim.receive(self.now(), (addr[0], addr[1]), message))
+        if self.due() < due:
             self.arm()
 
+    def speak(self, out: Out) -> None:
+        """Sends to members by name; what a voter says to this process itself comes back at once."""
+        assert self.swim is not None and self.duties is not None
+        waiting = list(out)
+        while waiting:
+            name, message = waiting.pop(0)
+            if name == self.config.name:
+                waiting += self.duties.received(self.now(), message)
+            elif (member := self.swim.members.get(name)) is not None:
+                self.transmit(message, member.claim.address)
+            else:
+                self.events["unknown"] += 1
+
     def send(self, sends: list[Send]) -> None:
+        for send in sends:
+            self.transmit(send.message, send.to)
+
+    def transmit(self, message: Any, to: Address) -> None:
         if self.transport is None:
             return
-        for send in sends:
-            data = self.codec.encode(send.message, self.wall())
-            self.sent[send.message.kind.name.lower()] += 1
-            self.bytes_out += len(data)
-            self.transport.sendto(data, send.to)
+        data = self.codec.encode(message, self.wall())
+        self.sent[message.kind.name.lower()] += 1
+        self.bytes_out += len(data)
+        self.transport.sendto(data, to)
 
     def error_received(self, exc: Exception) -> None:
         """A peer's port is closed, or the network is: membership learns of it by silence."""
@@ -180,12 +221,33 @@
             "bytes_out": self.bytes_out,
             "bytes_in": self.bytes_in,
             "late_ticks": self.late,
+            "duties": self.duties.view(now) if self.duties is not None else None,
         }
 
     def page(self) -> tuple[int, bytes]:
         """`GET /fleet`."""
         return 200, json.dumps(self.view()).encode() + b"\n"
 
+    def hold(self, query: bytes) -> tuple[int, bytes]:
+        """`PUT /fleet/hold?duty=NAME&script=ID`: a script wants a duty, and comes again while it does."""
+        return self.answer(query, lambda duty, script, part: part.hold(self.now(), duty, script))
+
+    def give(self, query: bytes) -> tuple[int, bytes]:
+        """`PUT /fleet/give?duty=NAME&script=ID`: the script is done."""
+        return self.answer(query, lambda duty, script, part: part.give(self.now(), duty, script))
+
+    def answer(self, query: bytes, act: Act) -> tuple[int, bytes]:
+        if self.duties is None or self.transport is None:
+            return 503, b"no voters are configured, or this process is leaving\n"
+        values = parse_qs(query.decode("latin-1"))
+        duty, script = (values.get(key, [""])[0] for key in ("duty", "script"))
+        if not all(0 < len(name) <= NAME_MOST for name in (duty, script)):
+            return 400, b"duty, script: must be names of 1 to 64 characters\n"
+        table, out = act(duty, script, self.duties)
+        self.speak(out)
+        self.arm()
+        return 200, json.dumps(table).encode() + b"\n"
+
 
 def spelled(address: tuple[str, int]) -> str:
     return f"{address[0]}:{address[1]}"
--- a/brackenladder/fleet/membership/codec.py
+++ b/brackenladder/fleet/membership/codec.py
@@ -2,8 +2,9 @@
 
     version (1 byte) | key's mark (4) | sender's clock in microseconds (8) | message (MessagePack) | tag (16)
 
-The tag is a keyed BLAKE2b over all before it. Two keys are valid at once, so that keys can be changed one
-instance after the other. What fails a check is counted by its reason and dropped; no input raises.
+A message is kind, sender, seq and a body that the part which has this kind reads. The tag is a keyed BLAKE2b
+over all before it. Two keys are valid at once, so that keys can be changed one instance after the other. What
+fails a check is counted by its reason and dropped; no input raises.
 """
 
 from __future__ import annotations
@@ -13,8 +14,10 @@
 import os
 import stat
 from collections import Counter
+from collections.abc import Sequence
 from pathlib import Path
 from struct import Struct
+from typing import Any, Protocol
 
 import msgspec
 
@@ -29,19 +32,58 @@
 CLOCK_SLACK = 30_000_000  # clocks of two machines differ by so much at most
 WINDOW = 64  # datagrams of one sender that may overtake one another
 
-KINDS = frozenset(Kind)
 SENDERS_MOST = 4096  # whose stamps are kept: over that, those of the one heard of first go
 
 WireClaim = tuple[str, str, int, int, int]
-Wire = tuple[int, str, int, str, list[WireClaim]]
+Head = tuple[int, str, int, msgspec.Raw]
 
 
-class KeyFault(Exception):
-    """A key file that cannot be used: one line."""
+class Part(Protocol):
+    """What makes bodies of one part's messages and reads them."""
+
+    kinds: frozenset[int]
+
+    def pack(self, message: Any) -> Any:
+        """The body, of plain types."""
+
+    def shorter(self, message: Any) -> Any | None:
+        """The message with less in it, for a datagram that came out too long; None where it cannot be."""
+
+    def unpack(self, kind: int, sender: str, seq: int, body: msgspec.Raw) -> Any:
+        """The message; a ValueError, or one of msgspec's, where it is impossible."""
+
+
+class MembershipWire:
+    """Membership's messages."""
+
+    kinds = frozenset(int(k) for k in Kind)
 
+    def __init__(self) -> None:
+        self.decoder = msgspec.msgpack.Decoder(tuple[str, list[WireClaim]])
+
+    def pack(self, m: Message) -> Any:
+        return m.target, [(c.name, *c.address, int(c.status), c.incarnation) for c in m.claims]
+
+    def shorter(self, m: Message) -> Message | None:
+        """Without the last claim."""
+        return Message(m.kind, m.sender, m.seq, m.target, m.claims[:-1]) if m.claims else None
 
-class UnknownKind(ValueError):
-    """A message of a kind that a later version has: not a fault of form."""
+    def unpack(self, kind: int, sender: str, seq: int, body: msgspec.Raw) -> Message:
+        target, claims = self.decoder.decode(body)
+        if len(target) > NAME_MOST:
+            raise ValueError("target")
+        out = []
+        for name, host, port, status, incarnation in claims:
+            if not 0 < len(name) <= NAME_MOST or not 0 < len(host) <= NAME_MOST or not 0 < port < 65536:
+                raise ValueError("claim")
+            if not 0 <= incarnation < 1 << 62:
+                raise ValueError("incarnation")
+            out.append(Claim(name, (host, port), Status(status), incarnation))
+        return Message(Kind(kind), sender, seq, target, tuple(out))
+
+
+class KeyFault(Exception):
+    """A key file that cannot be used: one line."""
 
 
 class Replays:
@@ -63,39 +105,43 @@
 
 
 class Codec:
-    """Messages to datagrams and back. `keys`: the one to sign with first, then those still taken."""
+    """Messages to datagrams and back. `keys`: the one to sign with first, then those still taken. `parts`:
+    whose messages go through it; membership's always do."""
 
-    def __init__(self, keys: list[bytes]) -> None:
+    def __init__(self, keys: list[bytes], parts: Sequence[Part] = ()) -> None:
         if not keys or any(len(k) < LEAST_KEY for k in keys):
             raise KeyFault(f"a key of at least {LEAST_KEY} bytes is needed")
         self.keys = {mark(k): k for k in reversed(keys[:2])}
         self.signing = keys[0]
         self.encoder = msgspec.msgpack.Encoder()
-        self.decoder = msgspec.msgpack.Decoder(Wire)
+        self.decoder = msgspec.msgpack.Decoder(Head)
+        self.parts: dict[int, Part] = {k: p for p in (MembershipWire(), *parts) for k in p.kinds}
         self.replays: dict[str, Replays] = {}
         self.stamp = 0
         self.dropped: Counter[str] = Counter()
 
-    def encode(self, message: Message, clock: int) -> bytes:
-        """A datagram of a message. Claims that do not fit are left out, the last first. `clock`:
+    def encode(self, message: Any, clock: int) -> bytes:
+        """A datagram of a message. What does not fit is left out, as the message's part has it. `clock`:
         microseconds of a clock that all machines share roughly."""
         self.stamp = max(self.stamp + 1, clock)
-        claims = [(c.name, c.address[0], c.address[1], int(c.status), c.incarnation) for c in message.claims]
+        head = HEAD.pack(VERSION, mark(self.signing), self.stamp)
+        part = self.parts[int(message.kind)]
         while True:
-            wire: Wire = (int(message.kind), message.sender, message.seq, message.target, claims)
-            body = HEAD.pack(VERSION, mark(self.signing), self.stamp) + self.encoder.encode(wire)
-            if len(body) + TAG <= MOST or not claims:
+            wire = (int(message.kind), message.sender, message.seq, part.pack(message))
+            body = head + self.encoder.encode(wire)
+            less = part.shorter(message) if len(body) + TAG > MOST else None
+            if less is None:
                 return body + tag(self.signing, body)
-            claims.pop()
+            message = less
 
-    def decode(self, data: bytes, clock: int) -> Message | None:
+    def decode(self, data: bytes, clock: int) -> Any | None:
         """The message of a datagram, or None; `dropped` counts why. Costs no more than its length."""
         reason, message = self.checked(data, clock)
         if message is None:
             self.dropped[reason] += 1
         return message
 
-    def checked(self, data: bytes, clock: int) -> tuple[str, Message | None]:
+    def checked(self, data: bytes, clock: int) -> tuple[str, Any | None]:
         if not HEAD.size + TAG < len(data) <= MOST:
             return "length", None
         version, key_mark, stamp = HEAD.unpack_from(data)
@@ -110,18 +156,20 @@
         if abs(stamp - clock) > CLOCK_SLACK:
             return "clock", None
         try:
-            wire = self.decoder.decode(body[HEAD.size :])
-            message = message_of(wire)
-        except UnknownKind:
-            return "kind", None
+            kind, sender, seq, rest = self.decoder.decode(body[HEAD.size :])
+            if not 0 < len(sender) <= NAME_MOST or not 0 <= seq < 1 << 62:
+                raise ValueError("head")
+            if kind not in self.parts:
+                return "kind", None
+            message = self.parts[kind].unpack(kind, sender, seq, rest)
         except (msgspec.MsgspecError, ValueError, RecursionError):
             return "form", None
-        seen = self.replays.get(message.sender)
+        seen = self.replays.get(sender)
         if seen is None:
             # Failure prevented: whoever has the key makes names up until the memory is full.
             while len(self.replays) >= SENDERS_MOST:
                 del self.replays[next(iter(self.replays))]
-            seen = self.replays[message.sender] = Replays()
+            seen = self.replays[sender] = Replays()
         if not seen.fresh(stamp):
             return "replay", None
         return "", message
@@ -131,23 +179,6 @@
         self.replays.pop(sender, None)
 
 
-def message_of(wire: Wire) -> Message:
-    """The message of a decoded form; a ValueError where a figure is impossible."""
-    kind, sender, seq, target, claims = wire
-    if kind not in KINDS:
-        raise UnknownKind(kind)
-    if not 0 < len(sender) <= NAME_MOST or len(target) > NAME_MOST or not 0 <= seq < 1 << 62:
-        raise ValueError("head")
-    out = []
-    for name, host, port, status, incarnation in claims:
-        if not 0 < len(name) <= NAME_MOST or not 0 < len(host) <= NAME_MOST or not 0 < port < 65536:
-            raise ValueError("claim")
-        if not 0 <= incarnation < 1 << 62:
-            raise ValueError("incarnation")
-        out.append(Claim(name, (host, port), Status(status), incarnation))
-    return Message(Kind(kind), sender, seq, target, tuple(out))
-
-
 def mark(key: bytes) -> bytes:
     """What tells which key signed, and nothing of the key."""
     return hashlib.blake2b(key, digest_size=4, person=b"mark").digest()
--- a/brackenladder/net/management.py
+++ b/brackenladder/net/management.py
@@ -32,7 +32,7 @@
 PLAIN = b"text/plain; version=0.0.4; charset=utf-8"
 JSON = b"application/json"
 
-Act = Callable[[], tuple[int, bytes]]  # a call's status and text
+Act = Callable[..., tuple[int, bytes]]  # a call's status and text
 
 
 class Page(NamedTuple):
@@ -41,6 +41,7 @@
     method: bytes
     act: Act
     kind: bytes = PLAIN
+    asks: bool = False  # `act` is handed the query
 
 
 Paths = Mapping[bytes, Page]
@@ -79,7 +80,7 @@
     def on_message_complete(self) -> None:
         if self.answered:
             return
-        path = self.target.partition(b"?")[0]
+        path, _, query = self.target.partition(b"?")
         if path not in self.owner.paths:
             self.answer(404)
             return
@@ -88,7 +89,7 @@
             self.answer(405, headers=b"Allow: %b\r\n" % page.method)
             return
         try:
-            self.answer(*page.act(), kind=page.kind)
+            self.answer(*(page.act(query) if page.asks else page.act()), kind=page.kind)
         except Exception as e:  # the call fails, and nothing else
             self.owner.failed(f"management: {type(e).__name__}: {e}")
             self.answer(500)
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -180,6 +180,8 @@
         }
         if self.fleet is not None:
             paths[b"/fleet"] = Page(b"GET", self.fleet.page, JSON)
+            paths[b"/fleet/hold"] = Page(b"PUT", self.fleet.hold, JSON, asks=True)
+            paths[b"/fleet/give"] = Page(b"PUT", self.fleet.give, JSON, asks=True)
         return paths
 
     def ready(self) -> tuple[int, bytes]:
--- a/laurelspindle/cli/__init__.py
+++ b/laurelspindle/cli/__init__.py
@@ -10,6 +10,7 @@
 from laurelspindle.cli.emulate import emulate
 from laurelspindle.cli.errors import Bad
 from laurelspindle.cli.experiment import experiment
+from laurelspindle.cli.fleet import fleet
 from laurelspindle.cli.lab import lab
 from laurelspindle.cli.load import load
 from laurelspindle.cli.scenario import scenario
@@ -26,6 +27,7 @@
 cli.add_command(scenario)
 cli.add_command(experiment)
 cli.add_command(lab)
+cli.add_command(fleet)
 cli.add_command(load)
 cli.add_command(emulate)
 
--- a/laurelspindle/lab/mischief.py
+++ b/laurelspindle/lab/mischief.py
@@ -17,6 +17,7 @@
 
 import brackenladder.__main__ as program
 from brackenladder.fleet.host import Host
+from brackenladder.fleet.membership.codec import MembershipWire
 from brackenladder.fleet.membership.swim import Claim, Kind, Message, Status, Swim
 from brackenladder.interface import State
 from brackenladder.net.lifecycle import Lifecycle
@@ -132,6 +133,7 @@
 
 def speak(host: Any, to: tuple[str, int], message: Message) -> None:
     if host.transport is not None:
+        host.codec.parts.setdefault(NEWER, MembershipWire())  # a form that any version can make
         host.transport.sendto(host.codec.encode(message, host.wall()), to)
 
 
--- a/laurelspindle/lab/process.py
+++ b/laurelspindle/lab/process.py
@@ -14,21 +14,13 @@
 from pathlib import Path
 from typing import Any
 
+from laurelspindle.live.starter import tied
+
 READ = 65536
 FLOOD = 2 << 20  # bytes of log in all: a node writes some 300 a second
 KEPT = 5  # last lines of its log
 TICK = os.sysconf("SC_CLK_TCK")
 
-# Becomes the node, once the kernel knows to kill it when the lab ends, however that ends. In a small process
-# of its own: a hook of Popen's between fork and exec would copy the lab's memory map and hold the lab up.
-STARTER = """
-import ctypes, os, sys
-parent = int(sys.argv[1])
-ctypes.CDLL(None).prctl(1, 9)
-if os.getppid() == parent:
-    os.execv(sys.argv[2], sys.argv[2:])
-"""
-
 
 class Process:
     """One life of a node. `line` hears of each log line, `over` of its end, with its status."""
@@ -54,7 +46,7 @@
         config.write_text(json.dumps(table))
         env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
         self.popen = subprocess.Popen(
-            [sys.executable, "-I", "-S", "-c", STARTER, str(os.getpid()), *command],
+            tied(command),
             env=env | {"LB_CONFIG": str(config), "TMPDIR": str(config.parent)},
             stdin=subprocess.DEVNULL,
             stdout=subprocess.DEVNULL,
--- /dev/null
+++ b/laurelspindle/live/starter.py
@@ -0,0 +1,24 @@
+"""Commands that end when this process does, however that ends."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+# Becomes the command, once the kernel knows to kill it with its parent. In a small process of its own: a hook
+# of Popen's between fork and exec would copy this process's memory map and hold it up.
+STARTER = """
+import ctypes, os, sys
+parent = int(sys.argv[1])
+ctypes.CDLL(None).prctl(1, 9)
+if os.getppid() == parent:
+    try:
+        os.execvp(sys.argv[2], sys.argv[2:])
+    except OSError as e:
+        sys.exit(f"{sys.argv[2]}: {e.strerror}")
+"""
+
+
+def tied(command: list[str]) -> list[str]:
+    """The command line that starts it: SIGKILL is its lot when the thread that starts it ends."""
+    return [sys.executable, "-I", "-S", "-c", STARTER, str(os.getpid()), *command]
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,288 @@
+"""Duties: voters, askers, votes on a disk, seeds on the virtual network, programs broken on purpose."""
+
+from random import Random
+
+import pytest
+
+from brackenladder.fleet.duties import store
+from brackenladder.fleet.duties.asker import Asker, Stage
+from brackenladder.fleet.duties.messages import DutyKind, DutyMessage, DutyWire, Reason
+from brackenladder.fleet.duties.settings import DRIFT, DutySettings, Electorate, promised
+from brackenladder.fleet.duties.voter import Voter
+from brackenladder.fleet.membership.codec import Codec
+from laurelspindle.explore.duties import MUTANTS, explore, play, shrink
+
+SEC = 1_000_000
+SET = DutySettings(lease=3 * SEC, longest=10 * SEC)
+THREE = Electorate(("a", "b", "c"))
+START = 100 * SEC
+ABLE = START + promised(SET.longest)  # when a voter that started then votes
+
+
+def ask(number, sender="x", life=1, duty="d", seq=1, lease=SET.lease, of=THREE):
+    return DutyMessage(DutyKind.ASK, sender, life, duty, seq, number, of.digest, lease)
+
+
+def release(number, sender="x", life=1, duty="d"):
+    return DutyMessage(DutyKind.RELEASE, sender, life, duty, 1, number)
+
+
+def voter(settings=SET, **more):
+    return Voter("a", 1, [THREE], settings, START, **more)
+
+
+def said(out):
+    """Kind, reason and number of the one answer."""
+    ((_, m),) = out
+    return m.kind.name, m.reason.name, m.number
+
+
+G, D = "GRANT", "DENY"
+
+
+@pytest.mark.parametrize(
+    "steps",  # microseconds after it may vote, what comes, what it says
+    [
+        [(-1, ask(5), (D, "ABSTAINS", 0)), (0, ask(5), (G, "NONE", 5))],
+        [(0, ask(5), (G, "NONE", 5)), (1, ask(9, "y"), (D, "HELD", 5))],
+        [(0, ask(5), (G, "NONE", 5)), (promised(SET.lease) - 1, ask(9, "y"), (D, "HELD", 5))],
+        [(0, ask(5), (G, "NONE", 5)), (promised(SET.lease), ask(9, "y"), (G, "NONE", 9))],
+        [(0, ask(5), (G, "NONE", 5)), (promised(SET.lease), ask(5, "y"), (D, "OLD", 5))],
+        [(0, ask(5), (G, "NONE", 5)), (SEC, ask(5), (G, "NONE", 5)), (2 * SEC, ask(4), (D, "OLD", 5))],
+        [(0, ask(5), (G, "NONE", 5)), (1, ask(6, life=2), (D, "HELD", 5))],
+        [(0, ask(5), (G, "NONE", 5)), (1, release(5, "y"), None), (2, ask(6, "y"), (D, "HELD", 5))],
+        [(0, ask(5), (G, "NONE", 5)), (1, release(5), None), (2, ask(6, "y"), (G, "NONE", 6))],
+        [(0, ask(5), (G, "NONE", 5)), (1, release(5), None), (2, ask(5), (D, "OLD", 5))],
+        [(0, ask(5), (G, "NONE", 5)), (1, release(4), None), (2, ask(6, "y"), (D, "HELD", 5))],
+        [(0, ask(5, of=Electorate(("a", "b", "x"))), (D, "ELECTORATE", 0))],
+        [(0, ask(5, lease=SET.longest + 1), (D, "LENGTH", 0))],
+        [(0, ask(5), (G, "NONE", 5)), (1, ask(3, "y", duty="e"), (G, "NONE", 3))],
+    ],
+)
+def test_what_a_voter_grants(steps):
+    v = voter()
+    for at, message, answer in steps:
+        out = v.received(ABLE + at, message)
+        assert (said(out) if answer else out) == (answer or [])
+
+
+def test_a_promise_outlasts_the_holder_s_count_though_both_clocks_are_wrong():
+    slow, fast = 1 - 1 / DRIFT, 1 + 1 / DRIFT
+    for lease in (200_000, 3 * SEC, 600 * SEC):
+        counted = DutySettings(lease=lease).counted
+        assert counted / slow < promised(lease) / fast
+        assert counted / slow < promised(lease) / slow and counted > 0.97 * lease
+
+
+def test_those_who_were_denied_hear_when_it_is_free():
+    v = voter()
+    v.received(ABLE, ask(5))
+    for i in range(SET.waiters_most + 3):
+        v.received(ABLE + 1, ask(6, f"y{i}", seq=40 + i))
+    free = v.received(ABLE + 2, release(5))
+    assert [(to, m.kind.name, m.seq) for to, m in free] == [
+        (f"y{i}", "FREE", 40 + i) for i in range(SET.waiters_most)
+    ]
+
+
+def test_a_voter_keeps_so_many_duties_and_what_gives_way_leaves_its_number():
+    """Failure prevented: made-up names of duties fill the memory, or a forgotten duty's token falls back."""
+    v = voter(DutySettings(lease=3 * SEC, longest=10 * SEC, duties_most=3))
+    for i in range(3):
+        v.received(ABLE, ask(50 + i, duty=f"d{i}"))
+    assert said(v.received(ABLE + 1, ask(99, duty="e")))[:2] == (D, "FULL")
+    late = ABLE + promised(SET.lease)
+    assert said(v.received(late, ask(50, "y", duty="e"))) == (D, "OLD", 50)
+    assert said(v.received(late, ask(51, "y", duty="e"))) == (G, "NONE", 51)
+    assert len(v.slots) == 3
+
+
+def test_a_voter_that_came_back_recalls_what_the_others_know():
+    v, b, c = voter(), Voter("b", 1, [THREE], SET, 0), Voter("c", 1, [THREE], SET, 0)
+    b.received(START, ask(70))
+    asked = v.tick(START)
+    assert [(to, m.kind.name) for to, m in asked] == [("b", "RECALL"), ("c", "RECALL")]
+    assert v.tick(START + 1) == [] and not v.recovered()
+    for other in (b, c):
+        for _, m in other.received(START + 1, asked[0][1]):
+            v.received(START + 2, m)
+    assert v.recovered() and v.deadline() is None
+    assert said(v.received(ABLE, ask(70, "y"))) == (D, "OLD", 70)
+    assert said(v.received(ABLE, ask(71, "y"))) == (G, "NONE", 71)
+
+
+# ---- askers ------------------------------------------------------------------------------------------------
+
+
+class Table:
+    """An asker among voters, with no network between: `silent` voters hear nothing."""
+
+    def __init__(self, lists=(THREE,), voters=None, silent=()):
+        self.now = ABLE
+        self.told = []
+        tell = lambda what, duty, token: self.told.append((what, token))  # noqa: E731
+        self.asker = Asker("x", 1, list(lists), SET, Random(1), lambda: 1000, tell)
+        names = sorted({v for e in lists for v in e.voters})
+        self.voters = voters or {n: Voter(n, 1, list(lists), SET, 0) for n in names}
+        self.silent = set(silent)
+        self.asked = []
+
+    def carry(self, out, late=0):
+        while out:
+            to, m = out.pop(0)
+            self.asked.append(to)
+            if to in self.silent:
+                continue
+            for _, answer in self.voters[to].received(self.now, m):
+                if answer.kind != DutyKind.FREE:
+                    out += self.asker.received(self.now + late, answer)
+
+    def want(self):
+        self.asker.want(self.now, "d")
+        self.carry(self.asker.tick(self.now))
+        return self
+
+    def run(self, seconds):
+        end = self.now + int(seconds * SEC)
+        while (due := self.asker.deadline()) is not None and due <= end:
+            self.now = max(self.now, due)
+            self.carry(self.asker.tick(self.now))
+        self.now = end
+        return self
+
+    def token(self):
+        return self.asker.holding(self.now, "d")
+
+
+def test_an_asker_holds_renews_and_gives_back():
+    t = Table().want()
+    assert t.token() == 1000 and len(t.asked) == 3 and t.told == [("held", 1000)]
+    assert t.run(60).token() == 1000 and t.told == [("held", 1000)]
+    t.carry(t.asker.drop(t.now, "d"))
+    assert t.token() is None and t.told[-1] == ("released", 1000)
+    assert t.want().token() == 1001
+
+
+@pytest.mark.parametrize(("silent", "held"), [("a", True), ("b", True), ("ab", False), ("abc", False)])
+def test_a_majority_of_the_list_is_needed_whoever_is_alive(silent, held):
+    t = Table(silent=silent).want().run(20)
+    assert (t.token() is not None) is held
+    assert t.asker.counts["failed"] > 0 or held
+
+
+def test_what_is_held_runs_out_with_no_majority_s_word():
+    t = Table().want()
+    t.silent = {"a", "b"}
+    begun = t.now
+    t.run(SET.counted / SEC - 0.001)
+    assert t.token() == 1000
+    t.now = begun + SET.counted
+    assert t.token() is None  # by a look at the clock alone, before anything has ticked
+    t.run(0.5)
+    assert t.told[-1] == ("lost", 1000) and t.asker.wanted["d"].stage != Stage.HELD
+
+
+def test_an_answer_later_than_the_lease_is_worth_nothing():
+    t = Table()
+    t.asker.want(t.now, "d")
+    t.carry(t.asker.tick(t.now), late=SET.lease)
+    assert t.asker.holding(t.now + SET.lease, "d") is None and t.told == []
+
+
+def test_two_lists_must_both_agree_while_the_voters_change():
+    """Voters a, b, c become a, b, d: nobody holds what a majority of one list alone has granted."""
+    new = Electorate(("a", "b", "d"))
+    old = {n: Voter(n, 1, [THREE], SET, 0) for n in "abc"}
+    both = {"a": Voter("a", 2, [THREE, new], SET, 0), "d": Voter("d", 1, [new], SET, 0)}
+    for silent, held in (("", True), ("c", True), ("cd", True), ("bc", False), ("bd", False)):
+        t = Table([THREE, new], old | both, silent).want().run(3)
+        assert (t.token() is not None) is held, silent
+        t.silent = set()
+        t.carry(t.asker.drop_all(t.now))
+
+
+def test_no_voters_no_asker():
+    with pytest.raises(ValueError, match="no voters"):
+        Asker("x", 1, [], SET, Random(1), lambda: 0)
+
+
+def test_duties_on_the_wire():
+    codec, plain = Codec([b"k" * 20], [DutyWire()]), Codec([b"k" * 20])
+    message = DutyMessage(DutyKind.DENY, "x", 7, "nightly", 3, 9, 12, 500, Reason.HELD)
+    data = codec.encode(message, START)
+    assert codec.decode(data, START) == message
+    assert plain.decode(data, START) is None and plain.dropped == {"kind": 1}
+    for bad in (DutyMessage(DutyKind.ASK, "x", -1), DutyMessage(DutyKind.ASK, "x", 1, "d" * 65)):
+        assert codec.decode(codec.encode(bad, START), START) is None
+    assert codec.dropped == {"form": 2}
+
+
+# ---- votes on a disk -------------------------------------------------------------------------------------
+
+
+def test_a_voter_with_a_disk_grants_nothing_below_its_last_life(tmp_path):
+    path = tmp_path / "a.votes"
+    saved = []
+
+    def raised(number):
+        saved.append(number)
+        return store.keeper(path, "a")(number)
+
+    v = voter(floor=store.load(path, "a"), raised=raised)
+    for i in range(100):
+        v.received(ABLE + i, ask(500 + i))
+    assert saved == [500]  # ahead, so that not every grant waits for the disk
+    again = voter(floor=store.load(path, "a"), raised=raised)
+    assert said(again.received(ABLE, ask(600, "y"))) == (D, "OLD", 500 + store.AHEAD)
+    assert said(again.received(ABLE, ask(501 + store.AHEAD, "y")))[0] == G
+
+
+@pytest.mark.parametrize(
+    ("change", "part"),
+    [
+        (lambda d: d[:-9], "torn or changed"),
+        (lambda d: d.replace(b"500", b"900"), "torn or changed"),
+        (lambda d: b"", "torn or changed"),
+        (lambda d: b"\x00" * 80, "torn or changed"),
+        (lambda d: b"a poem\n" + store.checksum(b"a poem"), "not a file of votes"),
+    ],
+)
+def test_torn_and_foreign_files_are_named_and_not_trusted(tmp_path, change, part):
+    path = tmp_path / "a.votes"
+    store.save(path, "a", 500)
+    assert store.load(path, "a") == 500
+    with pytest.raises(store.StoreFault, match="the votes of a, not of b"):
+        store.load(path, "b")
+    path.write_bytes(change(path.read_bytes()))
+    with pytest.raises(store.StoreFault, match=part):
+        store.load(path, "a")
+
+
+# ---- the virtual network -------------------------------------------------------------------------------------
+
+
+def test_seeds_with_all_faults_keep_every_rule_and_repeat():
+    sums, broken = explore(1, 150, "none", 1)
+    assert not broken, broken[0]
+    assert sums["holders"] > 250 and sums["late_acts"] > 0
+    assert play(7) == play(7) and play(7) != play(8)
+
+
+@pytest.mark.parametrize(
+    ("mutant", "seed"),  # the first seed that shows it
+    [
+        ("from-answer", 190),
+        ("no-abstaining", 3),
+        ("majority-of-living", 3),
+        ("token-not-raised", 1),
+        ("no-look-at-clock", 9),
+    ],
+)
+def test_a_program_broken_on_purpose_is_caught_and_shrunk(mutant, seed):
+    assert set(MUTANTS) == {"none", "from-answer", "no-abstaining", "majority-of-living"} | {
+        "token-not-raised",
+        "no-look-at-clock",
+    }
+    story = shrink(seed, mutant)
+    assert story.broken and len(story.faults) <= 3
+    assert not play(seed, "none", story.faults).broken
