The lab asks every node for one duty, and a checker looks that two never count on it

Change: a plan's voters and lease; the lab asks each node's page as a script would and writes what it may count on from before it asked; the checker duties; a node that takes any answer for a yes, which it catches; the plan duties.

--- a/laurelspindle/lab/plan.py
+++ b/laurelspindle/lab/plan.py
@@ -73,6 +73,7 @@
         "raises",
         "unready",
         "flood",
+        "greedy",
     ]
 
 
@@ -89,6 +90,8 @@
     set: dict[str, Value] = field(default_factory=dict)  # keys of the scenario
     fleet: bool = True
     period_ms: Over0 = 300.0  # of membership's probes
+    voters: Any0 = 0  # the first so many nodes vote, and every node asks for one duty
+    lease_ms: Over0 = 1500.0
     ready_s: Over0 = 20.0  # that a process has to get ready
     join_s: Over0 = 30.0  # that the processes have at most to find one another before the clients begin
     agree_s: Over0 = 12.0  # so long after the last fault all views must agree
@@ -120,6 +123,8 @@
         out.append(f"nodes: {table['nodes']}: must be at most {MOST}")
     if most(table.get("regions", 1)) > least(table.get("zones", 3)):
         out.append(f"regions: {table['regions']}: must be at most zones, {table.get('zones', 3)}")
+    if most(table.get("voters", 0)) not in (0, 3, 5):
+        out.append(f"voters: {table['voters']}: must be 0, 3 or 5")
     for i, f in enumerate(table.get("fault", ())):
         if most(f.get("at_s", 3.0)) >= length:
             out.append(f"fault[{i}].at_s: {f.get('at_s', 3.0)}: must be under length_s, {length:g}")
--- a/laurelspindle/lab/run.py
+++ b/laurelspindle/lab/run.py
@@ -189,6 +189,8 @@
             if self.plan.fleet:
                 for member in self.fleet.members:
                     self.spawn(member.look())
+                    if self.plan.voters:
+                        self.spawn(member.hold())
             if turn % int(SAMPLE / LOOK) == 0:
                 late = self.clock.take_late() / 1000
                 self.late_ms = max(self.late_ms, late)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -258,7 +258,7 @@
         store.load(path, "a")
 
 
-# ---- the virtual network -------------------------------------------------------------------------------------
+# ---- the virtual network --------------------------------------------------------------------------------
 
 
 def test_seeds_with_all_faults_keep_every_rule_and_repeat():
