--- a/laurelspindle/lab/mischief.py
+++ b/laurelspindle/lab/mischief.py
@@ -28,6 +28,7 @@
 
 EVERY = 15  # requests between two that are treated badly
 SOON = 3.0  # seconds until what happens once
+COPIES = 3  # of each request that is piled on a cold server
 NEWER = 77  # a kind of message that no version has yet
 
 
@@ -70,11 +71,9 @@
 
     def send(go: Any, self: Any, request: int, server: int, timeout: int) -> None:
         go(self, request, server, timeout)
-        r = self.open.get(request)
-        other = [e for n, e in self.pool.endpoints.items() if n != server and e.ready]
-        if r is not None and other and turn():
-            data = head_of(r.message, timeout // 1000)
-            Exchange(self.pool, other[0], lambda: data, lambda outcome, answer: None).start(2.0)
+        other = [n for n, e in self.pool.endpoints.items() if n != server and e.ready]
+        if other and turn():
+            copy(self, request, other[0], timeout)
 
     wrap(Requests, "send", send)
 
@@ -92,15 +91,28 @@
 
 
 def pile() -> None:
-    """All goes to the server that was started last."""
+    """All goes to the server that was started last, and copies with it."""
 
     def send(go: Any, self: Any, request: int, server: int, timeout: int) -> None:
         ready = {n: e.started for n, e in self.pool.endpoints.items() if e.ready}
-        go(self, request, max(ready, key=lambda n: ready[n], default=server), timeout)
+        newest = max(ready, key=lambda n: ready[n], default=server)
+        go(self, request, newest, timeout)
+        if ready.get(newest):
+            for _ in range(COPIES):
+                copy(self, request, newest, timeout)
 
     wrap(Requests, "send", send)
 
 
+def copy(requests: Any, request: int, server: int, timeout: int) -> None:
+    """A second copy of an open request, to a server of our choice."""
+    r = requests.open.get(request)
+    endpoint = requests.pool.endpoints[server]
+    if r is not None and endpoint.ready:
+        data = head_of(r.message, timeout // 1000)
+        Exchange(requests.pool, endpoint, lambda: data, lambda outcome, answer: None).start(2.0)
+
+
 def blind() -> None:
     """Nobody is ever held dead."""
 
