A fleet that replaces its own processes, led by whoever holds the duty

Change: fleet/replace/ (messages, decisions), PUT /fleet/replace, laurelspindle fleet replace begin, watch, pause, resume, stop; the lab starts again what ends by itself, as a platform does; a checker, and a leader that it catches. A voter that abstains still counts as out: else voters go faster than they vote again.

--- a/brackenladder/fleet/host.py
+++ b/brackenladder/fleet/host.py
@@ -20,8 +20,11 @@
 from brackenladder.fleet.duties.messages import DutyMessage
 from brackenladder.fleet.duties.part import Duties
 from brackenladder.fleet.duties.voter import Out
-from brackenladder.fleet.membership.codec import NAME_MOST, Codec
+from brackenladder.fleet.membership.codec import NAME_MOST, Codec, Part
 from brackenladder.fleet.membership.swim import Address, Claim, Send, Swim, Timing
+from brackenladder.fleet.replace.decisions import DUTY, MOST, Replacement
+from brackenladder.fleet.replace.messages import ReplaceMessage, ReplaceWire, State
+from brackenladder.net.lifecycle import Lifecycle, Stage
 from brackenladder.net.log import Log
 
 Act = Callable[[str, str, Duties], tuple[dict[str, Any], Out]]
@@ -34,13 +37,25 @@
 class Host(asyncio.DatagramProtocol):
     """One process's part in the fleet. Open from `open` to `close`; each life is a new incarnation."""
 
-    def __init__(self, config: FleetConfig, loop: asyncio.AbstractEventLoop, seed: int, log: Log) -> None:
+    def __init__(
+        self,
+        config: FleetConfig,
+        loop: asyncio.AbstractEventLoop,
+        seed: int,
+        log: Log,
+        life: Lifecycle,
+        end: Callable[[], None],
+    ) -> None:
         self.config = config
         self.loop = loop
         self.log = log
+        self.life = life
+        self.end = end  # ends this process as SIGTERM does
+        self.replacement: Replacement | None = None
         self.rng = Random(f"fleet {config.name} {seed}")
         self.duties = Duties(config, log) if config.voters else None
-        self.codec = Codec(list(config.keys), [self.duties.wire] if self.duties is not None else [])
+        parts: list[Part] = [self.duties.wire, ReplaceWire()] if self.duties is not None else []
+        self.codec = Codec(list(config.keys), parts)
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.swim: Swim | None = None
@@ -49,6 +64,7 @@
         self.received: Counter[str] = Counter()
         self.events: Counter[str] = Counter()
         self.bytes_out = self.bytes_in = self.late = 0
+        self.ended = False
 
     async def open(self) -> None:
         """Takes the port and joins. An OSError if the address cannot be had."""
@@ -69,7 +85,9 @@
             f" advertise={spelled(c.advertise)} seeds={len(c.seeds)} incarnation={self.swim.me.incarnation}"
         )
         if self.duties is not None:
-            self.duties.open(self.swim.me.incarnation, self.now(), lambda: self.wall() // 1000, self.rng)
+            life = self.swim.me.incarnation
+            self.duties.open(life, self.now(), lambda: self.wall() // 1000, self.rng)
+            self.replacement = Replacement(c.name, c.zone, life, self, self.now())
         self.tick()
 
     def leave(self) -> None:
@@ -115,13 +133,16 @@
         self.send(self.swim.tick(now))
         if self.duties is not None:
             self.speak(self.duties.tick(now))
+            self.follow(now)
         self.arm()
 
     def due(self) -> int:
         """When a part has something to do."""
         assert self.swim is not None
-        duties = self.duties.deadline() if self.duties is not None else None
-        return self.swim.due() if duties is None else min(self.swim.due(), duties)
+        dues: list[int | None] = [self.swim.due()]
+        if self.duties is not None and self.replacement is not None:
+            dues += [self.duties.deadline(), self.replacement.deadline(self.token())]
+        return min(d for d in dues if d is not None)
 
     def arm(self) -> None:
         if self.timer is not None:
@@ -156,11 +177,62 @@
         if isinstance(message, DutyMessage):
             assert self.duties is not None
             self.speak(self.duties.received(self.now(), message))
+        elif isinstance(message, ReplaceMessage):
+            assert self.replacement is not None
+            self.tell(self.replacement.received(self.now(), message))
+            self.follow(self.now())
         else:
             self.send(self.swim.receive(self.now(), (addr[0], addr[1]), message))
         if self.due() < due:
             self.arm()
 
+    # ---- the replacement --------------------------------------------------------------------------------
+
+    def token(self) -> int | None:
+        """Of the replacement's duty, if this process holds it now."""
+        asker = self.duties.asker if self.duties is not None else None
+        return asker.holding(self.now(), DUTY) if asker is not None else None
+
+    def follow(self, now: int) -> None:
+        """Asks for the duty while there is something to lead, leads, and ends when told to."""
+        assert self.duties is not None and self.duties.asker is not None and self.replacement is not None
+        r = self.replacement
+        if r.wants():
+            self.duties.asker.want(now, DUTY)
+        elif DUTY in self.duties.asker.wanted and not r.tells:
+            self.speak(self.duties.asker.drop(now, DUTY))
+        before = r.plan
+        self.tell(r.tick(now, self.token()))
+        if r.plan != before and r.plan is not None:
+            self.log.line(f"fleet replacement {r.plan.state.name.lower()} begun_us={r.plan.number}")
+        if r.leaving and self.life.stage != Stage.ENDING and not self.ended:
+            self.ended = True
+            self.log.line(f"fleet replacement: this process is the next to end, token={r.token}")
+            self.end()
+
+    def serving(self) -> bool:
+        """Whether this process takes clients, and votes if it is a voter.
+
+        Failure prevented: voters are replaced faster than they vote again, and there is no majority left.
+        """
+        voter = self.duties.voter if self.duties is not None else None
+        return self.life.serving and not (voter is not None and voter.lists and voter.abstains(self.now()))
+
+    def alive(self) -> list[str]:
+        return self.swim.alive() if self.swim is not None else []
+
+    def gone(self) -> list[str]:
+        return sorted(n for n, m in self.swim.members.items() if m.gone) if self.swim is not None else []
+
+    def tell(self, out: list[tuple[str, ReplaceMessage]]) -> None:
+        assert self.swim is not None
+        for name, message in out:
+            member = self.swim.members.get(name)
+            if member is not None:
+                self.transmit(message, member.claim.address)
+
+    # ---- sending ----------------------------------------------------------------------------------------
+
     def speak(self, out: Out) -> None:
         """Sends to members by name; what a voter says to this process itself comes back at once."""
         assert self.swim is not None and self.duties is not None
@@ -222,6 +294,7 @@
             "bytes_in": self.bytes_in,
             "late_ticks": self.late,
             "duties": self.duties.view(now) if self.duties is not None else None,
+            "replace": self.replacement.view(self.token()) if self.replacement is not None else None,
         }
 
     def page(self) -> tuple[int, bytes]:
@@ -236,6 +309,23 @@
         """`PUT /fleet/give?duty=NAME&script=ID`: the script is done."""
         return self.answer(query, lambda duty, script, part: part.give(self.now(), duty, script))
 
+    def replace(self, query: bytes) -> tuple[int, bytes]:
+        """`PUT /fleet/replace?do=begin|pause|resume|stop&most=K`."""
+        if self.replacement is None or self.transport is None:
+            return 503, b"no voters are configured, or this process is leaving\n"
+        values = parse_qs(query.decode("latin-1"))
+        do, most = values.get("do", [""])[0], values.get("most", ["1"])[0]
+        states = {"pause": State.PAUSED, "resume": State.RUNS, "stop": State.STOPPED}
+        if do == "begin" and most.isascii() and most.isdigit() and 0 < int(most) <= MOST:
+            self.replacement.begin(self.wall(), int(most))
+        elif do in states:
+            self.replacement.change(states[do])
+        else:
+            return 400, b"do: must be begin, pause, resume or stop; most: 1 to 1000\n"
+        self.follow(self.now())
+        self.arm()
+        return 200, json.dumps(self.replacement.view(self.token())).encode() + b"\n"
+
     def answer(self, query: bytes, act: Act) -> tuple[int, bytes]:
         if self.duties is None or self.transport is None:
             return 503, b"no voters are configured, or this process is leaving\n"
--- /dev/null
+++ b/brackenladder/fleet/replace/decisions.py
@@ -0,0 +1,193 @@
+"""Who is told to end next, and who follows.
+
+Nothing of the progress is kept anywhere: a process is done if its life began after the plan did, and out if
+it has left, died or does not serve. So a holder that comes after another goes on where that one stopped.
+Whoever is told to end looks at the token and at its own life first: an old holder's word, and a second one,
+do nothing.
+
+Times are microseconds of this process's monotonic clock; lives and plans are Unix time in microseconds.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from brackenladder.fleet.replace.messages import Plan, ReplaceKind, ReplaceMessage, State
+
+DUTY = "replace"
+EVERY = 500_000  # the holder asks all members how they stand
+FRESH = 2_000_000  # a report older than this counts as none
+TELLS = 3  # times that an operator's word is passed on by whoever got it
+MOST = 1000
+
+Out = list[tuple[str, ReplaceMessage]]
+
+
+class Fleet(Protocol):
+    """What the decisions see of membership and of their own process."""
+
+    def serving(self) -> bool:
+        """Whether this process takes clients."""
+
+    def alive(self) -> list[str]:
+        """The other members that are held alive."""
+
+    def gone(self) -> list[str]:
+        """Those that left or died not long ago and have not come back."""
+
+
+@dataclass(frozen=True)
+class Report:
+    """How a member stands, as it said."""
+
+    at: int
+    life: int
+    serving: bool
+    zone: str
+
+
+class Replacement:
+    """One process's part: it leads while it holds the duty, and follows otherwise."""
+
+    def __init__(self, name: str, zone: str, life: int, fleet: Fleet, now: int) -> None:
+        self.name = name
+        self.zone = zone
+        self.life = life
+        self.fleet = fleet
+        self.plan: Plan | None = None
+        self.reports: dict[str, Report] = {}
+        self.told: dict[str, int] = {}  # the life of each that this holder has told to end
+        self.token = 0  # the highest that was seen
+        self.tells = 0
+        self.next = now
+        self.leaving = False
+        self.counts: Counter[str] = Counter()
+
+    # ---- the operator's hand ----------------------------------------------------------------------------
+
+    def begin(self, wall: int, most: int) -> Plan:
+        """A new plan, of which all that run now are still to be replaced. One that runs already goes on."""
+        if self.plan is None or self.plan.state in (State.STOPPED, State.DONE):
+            self.adopt(Plan(wall, 1, most, State.RUNS))
+            self.tells = TELLS
+        assert self.plan is not None
+        return self.plan
+
+    def change(self, state: State) -> Plan | None:
+        """Pauses, goes on or stops; a plan that is over stays as it is."""
+        plan = self.plan
+        if plan is not None and plan.state in (State.RUNS, State.PAUSED) and plan.state != state:
+            self.adopt(replace(plan, version=plan.version + 1, state=state))
+            self.tells = TELLS
+        return self.plan
+
+    def adopt(self, plan: Plan) -> None:
+        if self.plan is None or plan.number != self.plan.number:
+            self.reports.clear()
+            self.told.clear()
+        self.plan = plan
+
+    def wants(self) -> bool:
+        """Whether this process should ask for the duty."""
+        return self.plan is not None and self.plan.state == State.RUNS and not self.leaving
+
+    # ---- time -------------------------------------------------------------------------------------------
+
+    def deadline(self, token: int | None) -> int | None:
+        """When to `tick` next. `token`: of the duty, if it is held."""
+        return self.next if token is not None or self.tells else None
+
+    def tick(self, now: int, token: int | None) -> Out:
+        """Leads, if the duty is held; passes an operator's word on."""
+        plan = self.plan
+        if plan is None or now < self.next or (token is None and not self.tells):
+            return []
+        self.next = now + EVERY
+        if token is None or plan.state != State.RUNS:
+            self.tells -= self.tells > 0
+            return self.to_all(plan, token or 0)
+        out = self.lead(now, plan, token)
+        assert self.plan is not None
+        return self.to_all(self.plan, token) + out
+
+    def to_all(self, plan: Plan, token: int) -> Out:
+        message = self.message(ReplaceKind.PLAN, plan, token)
+        return [(name, message) for name in self.fleet.alive()]
+
+    def message(self, kind: ReplaceKind, plan: Plan, token: int) -> ReplaceMessage:
+        return ReplaceMessage(kind, self.name, plan, self.life, token, self.fleet.serving(), self.zone)
+
+    # ---- leading ----------------------------------------------------------------------------------------
+
+    def lead(self, now: int, plan: Plan, token: int) -> Out:
+        """Tells the next one to end, if so few are out that it may."""
+        self.token = max(self.token, token)
+        others = self.fleet.alive()
+        fresh = {n: r for n in others if (r := self.reports.get(n)) is not None and now < r.at + FRESH}
+        if len(fresh) < len(others):
+            return []  # whoever has not said how it stands may be one that has just come up
+        out = set(self.fleet.gone()) | {n for n, r in fresh.items() if not r.serving}
+        out |= {n for n, r in fresh.items() if self.told.get(n) == r.life}  # told, and not gone yet
+        left = sorted(n for n, r in fresh.items() if r.life <= plan.number and n not in out)
+        if not left and not out and self.life > plan.number:
+            self.plan = replace(plan, version=plan.version + 1, state=State.DONE)
+            self.tells = TELLS
+            return []
+        if len(out) >= plan.most:
+            return []
+        zones = Counter(r.zone for n, r in fresh.items() if n not in out)
+        zones[self.zone] += self.fleet.serving()
+        for name in left:
+            # The last one of a zone that serves goes only while nobody else is out.
+            if zones[fresh[name].zone] > 1 or not out:
+                self.told[name] = fresh[name].life
+                self.counts["told"] += 1
+                return [(name, self.message(ReplaceKind.GO, plan, token))]
+        if not left and not out and self.life <= plan.number:
+            self.leaving = True  # the others go on: this one was the last
+        return []
+
+    # ---- messages ---------------------------------------------------------------------------------------
+
+    def received(self, now: int, m: ReplaceMessage) -> Out:
+        """Takes a message in."""
+        if m.kind == ReplaceKind.REPORT:
+            if m.plan.newer(self.plan):  # an operator's word that was lost on its way here
+                self.adopt(m.plan)
+            if self.plan is not None and m.plan.number == self.plan.number:
+                self.reports[m.sender] = Report(now, m.life, m.serving, m.zone)
+            return []
+        if m.token and m.token < self.token:
+            self.counts["old_token"] += 1
+            return []
+        self.token = max(self.token, m.token)
+        if m.plan.newer(self.plan):
+            self.adopt(m.plan)
+        if m.kind == ReplaceKind.GO and self.must_go(m):
+            self.leaving = True
+        assert self.plan is not None
+        return [(m.sender, self.message(ReplaceKind.REPORT, self.plan, 0))]
+
+    def must_go(self, m: ReplaceMessage) -> bool:
+        """Whether this process is one of those to be replaced, by the plan as it stands."""
+        plan = self.plan
+        return m.token > 0 and m.plan == plan and plan.state == State.RUNS and self.life <= plan.number
+
+    # ---- what operators see -----------------------------------------------------------------------------
+
+    def view(self, token: int | None) -> dict[str, object]:
+        """The plan as this process knows it; how many are done, only its holder knows."""
+        if self.plan is None:
+            return {"state": "none"}
+        table: dict[str, object] = {
+            "state": self.plan.state.name.lower(),
+            "begun_us": self.plan.number,
+            "most": self.plan.most,
+            "leads": token is not None,
+        }
+        if token is not None:
+            done = sum(r.life > self.plan.number for r in self.reports.values())
+            table |= {"done": done, "told": len(self.told), "out": sorted(self.fleet.gone())}
+        return table
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
@@ -118,7 +120,10 @@
             return None
         from brackenladder.fleet.host import Host  # a node alone does without it, and without its packages
 
-        return Host(self.config.fleet, self.loop, self.config.seed, self.log_lines)
+        def end() -> None:
+            os.kill(os.getpid(), signal.SIGTERM)
+
+        return Host(self.config.fleet, self.loop, self.config.seed, self.log_lines, self.life, end)
 
     async def open_fleet(self) -> None:
         """Joins the fleet; a port that the process before still has is tried for again."""
@@ -180,6 +185,7 @@
         }
         if self.fleet is not None:
             paths[b"/fleet"] = Page(b"GET", self.fleet.page, JSON)
+            paths[b"/fleet/replace"] = Page(b"PUT", self.fleet.replace, JSON, asks=True)
             paths[b"/fleet/hold"] = Page(b"PUT", self.fleet.hold, JSON, asks=True)
             paths[b"/fleet/give"] = Page(b"PUT", self.fleet.give, JSON, asks=True)
         return paths
--- a/laurelspindle/cli/fleet.py
+++ b/laurelspindle/cli/fleet.py
@@ -5,7 +5,7 @@
 import click
 
 from laurelspindle.cli.errors import Bad
-from laurelspindle.live.load import LoadError, target
+from laurelspindle.live.pages import PageError, address_of, follow, put
 
 
 @click.group()
@@ -31,7 +31,30 @@
     if not 0 < len(name) <= 64:
         raise Bad(f"{name}: a duty's name has 1 to 64 characters")
     try:
-        addresses = [target(n) for n in nodes]
-    except LoadError as e:
+        addresses = [address_of(n) for n in nodes]
+    except PageError as e:
         raise Bad(str(e)) from None
     return Hold(name, addresses, wait, list(command), lambda text: click.echo(text, err=True)).run()
+
+
+@fleet.command()
+@click.argument("act", type=click.Choice(["begin", "watch", "pause", "resume", "stop"]))
+@click.argument("node")
+@click.option("--most", type=click.IntRange(1, 1000), default=1, help="Processes out at a time; 1.")
+def replace(act: str, node: str, most: int) -> int:
+    """Replace all processes of a fleet, at most K at a time: `fleet replace begin 10.0.0.7:8001 --most 2`.
+
+    NODE is any member's management address. Whoever holds the duty `replace` leads; a process is told to end
+    as by SIGTERM, and the platform starts the next one. `watch` follows until it is over. Exits 1 where a plan
+    was stopped.
+    """
+    try:
+        address = address_of(node)
+        if act != "watch":
+            table = put(address, f"/fleet/replace?do={act}&most={most}")
+        else:
+            table = follow(address, click.echo)
+    except PageError as e:
+        raise Bad(str(e)) from None
+    click.echo(f"replacement {table['state']}")
+    return 1 if act == "watch" and table["state"] == "stopped" else 0
--- a/laurelspindle/lab/checkers.py
+++ b/laurelspindle/lab/checkers.py
@@ -80,12 +80,14 @@
 def processes(truth: Truth) -> Found:
     """No process ends unasked or fails to get ready; one that was asked to ends well."""
     for e in truth.of("process"):
+        if e["what"] == "exit" and not e["asked"] and truth.supervised and e["status"] == 0:
+            continue
         if e["what"] == "exit" and not e["asked"]:
             yield e["t"], e["node"], f"life {e['life']} ended unasked, status {e['status']}"
         elif e["what"] == "exit" and e["status"] not in (0, -9):
             yield e["t"], e["node"], f"life {e['life']} ended with status {e['status']}"
-        elif e["what"] == "not ready":
-            yield e["t"], e["node"], f"life {e['life']} never became ready"
+        elif e["what"] in ("not ready", "no replacement"):
+            yield e["t"], e["node"], f"life {e['life']}: {e['what']}"
 
 
 def logs(truth: Truth) -> Found:
@@ -167,6 +169,30 @@
             yield seconds(begin), other, f"holds it with token {next_token}, {node} had {token}"
 
 
+def replacement(truth: Truth) -> Found:
+    """A fleet that replaces itself ends each process once, at most so many at a time, and gets to the end."""
+    for p in truth.periods:
+        if p.type != "fleet_replace":
+            continue
+        inside = [(n, x) for n in truth.names for x in truth.lives[n] if p.begin < x.told < p.end]
+        gone = [(n, x) for n, x in inside if x.by_itself]
+        for name in truth.names:
+            ends = [x for n, x in gone if n == name]
+            others = [x for n, x in inside if n == name and not x.by_itself]
+            if len(ends) > 1:
+                yield ends[1].told, name, f"was ended {len(ends)} times by one plan"
+            if not ends and not others:
+                yield p.end, name, "was never ended by the plan"
+        for name, life in gone:
+            out = {n for n, x in gone if x.told <= life.told < truth.back_at(n, x)}
+            if len(out) > p.most:
+                yield (
+                    life.told,
+                    name,
+                    f"ends while {', '.join(sorted(out - {name}))} are out, {p.most} allowed",
+                )
+
+
 def cold(truth: Truth) -> Found:
     """No cold server is pushed over by what nodes send that knew of its start."""
     for e in truth.of("end"):
@@ -177,7 +203,10 @@
 
 CHECKERS: dict[str, Callable[[Truth], Found]] = {
     f.__name__: f
-    for f in (answers, attempts, drains, processes, logs, views, deaths, incarnations, duties, cold)
+    for f in (
+        *(answers, attempts, drains, processes, logs, cold),
+        *(views, deaths, incarnations, duties, replacement),
+    )
 }
 
 
--- a/laurelspindle/lab/faults.py
+++ b/laurelspindle/lab/faults.py
@@ -6,6 +6,7 @@
 import signal
 from typing import TYPE_CHECKING
 
+from laurelspindle.lab.fleet import ask
 from laurelspindle.lab.network import Rule
 from laurelspindle.lab.plan import Fault, number
 
@@ -40,7 +41,15 @@
     async def play(self, i: int, fault: Fault) -> None:
         await asyncio.sleep(number(fault.at_s))
         names = self.lab.pick(fault, f"fault/{i}")
-        self.lab.tell("fault", what="begin", number=i, type=fault.type, on=names, way=fault.way)
+        self.lab.tell(
+            "fault",
+            what="begin",
+            number=i,
+            type=fault.type,
+            on=names,
+            way=fault.way,
+            most=int(number(fault.most)),
+        )
         await getattr(self, f"play_{fault.type}")(fault, names)
         self.lab.tell("fault", what="end", number=i, type=fault.type, on=names)
         self.open -= 1
@@ -78,6 +87,21 @@
             member.signal(signal.SIGTERM)
             await self.back(member)
 
+    async def play_fleet_replace(self, fault: Fault, names: list[str]) -> None:
+        """The fleet is told to replace itself, through one node's page; over when a page says so."""
+        members = self.members(names) or self.lab.fleet.members
+        most = int(number(fault.most))
+        path = b"/fleet/replace?do=begin&most=%d" % most
+        reply = await ask(self.lab.loop, members[0].pages, path, 2.0, b"PUT")
+        if reply is None or reply.status != 200:
+            self.lab.tell("process", node=members[0].name, what="no replacement", life=members[0].life)
+            return
+        end = self.lab.loop.time() + number(fault.for_s)
+        while self.lab.loop.time() < end:
+            if any((m.page.get("replace") or {}).get("state") == "done" for m in self.lab.fleet.members):
+                return
+            await asyncio.sleep(0.1)
+
     async def back(self, member: Member) -> None:
         """The process ends, and another comes up in its place."""
         try:
--- a/laurelspindle/lab/fleet.py
+++ b/laurelspindle/lab/fleet.py
@@ -118,6 +118,8 @@
     def logged(self, text: str) -> None:
         if " stats " not in text:
             self.fleet.tell("log", node=self.name, text=text)
+        if text.endswith("-> ending") and not self.asked_to_end:  # whoever asks for readiness sees it
+            self.fleet.site.world.front.leaving(self.node)
 
     def exited(self, status: int) -> None:
         """The process has ended, asked or not."""
@@ -130,7 +132,11 @@
         self.fleet.site.world.front.died(self.node)
         self.ready.clear()
         self.gone.set()
-        if not self.asked_to_end:
+        if self.asked_to_end:
+            return
+        if self.fleet.plan.supervise and status == 0 and not self.fleet.stopping:
+            self.start()
+        else:
             self.fleet.fell(self)
 
     async def wait_ready(self, life: int) -> None:
@@ -229,6 +235,7 @@
         self.members: list[Member] = []
         self.fallen: list[str] = []  # those that ended unasked, and why
         self.trouble = asyncio.Event()
+        self.stopping = False
 
     def add(self, mischief: dict[str, str]) -> None:
         self.members = [Member(self, n, mischief.get(n.name, "")) for n in self.site.nodes]
@@ -278,6 +285,7 @@
 
     async def stop(self, patience: float) -> None:
         """Ends all processes: SIGTERM, and SIGKILL to what is still there after its patience."""
+        self.stopping = True
         for member in self.members:
             if member.process is not None and member.process.paused:
                 member.signal(signal.SIGCONT)
--- a/laurelspindle/lab/mischief.py
+++ b/laurelspindle/lab/mischief.py
@@ -20,6 +20,7 @@
 from brackenladder.fleet.host import Host
 from brackenladder.fleet.membership.codec import MembershipWire
 from brackenladder.fleet.membership.swim import Claim, Kind, Message, Status, Swim
+from brackenladder.fleet.replace.decisions import Replacement
 from brackenladder.interface import State
 from brackenladder.net.lifecycle import Lifecycle
 from brackenladder.net.requests import Requests, head_of
@@ -182,6 +183,18 @@
     wrap(Asker, "was_denied", lambda go, self, now, w, m: self.was_granted(now, w, m.sender))
 
 
+def hasty() -> None:
+    """Leads a replacement without a look at who is out."""
+
+    def lead(go: Any, self: Any, *args: Any) -> Any:
+        self.reports = {n: dataclasses.replace(r, serving=True) for n, r in self.reports.items()}
+        self.told.clear()
+        return go(self, *args)
+
+    wrap(Replacement, "lead", lead)
+    wrap(Host, "gone", lambda go, self: [])
+
+
 def crash() -> None:
     """Ends by itself some seconds after its start."""
     threading.Timer(SOON, lambda: os._exit(3)).start()
@@ -231,6 +244,7 @@
         unready,
         flood,
         greedy,
+        hasty,
     )
 }
 
--- a/laurelspindle/lab/plan.py
+++ b/laurelspindle/lab/plan.py
@@ -40,7 +40,7 @@
 class Fault(Who, forbid_unknown_fields=True, kw_only=True):
     """One fault. What does not belong to its type is not looked at."""
 
-    type: Literal["kill", "pause", "term", "replace", "cut", "links", "clock"]
+    type: Literal["kill", "pause", "term", "replace", "cut", "links", "clock", "fleet_replace"]
     at_s: From0 = 3.0
     for_s: From0 = 5.0  # then the process is started, resumed, the link healed, the clock set right
     back: bool = True  # whether what was killed or ended is started again
@@ -53,6 +53,7 @@
     jitter_ms: From0 = 0.0
     kbytes_s: From0 = 0.0  # 0: as many as come
     offset_ms: Number = 0.0  # of a clock
+    most: Some = 1  # of `fleet_replace`: out at a time
 
 
 class Mischief(Who, forbid_unknown_fields=True, kw_only=True):
@@ -74,6 +75,7 @@
         "unready",
         "flood",
         "greedy",
+        "hasty",
     ]
 
 
@@ -89,6 +91,7 @@
     scenario: str = "lab"
     set: dict[str, Value] = field(default_factory=dict)  # keys of the scenario
     fleet: bool = True
+    supervise: bool = False  # a process that ends by itself, and well, is started again, as a platform does
     period_ms: Over0 = 300.0  # of membership's probes
     voters: Any0 = 0  # the first so many nodes vote, and every node asks for one duty
     lease_ms: Over0 = 1500.0
@@ -128,7 +131,7 @@
     for i, f in enumerate(table.get("fault", ())):
         if most(f.get("at_s", 3.0)) >= length:
             out.append(f"fault[{i}].at_s: {f.get('at_s', 3.0)}: must be under length_s, {length:g}")
-        if f["type"] not in ("replace", "links") and not any(
+        if f["type"] not in ("replace", "links", "fleet_replace") and not any(
             f.get(k) not in (None, [], 0, 0.0, -1) or (k in ("zone", "region") and f.get(k) == 0)
             for k in ("nodes", "zone", "region", "count", "part")
         ):
--- a/laurelspindle/lab/truth.py
+++ b/laurelspindle/lab/truth.py
@@ -25,6 +25,7 @@
     ready: float = FOREVER
     told: float = FOREVER  # when it got SIGTERM or SIGKILL
     end: float = FOREVER
+    by_itself: bool = False  # nobody of the lab told it to end
     pauses: list[list[float]] = field(default_factory=list)
 
     def runs(self, at: float) -> bool:
@@ -43,6 +44,7 @@
     on: list[str]
     way: str
     end: float = FOREVER
+    most: int = 1
 
 
 class Truth:
@@ -58,6 +60,7 @@
         self.stop_sending: int = head["stop_sending"]
         self.max_attempts: int = head["max_attempts"]
         self.fleet: bool = self.plan["fleet"]
+        self.supervised: bool = self.plan.get("supervise", False)
         self.agree: float = float(self.plan["agree_s"])
         self.by_event: dict[str, list[Event]] = defaultdict(list)
         for e in events:
@@ -80,14 +83,18 @@
         return self.by_event[event]
 
     def read(self) -> None:
-        for e in self.by_event["process"]:
+        own = [e for e in self.by_event["log"] if e["text"].endswith("-> ending")]
+        for e in own:  # one that ends by itself tells so before it takes nothing more
+            e["what"] = "ends"
+        for e in sorted([*self.by_event["process"], *own], key=lambda e: float(e["t"])):
             lives = self.lives[e["node"]]
             what, t = e["what"], e["t"]
             if what == "start":
                 lives.append(Life(e["life"], t))
             elif what == "ready":
                 lives[-1].ready = t
-            elif what in ("kill", "term"):
+            elif what in ("kill", "term", "ends"):
+                lives[-1].by_itself = what == "ends" and lives[-1].told == FOREVER
                 lives[-1].told = min(lives[-1].told, t)
             elif what == "exit":
                 lives[-1].end = t
@@ -95,11 +102,12 @@
                 lives[-1].pauses.append([t, FOREVER])
             elif what == "cont" and lives[-1].pauses:
                 lives[-1].pauses[-1][1] = t
-            if what in ("kill", "term", "stop", "cont", "ready") and self.go < t <= self.end:
+            if what in ("kill", "term", "ends", "stop", "cont", "ready") and self.go < t <= self.end:
                 self.changes.append((t, f"{e['node']} {what}"))
         for e in self.by_event["fault"]:
             if e["what"] == "begin":
-                self.periods.append(Period(e["type"], e["t"], e["on"], e.get("way", "both")))
+                period = Period(e["type"], e["t"], e["on"], e.get("way", "both"), most=e.get("most", 1))
+                self.periods.append(period)
             else:
                 for p in self.periods:
                     if p.type == e["type"] and p.on == e["on"] and p.end == FOREVER:
@@ -125,6 +133,10 @@
             and life.runs(at)
         }
 
+    def back_at(self, name: str, life: Life) -> float:
+        """When the process that came after a life was ready."""
+        return next((x.ready for x in self.lives[name] if x.start > life.start), FOREVER)
+
     def excused(self, name: str, begin: float, end: float) -> bool:
         """Whether a node may have left a request of that time unanswered: it was killed or paused in it, or
         the request came after it was told to end."""
--- a/laurelspindle/live/holding.py
+++ b/laurelspindle/live/holding.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import http.client
-import json
 import os
 import secrets
 import signal
@@ -17,10 +15,10 @@
 from typing import Any
 from urllib.parse import quote
 
+from laurelspindle.live.pages import PageError, put
 from laurelspindle.live.starter import tied
 
 ASK_EVERY = 0.2  # seconds, or a quarter of what is left if that is more
-PATIENCE = 1.0  # that a node has to answer
 DRIFT = 0.01  # that this machine's clock may be slow by
 NOT_HAD, LOST = 75, 76
 
@@ -53,19 +51,10 @@
 
     def ask(self, act: str) -> dict[str, Any] | None:
         """One PUT to the node in front; the next one comes to the front where it does not answer."""
-        host, port = self.nodes[0]
-        call = http.client.HTTPConnection(host, port, timeout=PATIENCE)
         try:
-            call.request("PUT", f"/fleet/{act}?duty={quote(self.duty)}&script={self.script}")
-            answer = call.getresponse()
-            text = answer.read()
-            if answer.status == 200:
-                return dict(json.loads(text))
-            self.why = f"{host}:{port} answers {answer.status}: {text.decode(errors='replace').strip()}"
-        except (OSError, http.client.HTTPException, ValueError) as e:
-            self.why = f"{host}:{port}: {e}"
-        finally:
-            call.close()
+            return put(self.nodes[0], f"/fleet/{act}?duty={quote(self.duty)}&script={self.script}")
+        except (PageError, ValueError) as e:
+            self.why = str(e)
         return None
 
     def renew(self) -> bool:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -54,11 +54,11 @@
     assert len(told) == len(lines) and all(any(part in t for t in told) for part in lines)
 
 
-def test_eleven_plans_ship_and_a_seed_fixes_what_they_draw():
-    assert len(shipped()) == 11
+def test_twelve_plans_ship_and_a_seed_fixes_what_they_draw():
+    assert len(shipped()) == 12
     for name in shipped():
         one, again, other = draw(name, 3), draw(name, 3, {"nodes": 7}), draw(name, 4)
-        assert one.fault == again.fault and scenario(one).nodes.count == 5
+        assert one.fault == again.fault and scenario(one).nodes.count == one.nodes
         ranged = name not in ("calm", "lossy", "rolling", "wrong-key", "versions")
         assert (one.fault != other.fault) is (ranged or name == "lossy")
 
@@ -274,6 +274,7 @@
     "b": {"n1": "slander", "n2": "crash", "n4": "deaf"},
     "c": {"n0": "blind", "n3": "pile"},
     "d": {"n3": "greedy"},
+    "e": dict.fromkeys(("n0", "n1", "n2", "n3", "n4"), "hasty"),
 }
 CAUGHT = {  # the checkers that must name each
     "mute": "answers",
@@ -287,7 +288,16 @@
     "blind": "views",
     "pile": "cold",
     "greedy": "duties",
+    "hasty": "replacement",
 }
+REPLACE = """
+voters = 3
+supervise = true
+[[fault]]
+type = "fleet_replace"
+at_s = 0.5
+for_s = 30.0
+"""
 DRAINS = """
 scenario = "{scenario}"
 [[fault]]
@@ -317,7 +327,7 @@
 
 @pytest.fixture(scope="module")
 def runs(tmp_path_factory):
-    """Five labs side by side: one clean, four in which nodes misbehave. Status, output, events of each."""
+    """Labs side by side: two clean ones, five in which nodes misbehave. Status, output, events of each."""
     folder = tmp_path_factory.mktemp("runs")
     days = Path(__file__).parent.parent / "laurelspindle" / "scenarios" / "lab.toml"
     day = folder / "drains.toml"
@@ -330,6 +340,9 @@
     )
     texts["c"] = colder + DRAINS.format(scenario=day, victim="n2") + mischief(BAD["c"])
     texts["d"] = QUICK + "voters = 3\n" + mischief(BAD["d"])
+    texts["e"] = QUICK + REPLACE + mischief(BAD["e"])
+    killed = '[[fault]]\ntype = "kill"\ncount = 1\nat_s = 3.0\nfor_s = 0.1\n'
+    texts["replace"] = QUICK + REPLACE + killed
     labs = {name: start(folder, name, text) for name, text in texts.items()}
     out = {}
     for name, lab in labs.items():
@@ -356,6 +369,16 @@
     assert set(found) == set(CHECKERS)
 
 
+def test_a_fleet_replaces_itself_though_a_process_is_killed_half_way(runs):
+    status, printed, events = runs["replace"]
+    assert status in (0, 3), printed
+    truth = Truth(events)
+    assert not any(check(events).values()), printed
+    (period,) = [p for p in truth.periods if p.type == "fleet_replace"]
+    assert all(len(lives) >= 2 for lives in truth.lives.values())
+    assert any("fleet replacement done" in e["text"] for e in truth.of("log")) and period.end < truth.end
+
+
 @pytest.mark.parametrize(("run", "node", "kind"), [(r, n, k) for r, ks in BAD.items() for n, k in ks.items()])
 def test_a_node_that_misbehaves_is_caught(runs, run, node, kind):
     """Each checker must be able to fail on real processes, and names who did it."""
@@ -476,6 +499,9 @@
         (["emulate", "trouble"], "3 tiers, discovery push: must be one tier and push"),
         (["lab", "run", "nowhere"], "nowhere: no such file: shipped are calm, duties"),
         (["lab", "run", "calm", "--keep", "/nowhere/x"], "/nowhere/x: no such folder: /nowhere"),
+        (["fleet", "replace", "begin", "nowhere"], "nowhere: not an address of the form host:port"),
+        (["fleet", "replace", "pause", "127.0.0.1:1"], "127.0.0.1:1: [Errno 111] Connection refused"),
+        (["fleet", "hold", "x" * 65, "--node", "127.0.0.1:1", "true"], "a duty's name has 1 to 64"),
         (["lab", "check", "/nowhere/h"], "/nowhere/h: cannot be read: No such file or directory"),
     ],
 )
