One fault in a part, or one bad address, no longer ends a process's part in the fleet

Cause: an exception in a tick left the timer unset, and a member that advertises a name or nonsense made sendto raise in every peer. Change: the timer is set whatever happens; what cannot be sent to is counted; addresses of the section are numbers; the duty replace is the fleet's own and no script's.

--- a/brackenladder/fleet/config.py
+++ b/brackenladder/fleet/config.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import os
+from contextlib import suppress
 from dataclasses import dataclass
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
 
@@ -76,11 +78,13 @@
         return default
 
     def address(self, key: str, value: Any) -> Address:
+        """Numbers and no name: nothing of the fleet waits for a resolver."""
         if isinstance(value, str):
             host, _, port = value.rpartition(":")
-            if host and port.isascii() and port.isdigit() and 0 < int(port) < 65536:
-                return host, int(port)
-        self.fault(key, value, "must be an address of the form host:port")
+            with suppress(ValueError):
+                if port.isascii() and port.isdigit() and 0 < int(port) < 65536:
+                    return str(ip_address(host)), int(port)
+        self.fault(key, value, "must be an address of the form host:port, the host in numbers")
         return "", 0
 
     def listed(self, key: str, most: int) -> list[Any]:
--- a/brackenladder/fleet/host.py
+++ b/brackenladder/fleet/host.py
@@ -130,11 +130,13 @@
         assert self.swim is not None
         now = self.now()
         self.late += now - self.swim.due() > LATE
-        self.send(self.swim.tick(now))
-        if self.duties is not None:
-            self.speak(self.duties.tick(now))
-            self.follow(now)
-        self.arm()
+        try:
+            self.send(self.swim.tick(now))
+            if self.duties is not None:
+                self.speak(self.duties.tick(now))
+                self.follow(now)
+        finally:  # Failure prevented: one fault in a part ends the process's part in the fleet for good
+            self.arm()
 
     def due(self) -> int:
         """When a part has something to do."""
@@ -254,9 +256,13 @@
         if self.transport is None:
             return
         data = self.codec.encode(message, self.wall())
+        try:
+            self.transport.sendto(data, to)
+        except (OSError, ValueError):  # an address that cannot be sent to is its member's fault alone
+            self.events["unsendable"] += 1
+            return
         self.sent[message.kind.name.lower()] += 1
         self.bytes_out += len(data)
-        self.transport.sendto(data, to)
 
     def error_received(self, exc: Exception) -> None:
         """A peer's port is closed, or the network is: membership learns of it by silence."""
@@ -333,6 +339,8 @@
         duty, script = (values.get(key, [""])[0] for key in ("duty", "script"))
         if not all(0 < len(name) <= NAME_MOST for name in (duty, script)):
             return 400, b"duty, script: must be names of 1 to 64 characters\n"
+        if duty == DUTY:
+            return 400, b"duty: replace is the fleet's own\n"
         table, out = act(duty, script, self.duties)
         self.speak(out)
         self.arm()
--- a/laurelspindle/cli/fleet.py
+++ b/laurelspindle/cli/fleet.py
@@ -45,8 +45,8 @@
     """Replace all processes of a fleet, at most K at a time: `fleet replace begin 10.0.0.7:8001 --most 2`.
 
     NODE is any member's management address. Whoever holds the duty `replace` leads; a process is told to end
-    as by SIGTERM, and the platform starts the next one. `watch` follows until it is over. Exits 1 where a plan
-    was stopped.
+    as by SIGTERM, and the platform starts the next one. `watch` follows until it is over. Exits 1 where a
+    plan was stopped.
     """
     try:
         address = address_of(node)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """The fleet's part of a node: its section of the configuration, and nothing of it without one."""
 
+import asyncio
 import json
 import os
 import socket
@@ -10,6 +11,7 @@
 from loopback import Bench, play, settings, until
 
 from brackenladder.fleet.config import FleetFault, read_fleet
+from brackenladder.fleet.membership.swim import Kind, Message
 from brackenladder.net.config import ConfigError, load
 
 
@@ -35,6 +37,13 @@
         ({"zone": "", "listen": "x"}, ["fleet.listen: 'x': must be an address", "fleet.zone: ''"]),
         ({"zones": 1}, ["fleet.zones: unknown key: known are name, zone"]),
         ({"seeds": ["127.0.0.1:1", 7]}, ["fleet.seeds[1]: 7: must be an address of the form host:port"]),
+        ({"listen": "localhost:7400"}, ["fleet.listen: 'localhost:7400': must be an address of the form"]),
+        (
+            {"voters": ["a", "b", "c"], "lease_ms": 9000, "longest_lease_ms": 5000},
+            ["fleet.lease_ms: 9000: must"],
+        ),
+        ({"old_voters": ["a", "b", "c"]}, ["fleet.voters: missing: must be given where old_voters is"]),
+        ({"votes": "/nowhere"}, ["fleet.votes: '/nowhere': must be a folder that this process may write to"]),
         ({"listen": "0.0.0.0:7400"}, ["fleet.advertise: missing: must be given where listen names no one"]),
         ({"voters": ["a", "b"]}, ["must be 3 or 5, or none where no duties are held: a majority of two"]),
         ({"voters": ["a", "b", "a"]}, ["fleet.voters: ['a', 'b', 'a']: must be names, none of them twice"]),
@@ -154,3 +163,38 @@
         second.node.fleet.close()
 
     play(scene)
+
+
+def test_one_part_s_fault_and_one_bad_address_end_nothing_else(tmp_path, monkeypatch):
+    """Failure prevented: an exception in a tick, or a member that advertises what cannot be sent to, silences
+    the process for good."""
+
+    async def scene():
+        given = section(tmp_path, listen=f"127.0.0.1:{free_udp()}", voters=["n0", "b", "c"], period_ms=100)
+        bench = await Bench(config={"fleet": given, "management": "127.0.0.1:0"}, peers=False).start()
+        fleet = bench.node.fleet
+        await until(lambda: fleet.swim is not None and fleet.timer is not None)
+        fleet.transmit(Message(Kind.PING, "n0"), ("no such host", 1))
+        assert fleet.events["unsendable"] == 1
+        ticks = []
+
+        def broken(now):
+            ticks.append(now)
+            raise RuntimeError("on purpose")
+
+        monkeypatch.setattr(fleet.swim, "tick", broken)
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        await until(lambda: len(ticks) >= 3)
+        for path, query, status in (
+            (b"/fleet/hold", b"duty=replace&script=s", 400),
+            (b"/fleet/hold", b"duty=&script=s", 400),
+            (b"/fleet/hold", b"duty=job&script=s", 200),
+            (b"/fleet/give", b"duty=job&script=s", 200),
+            (b"/fleet/replace", b"do=dance", 400),
+            (b"/fleet/replace", b"do=begin&most=0", 400),
+        ):
+            assert bench.node.paths()[path].act(query)[0] == status, (path, query)
+        fleet.close()
+        assert bench.node.paths()[b"/fleet/replace"].act(b"do=begin")[0] == 503
+
+    play(scene)
