Duties: tests for lists that change, 200 at once, askers at one instant, all voters forgetting

Seen while writing: where all voters forget, an asker that asked before remembers the number, so the token falls only where askers forget too and wall clocks have stepped back; then old acts are refused.

--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,5 +1,6 @@
 """Duties: voters, askers, votes on a disk, seeds on the virtual network, programs broken on purpose."""
 
+from itertools import combinations
 from random import Random
 
 import pytest
@@ -13,6 +14,8 @@
 from brackenladder.fleet.replace.decisions import Replacement
 from brackenladder.fleet.replace.messages import Plan, ReplaceKind, ReplaceMessage, ReplaceWire, State
 from laurelspindle.explore.duties import MUTANTS, explore, play, shrink
+from laurelspindle.explore.duty_net import DUTY, Net
+from laurelspindle.explore.faults import Fault
 
 SEC = 1_000_000
 SET = DutySettings(lease=3 * SEC, longest=10 * SEC)
@@ -203,6 +206,31 @@
         t.carry(t.asker.drop_all(t.now))
 
 
+def test_lists_that_may_stand_side_by_side_always_share_a_voter():
+    """All nodes go from the old list to both, then from both to the new: at no time are there two majorities
+    without a voter in common. From the old straight to the new there are."""
+    new = Electorate(("a", "b", "d"))
+    subsets = [set(c) for n in range(5) for c in combinations("abcd", n)]
+
+    def disjoint(one, other):
+        enough = [[s for s in subsets if all(e.agrees(s) for e in lists)] for lists in (one, other)]
+        return any(not x & y for x in enough[0] for y in enough[1])
+
+    both = (THREE, new)
+    assert not any(disjoint(*pair) for pair in (((THREE,), both), (both, both), (both, (new,))))
+    assert disjoint((THREE,), (new,))
+
+
+def test_two_hundred_duties_at_once():
+    t = Table()
+    for i in range(200):
+        t.asker.want(t.now, f"d{i}")
+    t.carry(t.asker.tick(t.now))
+    t.run(30)
+    assert all(t.asker.holding(t.now, f"d{i}") for i in range(200))
+    assert len({w.first % 3 for w in t.asker.wanted.values()}) == 3  # the first question is spread
+
+
 def test_no_voters_no_asker():
     with pytest.raises(ValueError, match="no voters"):
         Asker("x", 1, [], SET, Random(1), lambda: 0)
@@ -386,6 +414,38 @@
     assert play(7) == play(7) and play(7) != play(8)
 
 
+@pytest.mark.parametrize("askers", [2, 8])
+def test_those_who_ask_at_one_instant_soon_have_a_holder(askers):
+    for seed in range(20):
+        net = Net(seed, faults=[], voters=3, askers=askers)
+        net.clock.run(SEC)
+        holders = [p for p in net.processes.values() if p.asker.holding(p.now(), DUTY)]
+        assert len(holders) == 1 and net.story.holders == 1
+
+
+ALL = ("v0", "v1", "v2", "a0", "a1")
+
+
+def test_when_all_forget_at_once_the_token_rises_as_far_as_wall_clocks_do():
+    """Voters alone: whoever asked before remembers. All processes: Unix time carries the rise, if it does not
+    step back; then the next holder's acts are refused until its tokens are up again."""
+    back = Fault("step", 9 * SEC, SEC, ALL, amount=-3600.0)
+    for who, steps, refused in ((ALL[:3], [back], False), (ALL, [], False), (ALL, [back], True)):
+        net = Net(3, faults=[*steps, Fault("kill", 10 * SEC, SEC // 10, who)], voters=3, askers=2)
+        story = net.play()
+        assert not story.broken and story.holders >= 2
+        assert net.forgot() and (story.late_acts > 50) is refused
+
+
+def test_when_voters_come_back_one_after_another_the_token_rises_whatever_wall_clocks_do():
+    back = Fault("step", 5 * SEC, SEC, ("a0", "a1"), amount=-3600.0)
+    one_by_one = [Fault("kill", (6 + 4 * i) * SEC, SEC // 10, (f"v{i}",)) for i in range(3)]
+    for seed in range(5):
+        net = Net(seed, faults=[back, *one_by_one], voters=3, askers=2)
+        story = net.play()
+        assert not story.broken and story.late_acts == 0 and not net.blank
+
+
 @pytest.mark.parametrize(
     ("mutant", "seed"),  # the first seed that shows it
     [
