--- a/laurelspindle/cli/lab.py
+++ b/laurelspindle/cli/lab.py
@@ -95,8 +95,10 @@
         raise Bad(f"{keep}: is a file: a folder is wanted")
     if (folder / "history.jsonl").exists():
         raise Bad(f"{keep}: holds a history already: name another folder")
-    if not folder.parent.is_dir():
-        raise Bad(f"{keep}: no such folder: {folder.parent}")
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+    except OSError as e:
+        raise Bad(f"{keep}: cannot be made: {e.strerror}") from None
     return folder
 
 
