--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -328,7 +328,7 @@
 
 
 def test_the_on_call_page_names_what_exists():
-    page = (ROOT / "docs" / "on-call.md").read_text()
+    page, _, fleet = (ROOT / "docs" / "on-call.md").read_text().partition("## The fleet's lines")
     source = (ROOT / "brackenladder" / "balance.py").read_text()
     named = set(re.findall(r"`([a-z_]+)`", page))
     stats = World(1, 20).node.stats()
@@ -337,6 +337,9 @@
     logged = re.findall(r'log\(\s*f"(\w+) ([a-z]+)=', source)
     assert set(logged) == {("eject", "server"), ("readmit", "server")}
     assert "eject server=" in page and "readmit server=" in page
+    parts = "\n".join(f.read_text() for f in (ROOT / "brackenladder" / "fleet").rglob("*.py"))
+    words = set(re.findall(r"`([a-z_]+)`", fleet))
+    assert len(words) >= 8 and not {w for w in words if w not in parts}
 
 
 def test_state_is_given_up_when_its_cause_is_gone():
