Two greedy nodes, so that one of them is never the rightful holder alone

Cause: a test that hung on chance: the one greedy node was at times the first to ask, and held the duty by right. Change: two of them; each overlaps with another, so both are named.

--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -57,7 +57,7 @@
     "a": {"n0": "mute", "n1": "twice", "n2": "raises", "n3": "rewind", "n4": "spoil"},
     "b": {"n1": "slander", "n2": "crash", "n4": "deaf"},
     "c": {"n0": "blind", "n3": "pile"},
-    "d": {"n3": "greedy"},
+    "d": {"n3": "greedy", "n4": "greedy"},
     "e": {"any": "hasty"},
 }
 CAUGHT = {  # the checkers that must name each
