Read once more: voters and digests worked out once, dead and doubled lines out

Change: an electorate's digest and an asker's order of voters are kept instead of made anew for each question; drop calls abandon; the lab hands its world the fleet itself as control; an unused constant.

--- a/brackenladder/fleet/duties/asker.py
+++ b/brackenladder/fleet/duties/asker.py
@@ -75,6 +75,7 @@
         self.name = name
         self.life = life
         self.lists = list(lists)
+        self.voters = sorted({v for e in lists for v in e.voters})  # in one order everywhere
         self.settings = settings
         self.rng = rng
         self.wall = wall
@@ -93,20 +94,20 @@
 
     def drop(self, now: int, duty: str) -> Out:
         """Gives a duty back, or stops asking. It is not held from here on."""
-        w = self.wanted.pop(duty, None)
+        w = self.abandon(duty)
         if w is None:
             return []
-        self.seen[duty] = max(w.seen, w.number)
-        held = w.stage == Stage.HELD
-        if held:
+        if w.stage == Stage.HELD:
             self.tell("released", duty, w.number)
         return self.give_back(w) if w.stage != Stage.WAITS else []
 
-    def abandon(self, duty: str) -> None:
-        """Stops asking and renewing, and leaves what was promised to lapse."""
+    def abandon(self, duty: str) -> Wanted | None:
+        """Stops asking and renewing, and leaves what was promised to lapse. How the duty stood, if it was
+        wanted."""
         w = self.wanted.pop(duty, None)
         if w is not None:
             self.seen[duty] = max(w.seen, w.number)
+        return w
 
     def drop_all(self, now: int) -> Out:
         """A planned end: all is given back."""
@@ -154,10 +155,6 @@
 
     # ---- rounds -----------------------------------------------------------------------------------------
 
-    def voters(self) -> list[str]:
-        """All voters of the lists, in one order everywhere."""
-        return sorted({v for e in self.lists for v in e.voters})
-
     def begin(self, now: int, w: Wanted) -> None:
         self.seq += 1
         w.seq, w.asked_at = self.seq, now
@@ -171,25 +168,24 @@
         self.begin(now, w)
         w.number = self.next_number(w)
         w.stage, w.at = Stage.FIRST, now + self.settings.answer_within
-        voters = self.voters()
-        return self.ask(w, [voters[w.first % len(voters)]])
+        return self.ask(w, [self.voters[w.first % len(self.voters)]])
 
     def ask_next(self, now: int, w: Wanted) -> Out:
         """The one that was asked first is silent or cannot vote: the next, until all have been tried."""
         w.first += 1
-        if w.first % len(self.voters()) == place(w.duty) % len(self.voters()):
+        if w.first % len(self.voters) == place(w.duty) % len(self.voters):
             return self.fail(now, w)
         return self.ask_first(now, w)
 
     def ask_all(self, now: int, w: Wanted) -> Out:
         w.stage, w.at = Stage.ALL, now + self.settings.answer_within
-        return self.ask(w, [v for v in self.voters() if v not in w.granted])
+        return self.ask(w, [v for v in self.voters if v not in w.granted])
 
     def renew(self, now: int, w: Wanted) -> Out:
         """The same number, in a round of its own; missed, it is tried again until the time is out."""
         self.begin(now, w)
         w.at = now + self.settings.lease // 6
-        return self.ask(w, self.voters())
+        return self.ask(w, self.voters)
 
     def ask(self, w: Wanted, voters: list[str]) -> Out:
         """A question to each, for each of the lists that it votes in."""
@@ -226,7 +222,7 @@
 
     def give_back(self, w: Wanted) -> Out:
         message = DutyMessage(DutyKind.RELEASE, self.name, self.life, w.duty, w.seq, w.number)
-        return [(v, message) for v in self.voters()]
+        return [(v, message) for v in self.voters]
 
     # ---- answers ----------------------------------------------------------------------------------------
 
--- a/brackenladder/fleet/duties/settings.py
+++ b/brackenladder/fleet/duties/settings.py
@@ -5,6 +5,7 @@
 import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import cached_property
 
 DRIFT = 100  # a monotonic clock is off by one part in so many at most
 
@@ -42,7 +43,7 @@
 
     voters: tuple[str, ...]
 
-    @property
+    @cached_property
     def digest(self) -> int:
         text = "\n".join(sorted(self.voters)).encode()
         return int.from_bytes(hashlib.blake2b(text, digest_size=6).digest(), "big")
--- a/laurelspindle/lab/history.py
+++ b/laurelspindle/lab/history.py
@@ -12,8 +12,6 @@
 import msgspec
 import structlog
 
-FLUSH = 200  # lines that may wait in memory
-
 
 class HistoryError(Exception):
     """A file that is no history: one line."""
--- a/laurelspindle/lab/run.py
+++ b/laurelspindle/lab/run.py
@@ -23,7 +23,7 @@
 from laurelspindle.lab.plan import Plan, chosen, number, scenario
 from laurelspindle.live.clock import LiveClock
 from laurelspindle.live.links import Link
-from laurelspindle.live.nodes import LiveNode, Site
+from laurelspindle.live.nodes import NoControl, Site
 from laurelspindle.live.places import Places
 from laurelspindle.scenario.load import draw as draw_day
 from laurelspindle.virtual.play import made
@@ -69,11 +69,11 @@
         same, cross = int(num(network.same_ms) * 1000), int(num(network.cross_ms) * 1000)
         self.links = Links(self.clock, self.streams, lambda a, b: same if a == b else cross)
         epoch = time_ns() // 1_000_000 - BEGIN // 1000
-        self.site = Site(self.loop, self.clock, self.places, self, self.tell, self.link, epoch)
+        self.site = Site(self.loop, self.clock, self.places, NoControl(), self.tell, self.link, epoch)
         self.world = World(self.day, self.clock, self.site)
         self.ends = [End(n.name, n.zone, True) for n in self.site.nodes]
         self.relay = Relay(self.loop, self.clock, self.places, self.links)
-        self.fleet = Fleet(plan, self.site, folder, self.tell)
+        self.fleet = self.site.control = Fleet(plan, self.site, folder, self.tell)
         self.faults = Faults(self)
         self.stop = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -95,15 +95,6 @@
         names, zones = [n.name for n in self.site.nodes], [n.zone for n in self.site.nodes]
         return chosen(who, names, zones, int(number(self.plan.regions)), self.streams, key)
 
-    def boot(self, node: LiveNode) -> None:
-        self.fleet.boot(node)
-
-    def leave(self, node: LiveNode) -> None:
-        self.fleet.leave(node)
-
-    def kill(self, node: LiveNode) -> None:
-        self.fleet.kill(node)
-
     # ---- the run --------------------------------------------------------------------------------------
 
     async def run(self) -> str:
