lab: nodes of an earlier revision beside today's, unpacked from the repository

Need: 'old and new version side by side' was shown by a node that sends kinds of message nobody knows; now there are revisions with a fleet, and a rolling release runs two of them at once. A revision that is not there or has no fleet, and a plan without such a node, get one line.

--- a/laurelspindle/cli/lab.py
+++ b/laurelspindle/cli/lab.py
@@ -35,8 +35,11 @@
 @click.option("--seed", type=click.IntRange(0), help="Of what the plan draws; by default its own.")
 @click.option("--nodes", type=click.IntRange(1), help="Processes, in place of the plan's.")
 @click.option("--keep", metavar="DIR", help="Keep the history and the nodes' configurations in a folder.")
+@click.option("--earlier", metavar="REVISION", help="Of the nodes that are of an earlier one.")
 @click.option("--alone", is_flag=True, help="Without the fleet: no process knows of another.")
-def run(plan: str, seed: int | None, nodes: int | None, keep: str | None, alone: bool) -> int:
+def run(
+    plan: str, seed: int | None, nodes: int | None, keep: str | None, earlier: str | None, alone: bool
+) -> int:
     """Play PLAN, a file or the name of one that ships (`laurelspindle lab list`).
 
     Exits 1 where a checker fails or the run was broken off, 2 on bad input, 3 where the machine was too late
@@ -46,6 +49,7 @@
     from laurelspindle.live.places import NoPlace
 
     changes: dict[str, Any] = ({"nodes": nodes} if nodes else {}) | ({"fleet": False} if alone else {})
+    changes |= {"earlier": earlier} if earlier else {}
     folder = folder_of(keep) if keep else None
     try:
         drawn = draw(plan, seed, changes)
--- a/laurelspindle/lab/fleet.py
+++ b/laurelspindle/lab/fleet.py
@@ -22,6 +22,8 @@
 WRONG_KEY = "another key, of another fleet...\n"
 SEEDS = 3  # nodes that all others ask first
 
+UNCHANGED = ("wrong_key", "earlier")  # mischief that today's start line shows nothing of
+
 WORDS = {
     signal.SIGKILL: "kill",
     signal.SIGTERM: "term",
@@ -78,11 +80,12 @@
         self.process = Process(
             fleet.loop,
             self.name,
-            command(self.mischief if self.mischief != "wrong_key" else ""),
+            command("" if self.mischief in UNCHANGED else self.mischief),
             self.folder / "config.json",
             self.table(),
             self.logged,
             self.exited,
+            fleet.earlier if self.mischief == "earlier" else None,
         )
         fleet.tell("process", node=self.name, what="start", life=self.life, pid=self.process.pid)
         fleet.loop.create_task(self.wait_ready(self.life))
@@ -236,6 +239,7 @@
         self.fallen: list[str] = []  # those that ended unasked, and why
         self.trouble = asyncio.Event()
         self.stopping = False
+        self.earlier = folder / "earlier"  # where an earlier revision lies, if nodes are of one
 
     def add(self, mischief: dict[str, str]) -> None:
         self.members = [Member(self, n, mischief.get(n.name, "")) for n in self.site.nodes]
--- a/laurelspindle/lab/plan.py
+++ b/laurelspindle/lab/plan.py
@@ -61,6 +61,7 @@
 
     kind: Literal[
         "wrong_key",
+        "earlier",
         "newer",
         "mute",
         "spoil",
@@ -98,6 +99,7 @@
     ready_s: Over0 = 20.0  # that a process has to get ready
     join_s: Over0 = 30.0  # that the processes have at most to find one another before the clients begin
     agree_s: Over0 = 12.0  # so long after the last fault all views must agree
+    earlier: str = ""  # the revision of nodes whose mischief is `earlier`
     fault: list[Fault] = field(default_factory=list)
     mischief: list[Mischief] = field(default_factory=list)
 
@@ -128,6 +130,13 @@
         out.append(f"regions: {table['regions']}: must be at most zones, {table.get('zones', 3)}")
     if top(table.get("voters", 0)) not in (0, 3, 5):
         out.append(f"voters: {table['voters']}: must be 0, 3 or 5")
+    earlier = any(m["kind"] == "earlier" for m in table.get("mischief", ()))
+    if earlier and not table.get("earlier"):
+        out.append(
+            "earlier: missing: must be a revision of this repository where a node is of an earlier one"
+        )
+    elif table.get("earlier") and not earlier:
+        out.append(f"earlier: {table['earlier']!r}: no node of this plan is of an earlier revision")
     for i, f in enumerate(table.get("fault", ())):
         if top(f.get("at_s", 3.0)) >= length:
             out.append(f"fault[{i}].at_s: {f.get('at_s', 3.0)}: must be under length_s, {length:g}")
--- a/laurelspindle/lab/process.py
+++ b/laurelspindle/lab/process.py
@@ -23,7 +23,8 @@
 
 
 class Process:
-    """One life of a node. `line` hears of each log line, `over` of its end, with its status."""
+    """One life of a node. `line` hears of each log line, `over` of its end, with its status. `cwd`: where the
+    program lies, if it is not today's."""
 
     def __init__(
         self,
@@ -34,6 +35,7 @@
         table: dict[str, Any],
         line: Callable[[str], None],
         over: Callable[[int], None],
+        cwd: Path | None = None,
     ) -> None:
         self.loop = loop
         self.name = name
@@ -48,6 +50,7 @@
         self.popen = subprocess.Popen(
             tied(command),
             env=env | {"LB_CONFIG": str(config), "TMPDIR": str(config.parent)},
+            cwd=cwd,
             stdin=subprocess.DEVNULL,
             stdout=subprocess.DEVNULL,
             stderr=subprocess.PIPE,
--- a/laurelspindle/lab/run.py
+++ b/laurelspindle/lab/run.py
@@ -16,6 +16,7 @@
 import msgspec
 import uvloop
 
+from laurelspindle.lab.earlier import unpack
 from laurelspindle.lab.faults import Faults
 from laurelspindle.lab.fleet import Fleet
 from laurelspindle.lab.history import Event, History, read
@@ -76,6 +77,8 @@
         self.fleet = self.site.control = Fleet(plan, self.site, folder, self.tell)
         self.faults = Faults(self)
         self.stop = asyncio.Event()
+        of_earlier = any(m.kind == "earlier" for m in plan.mischief)
+        self.revision = unpack(plan.earlier, self.fleet.earlier) if of_earlier else ""
         self.tasks: set[asyncio.Task[None]] = set()
 
     # ---- what its parts ask ---------------------------------------------------------------------------
@@ -110,6 +113,7 @@
             slack=self.world.slack,
             stop_sending=self.world.referee.stop_sending,
             max_attempts=self.site.nodes[0].settings.max_attempts,
+            earlier=self.revision,
         )
         trouble = ""
         try:
@@ -228,7 +232,7 @@
 def run(plan: Plan, keep: Path | None = None, progress: Progress = lambda what, share: None) -> Outcome:
     """Plays a drawn plan and reads its history. `keep`: a folder for the history and the configurations.
 
-    NoPlace; an OSError where `keep` cannot be written.
+    NoPlace; PlanError where an earlier revision cannot be had; an OSError where `keep` cannot be written.
     """
     folder = Path(tempfile.mkdtemp(prefix="lab-"))
     history = (keep or folder) / "history.jsonl"
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -5,6 +5,7 @@
 import pytest
 
 from laurelspindle.lab.checkers import check
+from laurelspindle.lab.earlier import unpack
 from laurelspindle.lab.history import HistoryError, read
 from laurelspindle.lab.plan import PlanError, chosen, draw, plan_of, scenario, shipped
 from laurelspindle.lab.truth import Truth
@@ -28,6 +29,8 @@
         ("zones = 2\nregions = 3", ["regions: 3: must be at most zones, 2"]),
         ("length_s = 'x'\nseed = -1", ["seed: -1: must be at least 0", "length_s: 'x': must be a number"]),
         ("[[mischief]]\nkind = 'odd'\ncount = 1", ["mischief[0].kind: 'odd': must be one of blind"]),
+        ("earlier = 'HEAD'", ["earlier: 'HEAD': no node of this plan is of an earlier revision"]),
+        ("[[mischief]]\nkind = 'earlier'\ncount = 1", ["earlier: missing: must be a revision"]),
         ("scenario = 'trouble'", ["trouble: tier: 3 tiers: a lab has one"]),
         ("set = {'load.fractio' = 1}", ["load.fractio"]),
         ("nodes = [", ["not TOML"]),
@@ -42,8 +45,8 @@
     assert len(told) == len(lines) and all(any(part in t for t in told) for part in lines)
 
 
-def test_twelve_plans_ship_and_a_seed_fixes_what_they_draw():
-    assert len(shipped()) == 12
+def test_thirteen_plans_ship_and_a_seed_fixes_what_they_draw():
+    assert len(shipped()) == 13
     for name in shipped():
         one, again, other = draw(name, 3), draw(name, 3, {"nodes": 7}), draw(name, 4)
         assert one.fault == again.fault and scenario(one).nodes.count == one.nodes
@@ -51,6 +54,12 @@
         assert (one.fault != other.fault) is (ranged or name == "lossy")
 
 
+def test_a_revision_is_unpacked_beside_today_s_or_named(tmp_path):
+    assert len(unpack("HEAD", tmp_path)) == 40 and (tmp_path / "brackenladder" / "balance.py").exists()
+    with pytest.raises(PlanError, match="earlier: nowhere: no such revision"):
+        unpack("nowhere", tmp_path)
+
+
 @pytest.mark.parametrize(
     ("who", "found"),
     [
--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -201,11 +201,13 @@
 @pytest.mark.parametrize("how", [signal.SIGINT, signal.SIGKILL])
 def test_nothing_outlives_a_lab_that_is_ended(tmp_path, how):
     """Failure prevented: nodes of a killed lab go on by themselves and hold their ports."""
-    lab = start(tmp_path, "x", QUICK)
+    lab = start(tmp_path, "x", QUICK + 'earlier = "HEAD"\n' + mischief({"n1": "earlier"}))
     history = tmp_path / "x" / "history.jsonl"
     wait_for(lambda: history.exists() and '"event":"go"' in history.read_text())
     pids = pids_of(history)
     assert len(pids) == 5 and all(map(alive, pids))
+    places = [os.path.basename(os.readlink(f"/proc/{pid}/cwd")) for pid in pids]
+    assert [place == "earlier" for place in places] == [False, True, False, False, False]
     os.kill(lab.pid, how)
     assert lab.wait(PATIENCE) == (130 if how == signal.SIGINT else -signal.SIGKILL)
     wait_for(lambda: not any(map(alive, pids)))
