Duties' hand in the module: one node a zone tries servers set aside, places for passes

Need: every node spent calls of its own on servers that are set aside, and all nodes of a tier that started together were in their minRTT passes together.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -19,7 +19,9 @@
 from brackenladder.interface import (
     NEVER_RAN,
     Actions,
+    Alone,
     Effect,
+    Fleet,
     Group,
     ListKind,
     Outcome,
@@ -143,9 +145,13 @@
         "window_start",
         "ramping",
         "latency_sum",
+        "fleet",
     )
 
-    def __init__(self, allowance: Sequence[int], ceiling: int, rng: Random, now: int) -> None:
+    def __init__(
+        self, allowance: Sequence[int], ceiling: int, rng: Random, now: int, fleet: Fleet | None = None
+    ) -> None:
+        self.fleet = fleet or Alone()
         self.allowance = allowance
         self.min_rtt = [0.0] * len(allowance)
         self.target = [float(a) for a in allowance]
@@ -236,6 +242,7 @@
                 most = AIM_MOST / AIM_SHARE * self.allowance[klass]
                 self.target[klass] = min(max(self.min_rtt[klass] * (1 + BUFFER), self.allowance[klass]), most)
         self.in_pass = False
+        self.fleet.passed()
         self.passes += 1
         self.next_pass = now + int(PASS_INTERVAL * (1 + PASS_JITTER * self.rng.random()))
         self.samples.clear()
@@ -274,7 +281,7 @@
         self.limit = max(min(limit, self.most(), self.ceiling), self.least(age))
         # Failure prevented: "usual" is met in any overload, and a pass each few seconds closes a busy copy.
         self.at_min = self.at_min + 1 if self.limit <= self.floor else 0
-        if self.at_min >= WINDOWS_AT_MIN or now >= self.next_pass:
+        if (self.at_min >= WINDOWS_AT_MIN or now >= self.next_pass) and self.fleet.may_pass():
             self.start_pass(now)
 
     def follow_usual(self, age: int, count: int) -> None:
@@ -481,8 +488,9 @@
 class Balancer:
     """One copy: the decisions of one node, from its own traffic alone."""
 
-    def __init__(self, settings: Settings, seed: int, actions: Actions) -> None:
+    def __init__(self, settings: Settings, seed: int, actions: Actions, fleet: Fleet | None = None) -> None:
         self.settings = s = settings
+        self.fleet = fleet or Alone()
         self.actions = actions
         self.rng = Random(seed)
         self.servers: dict[int, Server] = {}
@@ -498,7 +506,8 @@
         self.waiting: deque[Request] = deque()
         classes = len(s.classes)
         share = AIM_SHARE * (s.tiers - s.tier) / s.tiers
-        self.controller = GradientController([int(c.aim * share) for c in s.classes], s.max_open, self.rng, 0)
+        allowance = [int(c.aim * share) for c in s.classes]
+        self.controller = GradientController(allowance, s.max_open, self.rng, 0, self.fleet)
         self.mean_rtt = [c.aim * share / 2 for c in s.classes]  # until measured
         self.rtt = [Average(m, PRIOR, SMOOTH_ALL) for m in self.mean_rtt]
         self.kinds: dict[int, Average] = {}
@@ -677,6 +686,15 @@
     def probed(self, now: int, server: int, ok: bool, latency: int, report: Sequence[float]) -> None:
         """Not used: half-open trials are real calls."""
 
+    def tried(self, now: int, server: int, well: bool) -> None:
+        """Another node has tried a server, which counts for one that is set aside here."""
+        srv = self.servers.get(server)
+        if srv is not None and srv.ejected and not srv.trial_out:
+            if well:
+                self.readmit(srv)
+            else:
+                self.eject(now, srv, srv.silent)
+
     def timer(self, now: int, token: int) -> None:
         kind, value = token >> TOKEN_BITS, token & ((1 << TOKEN_BITS) - 1)
         if kind == TIMER_LIST:
@@ -875,7 +893,7 @@
         if ok:
             srv.fails_in_row = 0
             if srv.ejected and (srv.trial_out or srv.silent):
-                self.readmit(srv)
+                self.readmit(srv, well=True)
         elif bad:
             srv.fails_in_row += 1
             if srv.ejected:
@@ -909,9 +927,10 @@
         )
         srv.ejections += 1
         self.next_trial = min(e.trial_at for e in self.ejected)
+        self.fleet.set_aside(srv.id, srv.trial_at - now)
         self.sort_members()
 
-    def readmit(self, srv: Server) -> None:
+    def readmit(self, srv: Server, well: bool = False) -> None:
         srv.ejected = False
         srv.silent = False
         srv.fail_rate = self.fail_rate
@@ -921,6 +940,7 @@
         if self.ejected:
             self.next_trial = min(e.trial_at for e in self.ejected)
         self.actions.log(f"readmit server={srv.id}")
+        self.fleet.back(srv.id, well)
         self.sort_members()
 
     def each_window(self, now: int) -> None:
@@ -1042,7 +1062,7 @@
             return self.draw_in_group(now, r)
         if self.ejected and now >= self.next_trial and effect != Effect.UNSAFE:
             for trial in self.ejected:
-                if trial.trial_at > now or trial.trial_out:
+                if trial.trial_at > now or trial.trial_out or not self.fleet.may_try(trial.id):
                     continue
                 if self.may_send(now, trial):
                     trial.trial_out = True
--- a/brackenladder/fleet/config.py
+++ b/brackenladder/fleet/config.py
@@ -19,6 +19,7 @@
 KEYS = (
     *("name", "zone", "region", "listen", "advertise", "seeds", "key", "old_key"),
     *("voters", "old_voters", "lease_ms", "longest_lease_ms", "votes", "period_ms", "lab"),
+    *("probe", "remeasure"),
 )
 
 
@@ -43,6 +44,8 @@
     longest: int  # that any process of the fleet asks for, and that a voter abstains after its start
     votes: Path | None  # a folder that outlives the process, where there is one
     period: int  # of membership's probes
+    probe: bool  # servers that are set aside are tried by one node a zone
+    remeasure: float  # the share of the tier's nodes in a minRTT pass at once; 0: as each sees fit
     clock_file: str | None  # lab: an offset of the wall clock in milliseconds, read again each period
 
 
@@ -77,6 +80,19 @@
         self.fault(key, value, f"must be a whole number from {low} to {high}")
         return default
 
+    def flag(self, key: str) -> bool:
+        value = self.table.get(key, False)
+        if not isinstance(value, bool):
+            self.fault(key, value, "must be true or false")
+        return value is True
+
+    def share(self, key: str) -> float:
+        value = self.table.get(key, 0)
+        if isinstance(value, (int, float)) and not isinstance(value, bool) and 0 <= value <= 1:
+            return float(value)
+        self.fault(key, value, "must be a number from 0 to 1")
+        return 0.0
+
     def address(self, key: str, value: Any) -> Address:
         """Numbers and no name: nothing of the fleet waits for a resolver."""
         if isinstance(value, str):
@@ -133,10 +149,15 @@
         longest=s.whole("longest_lease_ms", 10_000, *LEASE_MS) * 1000,
         votes=folder(s, "votes"),
         period=s.whole("period_ms", 1000, *PERIOD_MS) * 1000,
+        probe=s.flag("probe"),
+        remeasure=s.share("remeasure"),
         clock_file=extra.text("clock_file", most=4096) if "clock_file" in extra.table else None,
     )
     if found.lease > found.longest:
         s.fault("lease_ms", found.lease // 1000, f"must be at most longest_lease_ms, {found.longest // 1000}")
+    for use, on in (("probe", found.probe), ("remeasure", found.remeasure)):
+        if on and not found.voters:
+            s.fault("voters", None, f"must be given where {use} is")
     if found.old_voters and not found.voters:
         s.fault("voters", None, "must be given where old_voters is")
     if s.faults or extra.faults:
--- a/brackenladder/fleet/duties/asker.py
+++ b/brackenladder/fleet/duties/asker.py
@@ -19,7 +19,7 @@
 from random import Random
 
 from brackenladder.fleet.duties.messages import DutyKind, DutyMessage, Reason
-from brackenladder.fleet.duties.settings import DutySettings, Electorate
+from brackenladder.fleet.duties.settings import DutySettings, Electorate, counted
 from brackenladder.fleet.duties.voter import Out
 
 Tell = Callable[[str, str, int], None]
@@ -43,6 +43,7 @@
     """One duty that this process wants."""
 
     duty: str
+    lease: int
     stage: Stage = Stage.WAITS
     at: int = 0  # when something is due
     seq: int = 0  # of the round; answers to others do not count
@@ -52,6 +53,7 @@
     until: int = 0  # held so long
     first: int = 0  # place of the voter that is asked first
     fails: int = 0
+    elsewhere: int = 0  # until when a voter said that another holds it
     granted: set[str] = field(default_factory=set)
     denied: set[str] = field(default_factory=set)
 
@@ -87,10 +89,12 @@
 
     # ---- what the process says and asks -----------------------------------------------------------------
 
-    def want(self, now: int, duty: str) -> None:
-        """Asks for a duty from now on, and holds it as long as it can."""
+    def want(self, now: int, duty: str, lease: int = 0) -> None:
+        """Asks for a duty from now on, and holds it as long as it can. `lease`: another than is usual, no
+        longer than voters promise: one that is seldom in a hurry is renewed less often."""
         if duty not in self.wanted:
-            self.wanted[duty] = Wanted(duty, at=now, seen=self.seen.pop(duty, 0), first=place(duty))
+            lease, seen = lease or self.settings.lease, self.seen.pop(duty, 0)
+            self.wanted[duty] = Wanted(duty, lease, at=now, seen=seen, first=place(duty))
 
     def drop(self, now: int, duty: str) -> Out:
         """Gives a duty back, or stops asking. It is not held from here on."""
@@ -184,7 +188,7 @@
     def renew(self, now: int, w: Wanted) -> Out:
         """The same number, in a round of its own; missed, it is tried again until the time is out."""
         self.begin(now, w)
-        w.at = now + self.settings.lease // 6
+        w.at = now + w.lease // 6
         return self.ask(w, self.voters)
 
     def ask(self, w: Wanted, voters: list[str]) -> Out:
@@ -200,7 +204,7 @@
                     w.seq,
                     w.number,
                     e.digest,
-                    self.settings.lease,
+                    w.lease,
                 ),
             )
             for v in voters
@@ -261,12 +265,12 @@
         return w.asked_at
 
     def decide(self, now: int, w: Wanted) -> Out:
-        until = self.counted_from(w, now) + self.settings.counted
+        until = self.counted_from(w, now) + counted(w.lease)
         if not self.enough(w) or until <= now:
             return []
         fresh = w.stage != Stage.HELD
         w.stage, w.until = Stage.HELD, max(until, w.until if not fresh else 0)
-        w.at = max(now, w.asked_at + self.settings.lease // 3)
+        w.at = max(now, w.asked_at + w.lease // 3)
         w.fails = 0
         if fresh:
             self.tell("held", w.duty, w.number)
@@ -281,7 +285,10 @@
             if m.reason in (Reason.ABSTAINS, Reason.ELECTORATE):
                 return self.ask_next(now, w)
             w.stage = Stage.WAITS
-            wait = min(m.wait, self.settings.longest) if m.reason == Reason.HELD else self.settings.backoff
+            held = m.reason == Reason.HELD
+            wait = min(m.wait, self.settings.longest) if held else self.settings.backoff
+            if held:
+                w.elsewhere = now + wait
             w.at = now + wait + int(self.settings.jitter * self.rng.random())
             return []
         if w.stage == Stage.ALL and not self.possible(w):
--- a/brackenladder/fleet/duties/part.py
+++ b/brackenladder/fleet/duties/part.py
@@ -30,8 +30,9 @@
 class Duties:
     """Stands between `host.py` and the two state machines. Open from `open` to `leave`."""
 
-    def __init__(self, config: FleetConfig, log: Log) -> None:
+    def __init__(self, config: FleetConfig, log: Log, quiet: tuple[str, ...] = ()) -> None:
         self.config = config
+        self.quiet = quiet  # beginnings of duties that come and go too often for the log
         self.log = log
         self.wire = DutyWire()
         self.settings = DutySettings(lease=config.lease, longest=config.longest)
@@ -56,7 +57,8 @@
         self.asker = Asker(c.name, life, self.lists, self.settings, rng, wall, self.told)
 
     def told(self, what: str, duty: str, token: int) -> None:
-        self.log.line(f"duty {what} name={duty} token={token}")
+        if not duty.startswith(self.quiet):
+            self.log.line(f"duty {what} name={duty} token={token}")
 
     # ---- time and messages ------------------------------------------------------------------------------
 
--- a/brackenladder/fleet/duties/settings.py
+++ b/brackenladder/fleet/duties/settings.py
@@ -25,11 +25,11 @@
     spacing: int = 1_000  # between askers that are told when to come again
     waiters_most: int = 8  # told when a duty is free
 
-    @property
-    def counted(self) -> int:
-        """How long a holder believes, from its question: over by its own clock before any voter's promise is,
-        though one clock runs slow and the other fast."""
-        return self.lease * (DRIFT - 1) // (DRIFT + 1) - 1
+
+def counted(lease: int) -> int:
+    """How long a holder believes, from its question: over by its own clock before any voter's promise is,
+    though one clock runs slow and the other fast."""
+    return lease * (DRIFT - 1) // (DRIFT + 1) - 1
 
 
 def promised(lease: int) -> int:
--- a/brackenladder/fleet/host.py
+++ b/brackenladder/fleet/host.py
@@ -8,7 +8,7 @@
 import asyncio
 import json
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from pathlib import Path
 from random import Random
@@ -20,8 +20,12 @@
 from brackenladder.fleet.duties.messages import DutyMessage
 from brackenladder.fleet.duties.part import Duties
 from brackenladder.fleet.duties.voter import Out
+from brackenladder.fleet.hand import Hand
 from brackenladder.fleet.membership.codec import NAME_MOST, Codec, Part
 from brackenladder.fleet.membership.swim import Address, Claim, Send, Swim, Timing
+from brackenladder.fleet.probe.decisions import PREFIX as PROBES
+from brackenladder.fleet.probe.messages import ProbeMessage, ProbeWire
+from brackenladder.fleet.remeasure.decisions import PREFIX as PASSES
 from brackenladder.fleet.replace.decisions import DUTY, MOST, Replacement
 from brackenladder.fleet.replace.messages import ReplaceMessage, ReplaceWire, State
 from brackenladder.net.lifecycle import Lifecycle, Stage
@@ -30,6 +34,7 @@
 Act = Callable[[str, str, Duties], tuple[dict[str, Any], Out]]
 
 LOUD = ("join", "suspect", "dead", "left", "alive", "refuted")  # changes that the log tells
+FREQUENT = (PROBES, PASSES)  # beginnings of duties that come and go
 LATE = 50_000  # microseconds: a tick so late is counted, since the process itself was slow
 LEAVES = 3  # times that a leaving process says so, since a datagram may be lost
 
@@ -45,6 +50,8 @@
         log: Log,
         life: Lifecycle,
         end: Callable[[], None],
+        tier: int,
+        instances: int,
     ) -> None:
         self.config = config
         self.loop = loop
@@ -53,8 +60,9 @@
         self.end = end  # ends this process as SIGTERM does
         self.replacement: Replacement | None = None
         self.rng = Random(f"fleet {config.name} {seed}")
-        self.duties = Duties(config, log) if config.voters else None
-        parts: list[Part] = [self.duties.wire, ReplaceWire()] if self.duties is not None else []
+        self.hand = Hand(config, tier, instances, self.now, self.arm, log.line)
+        self.duties = Duties(config, log, FREQUENT) if config.voters else None
+        parts: list[Part] = [] if self.duties is None else [self.duties.wire, ReplaceWire(), ProbeWire()]
         self.codec = Codec(list(config.keys), parts)
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -88,6 +96,8 @@
             life = self.swim.me.incarnation
             self.duties.open(life, self.now(), lambda: self.wall() // 1000, self.rng)
             self.replacement = Replacement(c.name, c.zone, life, self, self.now())
+            assert self.duties.asker is not None
+            self.hand.open(self.duties.asker, self.alive, self.rng)
         self.tick()
 
     def leave(self) -> None:
@@ -102,6 +112,7 @@
 
     def close(self) -> None:
         """Lets the port go, without a word: another process of this node goes on under its name."""
+        self.hand.close()
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
@@ -134,6 +145,7 @@
             self.send(self.swim.tick(now))
             if self.duties is not None:
                 self.speak(self.duties.tick(now))
+                self.speak(self.hand.tick(now))
                 self.follow(now)
         finally:  # Failure prevented: one fault in a part ends the process's part in the fleet for good
             self.arm()
@@ -144,6 +156,7 @@
         dues: list[int | None] = [self.swim.due()]
         if self.duties is not None and self.replacement is not None:
             dues += [self.duties.deadline(), self.replacement.deadline(self.token())]
+            dues.append(self.hand.deadline(self.now()))
         return min(d for d in dues if d is not None)
 
     def arm(self) -> None:
@@ -158,6 +171,7 @@
         self.events[what] += 1
         if what == "forgotten":
             self.codec.forget(claim.name)
+            self.hand.forget(claim.name)
         if what in LOUD:
             at = spelled(claim.address)
             self.log.line(f"fleet {what} member={claim.name} at={at} incarnation={claim.incarnation}")
@@ -179,9 +193,11 @@
         if isinstance(message, DutyMessage):
             assert self.duties is not None
             self.speak(self.duties.received(self.now(), message))
+        elif isinstance(message, ProbeMessage):
+            self.speak(self.hand.received(self.now(), message))
         elif isinstance(message, ReplaceMessage):
             assert self.replacement is not None
-            self.tell(self.replacement.received(self.now(), message))
+            self.speak(self.replacement.received(self.now(), message))
             self.follow(self.now())
         else:
             self.send(self.swim.receive(self.now(), (addr[0], addr[1]), message))
@@ -204,7 +220,7 @@
         elif DUTY in self.duties.asker.wanted and not r.tells:
             self.speak(self.duties.asker.drop(now, DUTY))
         before = r.plan
-        self.tell(r.tick(now, self.token()))
+        self.speak(r.tick(now, self.token()))
         if r.plan != before and r.plan is not None:
             self.log.line(f"fleet replacement {r.plan.state.name.lower()} begun_us={r.plan.number}")
         if r.leaving and self.life.stage != Stage.ENDING and not self.ended:
@@ -226,16 +242,9 @@
     def gone(self) -> list[str]:
         return sorted(n for n, m in self.swim.members.items() if m.gone) if self.swim is not None else []
 
-    def tell(self, out: list[tuple[str, ReplaceMessage]]) -> None:
-        assert self.swim is not None
-        for name, message in out:
-            member = self.swim.members.get(name)
-            if member is not None:
-                self.transmit(message, member.claim.address)
-
     # ---- sending ----------------------------------------------------------------------------------------
 
-    def speak(self, out: Out) -> None:
+    def speak(self, out: Sequence[tuple[str, Any]]) -> None:
         """Sends to members by name; what a voter says to this process itself comes back at once."""
         assert self.swim is not None and self.duties is not None
         waiting = list(out)
@@ -301,7 +310,7 @@
             "late_ticks": self.late,
             "duties": self.duties.view(now) if self.duties is not None else None,
             "replace": self.replacement.view(self.token()) if self.replacement is not None else None,
-        }
+        } | self.hand.view(now)
 
     def page(self) -> tuple[int, bytes]:
         """`GET /fleet`."""
@@ -339,8 +348,8 @@
         duty, script = (values.get(key, [""])[0] for key in ("duty", "script"))
         if not all(0 < len(name) <= NAME_MOST for name in (duty, script)):
             return 400, b"duty, script: must be names of 1 to 64 characters\n"
-        if duty == DUTY:
-            return 400, b"duty: replace is the fleet's own\n"
+        if duty == DUTY or duty.startswith(FREQUENT):
+            return 400, b"duty: replace, probe.* and remeasure.* are the fleet's own\n"
         table, out = act(duty, script, self.duties)
         self.speak(out)
         self.arm()
--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -196,6 +196,49 @@
         """Record a change of state."""
 
 
+class Fleet(Protocol):
+    """What the processes of a fleet decide together. A Balancer that stands alone has `Alone`.
+
+    Called while an event is being handled, as `Actions` are; what a fleet has to say comes as the event
+    `tried`.
+    """
+
+    def may_pass(self) -> bool:
+        """Whether the minRTT pass that is due may begin now. Asked again while the answer is no."""
+
+    def passed(self) -> None:
+        """A minRTT pass is over."""
+
+    def may_try(self, server: int) -> bool:
+        """Whether this node tries a server that it has set aside, now that a trial is due."""
+
+    def set_aside(self, server: int, wait: int) -> None:
+        """A server was set aside, or tried in vain; its next trial is due in `wait`."""
+
+    def back(self, server: int, well: bool) -> None:
+        """A server is not set aside any more: this node tried it and found it `well`, or it is gone, new, or
+        not a member."""
+
+
+class Alone:
+    """A Balancer without a fleet: it passes and tries as it sees fit."""
+
+    def may_pass(self) -> bool:
+        return True
+
+    def passed(self) -> None:
+        pass
+
+    def may_try(self, server: int) -> bool:
+        return True
+
+    def set_aside(self, server: int, wait: int) -> None:
+        pass
+
+    def back(self, server: int, well: bool) -> None:
+        pass
+
+
 class Events(Protocol):
     """What a host tells a Balancer. A Balancer implements all of these.
 
@@ -256,6 +299,9 @@
     def probed(self, now: int, server: int, ok: bool, latency: int, report: Sequence[float]) -> None:
         """The answer to a `probe`."""
 
+    def tried(self, now: int, server: int, well: bool) -> None:
+        """Another node of the fleet has tried a server that is set aside: it is well again, or not yet."""
+
     def timer(self, now: int, token: int) -> None:
         """A timer that was set is due, `token` as it was given. Never during the event that set it."""
 
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -72,7 +72,10 @@
         self.send, self.cancel = self.requests.send, self.requests.cancel
         self.refuse, self.fail = self.requests.refuse, self.requests.fail
         self.watch, self.fetch = self.discovery.watch, self.discovery.fetch
-        self.balancer = Balancer(config.settings, config.seed, self)
+        hand = None if self.fleet is None else self.fleet.hand
+        self.balancer = Balancer(config.settings, config.seed, self, hand)
+        if hand is not None:
+            hand.verdict = self.tried
         self.requests.module = self.roster.module = self.balancer
 
     async def start(self) -> None:
@@ -123,7 +126,8 @@
         def end() -> None:
             os.kill(os.getpid(), signal.SIGTERM)
 
-        return Host(self.config.fleet, self.loop, self.config.seed, self.log_lines, self.life, end)
+        c, s = self.config, self.config.settings
+        return Host(self.config.fleet, self.loop, c.seed, self.log_lines, self.life, end, s.tier, s.instances)
 
     async def open_fleet(self) -> None:
         """Joins the fleet; a port that the process before still has is tried for again."""
@@ -232,6 +236,10 @@
         """A peer's message."""
         self.turns.post(self.balancer.peer_message, peer, data)
 
+    def tried(self, server: int, well: bool) -> None:
+        """Another node of the fleet has tried a server."""
+        self.turns.post(self.balancer.tried, server, well)
+
     def failed(self, event: Event, args: tuple[Any, ...]) -> None:
         """The module has failed over an event: a request that it was about gets an answer all the same."""
         if event in (self.balancer.request, self.balancer.outcome):
--- /dev/null
+++ b/laurelspindle/explore/duty_uses.py
@@ -0,0 +1,123 @@
+"""What the fleet's uses of duties are worth: the same day with and without them, seed by seed.
+
+python -m laurelspindle.explore.duty_uses probe --seeds 10 --jobs 8
+python -m laurelspindle.explore.duty_uses remeasure --seeds 10 --jobs 8
+
+On the virtual clock: 50 front nodes, their duties between them, and the world's servers and clients.
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+from collections.abc import Callable
+from typing import Any
+
+import click
+import numpy as np
+from scipy import stats
+
+from laurelspindle.scenario.load import draw, load, plain, scenario_of
+from laurelspindle.scenario.model import Scenario
+from laurelspindle.virtual.fleet import Uses, VirtualFleet
+from laurelspindle.virtual.play import play
+
+NODES = 50
+COMMON = [f"nodes.count={NODES}", "nodes.start_spread_ms=200"]
+SETTLED = 50.0  # seconds: the refusals of the first passes are long over
+SILENT: dict[str, Any] = {"type": "silent", "at_s": 10.0, "for_s": 50.0, "part": 0.333}
+DAYS: dict[str, tuple[Uses, list[str], list[dict[str, Any]]]] = {
+    "probe": (  # 30 of 90 servers fall silent for a minute
+        Uses(probe=True),
+        [
+            *("servers=90", "length_s=120", "load.fraction=0.35", "discovery.silent_notice_s=300"),
+            *("class[0].work_ms=400", "class[1].work_ms=400", "tier[0].kind[0].cores=16"),
+            *("class[0].aim_s=2", "class[1].aim_s=2", "class[0].deadline_s=6", "class[1].deadline_s=6"),
+        ],
+        [SILENT],
+    ),
+    "remeasure": (  # each node carries more calls than a pass allows
+        Uses(remeasure=0.1),
+        [
+            *("servers=120", "length_s=100", "load.fraction=0.7"),
+            *("class[0].work_ms=1500", "class[1].work_ms=1500", "tier[0].kind[0].cores=128"),
+            *("class[0].aim_s=4", "class[1].aim_s=4", "class[0].deadline_s=8", "class[1].deadline_s=8"),
+        ],
+        [],
+    ),
+}
+Row = dict[str, float]
+
+
+def scenario(use: str) -> Scenario:
+    """The day, ranges and all, made of the lab's scenario."""
+    _, keys, faults = DAYS[use]
+    return scenario_of(plain(load("lab", [*COMMON, *keys])) | {"fault": faults})
+
+
+def figures(what: tuple[str, int, bool]) -> Row:
+    """One run."""
+    use, seed, on = what
+    uses, _, _ = DAYS[use]
+    fleet = VirtualFleet(uses if on else None)
+    run = play(draw(scenario(use), seed), fleet)
+    account, bins = run.result["account"], run.result["table"]
+    modules = fleet.modules
+    row = {
+        "worth, points": 100 * account["goal"],
+        "requests lost": lost(bins, 0.0),
+        f"requests lost from {SETTLED:g} s on": lost(bins, SETTLED),
+        "refusals": float(account["refusals"][0]),
+        "messages a node and second": fleet.notes.messages / NODES / (run.result["day"]["length_s"]),
+        "broken rules": float(sum(run.result["rules"].values())),
+    }
+    if use == "probe":
+        row["trials of servers set aside"] = float(sum(fleet.notes.trials.values()))
+        row["still aside at the end"] = float(sum(len(m.ejected) for m in modules))
+        assert fleet.world is not None
+        well = fleet.world.begin + int((SILENT["at_s"] + SILENT["for_s"]) * 1e6)
+        back = [(at - well) / 1e6 for at in fleet.notes.readmitted if at > well]
+        row["taken back after, s: mean"] = float(np.mean(back))
+        row["taken back after, s: 90%"] = float(np.percentile(back, 90))
+    else:
+        row["refusals in passes"] = float(fleet.notes.refused_in_pass)
+        row["most in a pass at a refusal"] = float(fleet.notes.most_in_pass)
+        row["limit at the end, sum"] = float(sum(m.controller.limit for m in modules))
+        row["min_rtt at the end, ms"] = float(np.mean([max(m.controller.min_rtt) for m in modules])) / 1000
+    return row
+
+
+def lost(bins: list[dict[str, Any]], since: float) -> float:
+    """Requests that were not served, of those asked from then on."""
+    return float(sum(b["asked"] - b["served"] for b in bins if b["at_s"] >= since))
+
+
+def table(pairs: list[tuple[Row, Row]]) -> list[str]:
+    """Markdown: a line for each figure, with the 95% interval of the difference seed by seed."""
+    out = [
+        f"| figure, mean of {len(pairs)} seeds | alone | fleet | difference (95%) |",
+        "| --- | --- | --- | --- |",
+    ]
+    for key in pairs[0][0]:
+        alone, fleet = (np.array([p[i][key] for p in pairs]) for i in (0, 1))
+        d = fleet - alone
+        half = stats.t.ppf(0.975, len(d) - 1) * d.std(ddof=1) / len(d) ** 0.5 if len(d) > 1 else 0.0
+        span = f"{d.mean():+.4g} ({d.mean() - half:.4g} to {d.mean() + half:.4g})"
+        out.append(f"| {key} | {alone.mean():.4g} | {fleet.mean():.4g} | {span} |")
+    return out
+
+
+@click.command()
+@click.argument("use", type=click.Choice(list(DAYS)))
+@click.option("--seeds", type=click.IntRange(2), default=10, help="So many, from 1 on.")
+@click.option("--jobs", type=click.IntRange(1), default=4)
+def main(use: str, seeds: int, jobs: int) -> None:
+    """Play USE's day with and without it, and print a table."""
+    work = [(use, seed, on) for seed in range(1, seeds + 1) for on in (False, True)]
+    run: Callable[[tuple[str, int, bool]], Row] = figures
+    with multiprocessing.get_context("spawn").Pool(jobs) as pool:
+        rows = pool.map(run, work, chunksize=1)
+    click.echo("\n".join(table(list(zip(rows[::2], rows[1::2], strict=True)))))
+
+
+if __name__ == "__main__":
+    main()
--- a/laurelspindle/lab/checkers.py
+++ b/laurelspindle/lab/checkers.py
@@ -12,11 +12,18 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from brackenladder.fleet.probe.settings import settings_for
+from brackenladder.fleet.remeasure.decisions import RemeasureSettings
 from laurelspindle.lab.history import Event
 from laurelspindle.lab.truth import HELD, Truth, seconds
 
 MAY_HAVE_RAN = ("error", "reset", "timeout", "cancelled")
 FAILURE = re.compile(r"Traceback|\b[A-Z]\w*(Error|Exception)\b|floods its log")
+PASS = re.compile(
+    r"fleet pass (?:(?P<over>over)|begins (?:(?P<place>place=\d+)|without a place waited=(?P<waited>[\d.]+)))"
+)
+TRIAL = re.compile(r"fleet tries server=(?P<server>\d+)")
+LINES = 0.2  # seconds within which a log line may be read
 REPEATED = 8  # stories of one checker that are told one by one
 
 
@@ -195,6 +202,52 @@
                 )
 
 
+def passes(truth: Truth) -> Found:
+    """At most so many nodes hold a place to pass at once; whoever passes without one has waited for long."""
+    share = truth.plan.get("remeasure")
+    if not share:
+        return
+    settings = RemeasureSettings(share)
+    places = settings.places(len(truth.names))
+    spans: list[tuple[float, float, str]] = []
+    for node in truth.names:
+        begun = None
+        for e in truth.of("log"):
+            found = PASS.search(e["text"]) if e["node"] == node else None
+            if found is None:
+                continue
+            if found["over"] and begun is not None:
+                spans.append((begun, e["t"], node))
+            begun = e["t"] if found["place"] else None
+            if found["waited"] and float(found["waited"]) < settings.bound / 1e6:
+                yield e["t"], node, f"passes without a place, after {found['waited']} s of waiting"
+    for begin, _, node in spans:
+        # Whoever was cut off or paused may have lost its place half-way; a line may be read late.
+        inside = begin + LINES + truth.late(begin, begin)
+        on = {n for a, b, n in spans if a <= begin and inside < b and truth.steady(n, a, begin)}
+        if len(on | {node}) > places:
+            yield begin, node, f"passes while {', '.join(sorted(on - {node}))} do, {places} allowed at once"
+
+
+def trials(truth: Truth) -> Found:
+    """Of a zone's nodes one tries a server that is set aside, by its log, while there is a majority to say
+    which."""
+    if not truth.plan.get("probe"):
+        return
+    lease = truth.plan["lease_ms"] / 1000
+    apart, patience = lease / 2, settings_for(int(lease * 1e6)).patience / 1e6 + LINES
+    tried: dict[tuple[int, str], list[tuple[float, str]]] = defaultdict(list)
+    for e in truth.of("log"):
+        found = TRIAL.search(e["text"])
+        if found is not None:
+            tried[truth.zones[e["node"]], found["server"]].append((e["t"], e["node"]))
+    for (_, server), all_ in tried.items():
+        for (before, other), (at, node) in zip(all_, all_[1:], strict=False):
+            steady = all(truth.steady(n, at - patience, at) for n in (node, other))
+            if node != other and at - before < apart and steady:
+                yield at, node, f"tries server {server} {at - before:.3f} s after {other} of its zone did"
+
+
 def cold(truth: Truth) -> Found:
     """No cold server is pushed over by what nodes send that knew of its start."""
     for e in truth.of("end"):
@@ -207,7 +260,7 @@
     f.__name__: f
     for f in (
         *(answers, attempts, drains, processes, logs, cold),
-        *(views, deaths, incarnations, duties, replacement),
+        *(views, deaths, incarnations, duties, replacement, passes, trials),
     )
 }
 
--- a/laurelspindle/lab/fleet.py
+++ b/laurelspindle/lab/fleet.py
@@ -116,8 +116,15 @@
                 "longest_lease_ms": int(number(fleet.plan.lease_ms)),
                 "lab": {"clock_file": str(self.clock_file)},
             }
+            | self.uses()
         }
 
+    def uses(self) -> dict[str, Any]:
+        """Keys that nodes of earlier revisions may not know are left out where they are off."""
+        plan = self.fleet.plan
+        uses = {"probe": plan.probe, "remeasure": number(plan.remeasure)}
+        return {key: value for key, value in uses.items() if value}
+
     def logged(self, text: str) -> None:
         if " stats " not in text:
             self.fleet.tell("log", node=self.name, text=text)
--- a/laurelspindle/lab/mischief.py
+++ b/laurelspindle/lab/mischief.py
@@ -16,10 +16,13 @@
 from typing import Any
 
 import brackenladder.__main__ as program
+import brackenladder.balance as balance
 from brackenladder.fleet.duties.asker import Asker
 from brackenladder.fleet.host import Host
 from brackenladder.fleet.membership.codec import MembershipWire
 from brackenladder.fleet.membership.swim import Claim, Kind, Message, Status, Swim
+from brackenladder.fleet.probe.decisions import Probe
+from brackenladder.fleet.remeasure.decisions import Remeasure
 from brackenladder.fleet.replace.decisions import Replacement
 from brackenladder.interface import State
 from brackenladder.net.lifecycle import Lifecycle
@@ -195,6 +198,29 @@
     wrap(Host, "gone", lambda go, self: [])
 
 
+def brisk() -> None:
+    """Passes each few seconds, so that a short run sees some."""
+    balance.PASS_INTERVAL = 2_000_000
+
+
+def unruly() -> None:
+    """Passes, and often, whether it has a place or not."""
+    brisk()
+
+    def may(go: Any, self: Any, now: int) -> bool:
+        go(self, now)
+        self.bound = 0
+        return bool(go(self, now))
+
+    wrap(Remeasure, "may", may)
+
+
+def pushy() -> None:
+    """Tries servers that are set aside, and often, whoever else does."""
+    balance.EJECT_TIME = 200_000
+    wrap(Probe, "may_try", lambda go, self, now, server: True)
+
+
 def crash() -> None:
     """Ends by itself some seconds after its start."""
     threading.Timer(SOON, lambda: os._exit(3)).start()
@@ -245,6 +271,9 @@
         flood,
         greedy,
         hasty,
+        brisk,
+        unruly,
+        pushy,
     )
 }
 
--- a/laurelspindle/lab/plan.py
+++ b/laurelspindle/lab/plan.py
@@ -11,6 +11,7 @@
 from msgspec import Meta, Struct, field
 
 from laurelspindle.live.places import MOST
+from laurelspindle.scenario import model
 from laurelspindle.scenario.check import low, top, type_faults
 from laurelspindle.scenario.load import ScenarioError, fix, load, read_toml, titles
 from laurelspindle.scenario.model import Any0, Count, From0, Number, Over0, Scenario, Share, Some
@@ -77,6 +78,9 @@
         "flood",
         "greedy",
         "hasty",
+        "brisk",
+        "pushy",
+        "unruly",
     ]
 
 
@@ -96,11 +100,14 @@
     period_ms: Over0 = 300.0  # of membership's probes
     voters: Any0 = 0  # the first so many nodes vote, and every node asks for one duty
     lease_ms: Over0 = 1500.0
+    probe: bool = False  # servers that are set aside are tried by one node a zone
+    remeasure: Share = 0.0  # of the nodes in a minRTT pass at once; 0: as each sees fit
     ready_s: Over0 = 20.0  # that a process has to get ready
     join_s: Over0 = 30.0  # that the processes have at most to find one another before the clients begin
     agree_s: Over0 = 12.0  # so long after the last fault all views must agree
     earlier: str = ""  # the revision of nodes whose mischief is `earlier`
     fault: list[Fault] = field(default_factory=list)
+    trouble: list[model.Fault] = field(default_factory=list)  # of the servers, beside the scenario's own
     mischief: list[Mischief] = field(default_factory=list)
 
 
@@ -130,6 +137,9 @@
         out.append(f"regions: {table['regions']}: must be at most zones, {table.get('zones', 3)}")
     if top(table.get("voters", 0)) not in (0, 3, 5):
         out.append(f"voters: {table['voters']}: must be 0, 3 or 5")
+    uses = [key for key in ("probe", "remeasure") if table.get(key)]
+    if uses and not table.get("voters"):
+        out.append(f"voters: missing: must be 3 or 5 where {uses[0]} is")
     earlier = any(m["kind"] == "earlier" for m in table.get("mischief", ()))
     if earlier and not table.get("earlier"):
         out.append(
@@ -166,6 +176,7 @@
         found = load(plan.scenario, keys)
     except ScenarioError as e:
         raise PlanError(str(e)) from None
+    found = msgspec.structs.replace(found, fault=[*found.fault, *plan.trouble])
     if len(found.tier) != 1:
         raise PlanError(f"{plan.scenario}: tier: {len(found.tier)} tiers: a lab has one")
     if found.discovery.mode != "push":
--- a/laurelspindle/lab/truth.py
+++ b/laurelspindle/lab/truth.py
@@ -156,6 +156,15 @@
                     return True
         return False
 
+    def steady(self, name: str, begin: float, end: float) -> bool:
+        """Whether a node, and the voters, have run and been reached all this time."""
+        voters = self.names[: int(self.plan.get("voters", 0))]
+        for who in {name, *voters}:
+            life = self.life_at(who, end)
+            if life is None or not life.runs(end) or life.start > begin or life.paused(begin, end):
+                return False
+        return not any(p.type in ("cut", "links") and p.begin < end and begin < p.end for p in self.periods)
+
     # ---- the network ----------------------------------------------------------------------------------
 
     def cut(self, a: str, b: str, begin: float, end: float) -> bool:
--- a/laurelspindle/policies/base.py
+++ b/laurelspindle/policies/base.py
@@ -138,6 +138,9 @@
         if r is not None and r.out >= 0 and self.settings.cancel:
             self.actions.cancel(request, r.attempt - 1)
 
+    def tried(self, now: int, server: int, well: bool) -> None:
+        """Not used: a baseline has no fleet."""
+
     def probed(self, now: int, server: int, ok: bool, latency: int, report: Sequence[float]) -> None:
         """No baseline probes."""
 
--- /dev/null
+++ b/laurelspindle/virtual/fleet.py
@@ -0,0 +1,200 @@
+"""A fleet on the virtual clock: the front nodes of a world with their duties between them.
+
+Voters, askers and the hand in the module are the node's own; the network between them is the world's, without
+loss, and who is there is known at once. What faults do to duties, `explore/duties.py` tries.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from brackenladder.balance import Balancer, Request, Server
+from brackenladder.fleet.config import FleetConfig
+from brackenladder.fleet.duties.asker import Asker
+from brackenladder.fleet.duties.messages import DutyMessage
+from brackenladder.fleet.duties.settings import DutySettings, Electorate
+from brackenladder.fleet.duties.voter import Voter
+from brackenladder.fleet.hand import Hand
+from brackenladder.interface import Actions, Events, Settings
+from brackenladder.interface import Fleet as Hook
+from laurelspindle.world.site import World
+
+EPOCH = 1_700_000_000_000  # milliseconds of Unix time at the clock's 0
+NOWHERE = ("127.0.0.1", 1)
+
+
+@dataclass(frozen=True)
+class Uses:
+    """What of the fleet is on. Times in microseconds."""
+
+    probe: bool = False
+    remeasure: float = 0.0
+    voters: int = 3
+    lease: int = 3_000_000
+    longest: int = 10_000_000
+
+
+@dataclass
+class Notes:
+    """What the nodes of one run did: trials of servers set aside, passes, messages."""
+
+    trials: Counter[int] = field(default_factory=Counter)  # by server
+    readmitted: list[int] = field(default_factory=list)  # when a node took a server back
+    refused_in_pass: int = 0
+    most_in_pass: int = 0
+    messages: int = 0
+
+
+class Watched(Balancer):
+    """The module, with its trials and passes counted."""
+
+    def __init__(
+        self, settings: Settings, seed: int, actions: Actions, hook: Hook | None, fleet: VirtualFleet
+    ) -> None:
+        super().__init__(settings, seed, actions, hook)
+        self.notes = fleet.notes
+        self.all = fleet.modules
+        self.all.append(self)
+        assert fleet.world is not None
+        self.clock = fleet.world.clock
+
+    def readmit(self, srv: Server, well: bool = False) -> None:
+        self.notes.readmitted.append(self.clock.now)
+        super().readmit(srv, well)
+
+    def time_out(self, now: int, r: Request, srv: Server) -> int:
+        if srv.aside:
+            self.notes.trials[srv.id] += 1
+        return super().time_out(now, r, srv)
+
+    def finish(self, r: Request, refuse: bool) -> None:
+        if refuse and not r.attempts and self.controller.in_pass and self.controller.passes:
+            self.notes.refused_in_pass += 1
+            on = sum(m.controller.in_pass and m.controller.passes > 0 for m in self.all)
+            self.notes.most_in_pass = max(self.notes.most_in_pass, on)
+        super().finish(r, refuse)
+
+
+class Process:
+    """One front node's part in the fleet."""
+
+    def __init__(self, fleet: VirtualFleet, world: World, settings: Settings, seed: int) -> None:
+        self.fleet = fleet
+        self.world = world
+        self.clock = world.clock
+        self.index = settings.index
+        self.zone = settings.zone
+        self.name = f"n{settings.index}"
+        self.armed = -1
+        self.rng = Random(f"fleet {self.name} {seed}")
+        uses = fleet.uses
+        names = tuple(f"n{i}" for i in range(uses.voters))
+        config = FleetConfig(
+            name=self.name, zone=f"z{settings.zone}", region="", listen=NOWHERE, advertise=NOWHERE, seeds=(),
+            keys=(), voters=names, old_voters=(), lease=uses.lease, longest=uses.longest, votes=None,
+            period=1_000_000, probe=uses.probe, remeasure=uses.remeasure, clock_file=None,
+        )  # fmt: skip
+        duties = DutySettings(lease=uses.lease, longest=uses.longest)
+        lists = [Electorate(names)]
+        self.hand = Hand(config, settings.tier, settings.instances, self.now, self.arm, lambda text: None)
+        self.hand.verdict = self.verdict
+        self.asker = Asker(self.name, seed & 0xFFFFFF, lists, duties, self.rng, self.wall)
+        votes = lists if self.name in names else []
+        self.voter = Voter(self.name, 1, votes, duties, self.now())
+        if self.clock.now <= world.begin + 1_000_000:  # as the day begins, the fleet has stood for long
+            self.voter.abstain_until = 0
+            self.voter.recalled = dict.fromkeys(names, 0)
+        self.hand.open(self.asker, self.others, self.rng)
+
+    def now(self) -> int:
+        return self.clock.now
+
+    def wall(self) -> int:
+        return EPOCH + self.clock.now // 1000
+
+    def others(self) -> list[str]:
+        """Those that run, in order."""
+        return [n for n in self.fleet.processes if n != self.name and self.fleet.runs(n)]
+
+    def verdict(self, server: int, well: bool) -> None:
+        node: Any = self.world.nodes[self.index]
+        if node.module is not None:
+            node.post(node.module.tried, (server, well))
+
+    # ---- time and messages ------------------------------------------------------------------------------
+
+    def arm(self) -> None:
+        now = self.clock.now
+        dues = (self.voter.deadline(), self.asker.deadline(), self.hand.deadline(now))
+        due = min((d for d in dues if d is not None), default=None)
+        if due is None:
+            return
+        at = max(now + 1, due)
+        if self.armed <= now or at < self.armed:
+            self.armed = at
+            self.clock.call_at(at, self.wake, at)
+
+    def wake(self, at: int) -> None:
+        if at != self.armed or not self.fleet.runs(self.name) or self.fleet.processes[self.name] is not self:
+            return
+        self.armed = -1
+        now = self.clock.now
+        self.carry([*self.voter.tick(now), *self.asker.tick(now)])
+        self.carry(self.hand.tick(now))
+        self.arm()
+
+    def carry(self, out: list[tuple[str, Any]]) -> None:
+        for name, message in out:
+            other = self.fleet.processes.get(name)
+            if other is None:
+                continue
+            self.fleet.notes.messages += name != self.name
+            delay = self.world.network.between(self.zone, other.zone, self.rng.getrandbits(32))
+            self.clock.call_at(
+                self.clock.now + (delay if name != self.name else 1), self.arrive, (name, message)
+            )
+
+    def arrive(self, what: tuple[str, Any]) -> None:
+        name, message = what
+        if self.fleet.runs(name):
+            self.fleet.processes[name].take(message)
+
+    def take(self, message: Any) -> None:
+        now = self.clock.now
+        if isinstance(message, DutyMessage):
+            self.carry([*self.voter.received(now, message), *self.asker.received(now, message)])
+        else:
+            self.carry(self.hand.received(now, message))
+        self.arm()
+
+
+class VirtualFleet:
+    """Makes the modules of one run, as a `Policy`; those behind the front stand alone, and all without
+    `uses`."""
+
+    def __init__(self, uses: Uses | None) -> None:
+        self.uses = uses or Uses()
+        self.on = uses is not None
+        self.processes: dict[str, Process] = {}
+        self.notes = Notes()
+        self.modules: list[Watched] = []
+        self.world: World | None = None
+
+    def __call__(self, settings: Settings, seed: int, actions: Actions, world: World) -> Events:
+        self.world = world
+        if settings.tier:
+            return Balancer(settings, seed, actions)
+        hand = None
+        if self.on:
+            process = self.processes[f"n{settings.index}"] = Process(self, world, settings, seed)
+            hand = process.hand
+        return Watched(settings, seed, actions, hand, self)
+
+    def runs(self, name: str) -> bool:
+        """Whether a node is up."""
+        assert self.world is not None
+        node: Any = self.world.nodes[int(name[1:])]
+        return bool(node.up and not node.leaving)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -8,7 +8,7 @@
 from brackenladder.fleet.duties import store
 from brackenladder.fleet.duties.asker import Asker, Stage
 from brackenladder.fleet.duties.messages import DutyKind, DutyMessage, DutyWire, Reason
-from brackenladder.fleet.duties.settings import DRIFT, DutySettings, Electorate, promised
+from brackenladder.fleet.duties.settings import DRIFT, DutySettings, Electorate, counted, promised
 from brackenladder.fleet.duties.voter import Voter
 from brackenladder.fleet.membership.codec import Codec
 from brackenladder.fleet.replace.decisions import Replacement
@@ -74,9 +74,9 @@
 def test_a_promise_outlasts_the_holder_s_count_though_both_clocks_are_wrong():
     slow, fast = 1 - 1 / DRIFT, 1 + 1 / DRIFT
     for lease in (200_000, 3 * SEC, 600 * SEC):
-        counted = DutySettings(lease=lease).counted
-        assert counted / slow < promised(lease) / fast
-        assert counted / slow < promised(lease) / slow and counted > 0.97 * lease
+        believed = counted(lease)
+        assert believed / slow < promised(lease) / fast
+        assert believed / slow < promised(lease) / slow and believed > 0.97 * lease
 
 
 def test_those_who_were_denied_hear_when_it_is_free():
@@ -179,9 +179,9 @@
     t = Table().want()
     t.silent = {"a", "b"}
     begun = t.now
-    t.run(SET.counted / SEC - 0.001)
+    t.run(counted(SET.lease) / SEC - 0.001)
     assert t.token() == 1000
-    t.now = begun + SET.counted
+    t.now = begun + counted(SET.lease)
     assert t.token() is None  # by a look at the clock alone, before anything has ticked
     t.run(0.5)
     assert t.told[-1] == ("lost", 1000) and t.asker.wanted["d"].stage != Stage.HELD
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -45,8 +45,8 @@
     assert len(told) == len(lines) and all(any(part in t for t in told) for part in lines)
 
 
-def test_thirteen_plans_ship_and_a_seed_fixes_what_they_draw():
-    assert len(shipped()) == 13
+def test_fifteen_plans_ship_and_a_seed_fixes_what_they_draw():
+    assert len(shipped()) == 15
     for name in shipped():
         one, again, other = draw(name, 3), draw(name, 3, {"nodes": 7}), draw(name, 4)
         assert one.fault == again.fault and scenario(one).nodes.count == one.nodes
@@ -221,6 +221,47 @@
     assert {n: [b.who for b in bs] for n, bs in found.items() if bs} == broken
 
 
+def log(t, node, text):
+    return {"t": t, "event": "log", "node": node, "text": f"{node}: {text}"}
+
+
+def begins(t, node, place=0):
+    return log(t, node, f"fleet pass begins place={place} token=7 waited=1.0")
+
+
+def over(t, node):
+    return log(t, node, "fleet pass over after=1.2")
+
+
+def tries(t, node, server=7):
+    return log(t, node, f"fleet tries server={server} token=9")
+
+
+SPLIT = [process(3.0, "n1", "stop"), process(12.0, "n1", "cont")]
+
+
+@pytest.mark.parametrize(
+    ("events", "broken"),
+    [
+        ([begins(1, "n0"), over(2.5, "n0"), begins(2.6, "n1"), over(4, "n1")], {}),
+        ([begins(1, "n0"), begins(2, "n1"), over(2.5, "n0"), over(4, "n1")], {"passes": ["n1"]}),
+        ([begins(1, "n0"), begins(2.4, "n1"), over(2.5, "n0"), over(4, "n1")], {}),  # a line read late
+        ([begins(2, "n1"), *SPLIT, begins(6, "n0"), over(7, "n0"), over(12.1, "n1")], {}),
+        ([log(1, "n0", "fleet pass begins without a place waited=31.2"), over(3, "n0")], {}),
+        ([log(1, "n0", "fleet pass begins without a place waited=0.1")], {"passes": ["n0"]}),
+        ([tries(13.4, "n0"), tries(14.6, "n1")], {}),
+        ([tries(13.4, "n0"), tries(13.6, "n1")], {"trials": ["n1"]}),
+        ([tries(13.4, "n0"), tries(13.6, "n1", 8), tries(13.6, "n2")], {}),  # another server, another zone
+        ([*SPLIT, tries(13.4, "n0"), tries(13.6, "n1")], {}),
+    ],
+)
+def test_the_uses_of_duties_are_judged_by_logs_and_attempts(events, broken):
+    plan = RUN["plan"] | {"remeasure": 0.3, "probe": True, "lease_ms": 1500.0, "voters": 3}
+    run = RUN | {"plan": plan, "nodes": [["n0", 0], ["n1", 0], ["n2", 2]]}
+    found = check([run, *START, *ALL, *sorted(events, key=lambda e: e["t"]), *END])
+    assert {n: [b.who for b in found[n]] for n in ("passes", "trials") if found[n]} == broken
+
+
 def test_how_long_the_views_took():
     truth = Truth([RUN, *START, *ALL, *KILL, *SEE, *END])
     assert [(at, what, round(took, 2)) for at, what, took in truth.agreements()] == [(3.0, "n2 kill", 2.0)]
--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -59,6 +59,8 @@
     "c": {"n0": "blind", "n3": "pile"},
     "d": {"n3": "greedy", "n4": "greedy"},
     "e": {"any": "hasty"},
+    "f": {"n1": "unruly"},
+    "g": {"any": "pushy"},
 }
 CAUGHT = {  # the checkers that must name each
     "mute": "answers",
@@ -73,6 +75,8 @@
     "pile": "cold",
     "greedy": "duties",
     "hasty": "replacement",
+    "unruly": "passes",
+    "pushy": "trials",
 }
 REPLACE = """
 voters = 3
@@ -82,6 +86,16 @@
 at_s = 0.5
 for_s = 30.0
 """
+ASIDE = """
+zones = 1
+probe = true
+lease_ms = 1000
+[[trouble]]
+type = "silent"
+at_s = 0.2
+for_s = 20.0
+part = 0.25
+"""
 DRAINS = """
 scenario = "{scenario}"
 [[fault]]
@@ -125,6 +139,13 @@
     texts["c"] = colder + DRAINS.format(scenario=day, victim="n2") + mischief(BAD["c"])
     texts["d"] = QUICK + "voters = 3\n" + mischief(BAD["d"])
     texts["e"] = QUICK + REPLACE + '[[mischief]]\nkind = "hasty"\npart = 1.0\n'
+    duty = QUICK.replace("= 6.0", "= 12.0") + "voters = 3\n"
+    silent = duty.replace("0.15", '0.6, servers = 4, "discovery.silent_notice_s" = 90.0') + ASIDE
+    all_ = '[[mischief]]\nkind = "{}"\npart = 1.0\n'
+    texts["f"] = duty + "remeasure = 0.2\n" + mischief(BAD["f"])
+    texts["uses"] = duty + "remeasure = 0.4\n" + all_.format("brisk")
+    texts["g"] = silent + all_.format("pushy")
+    texts["aside"] = silent + all_.format("brisk")
     killed = '[[fault]]\ntype = "kill"\ncount = 1\nat_s = 3.0\nfor_s = 0.1\n'
     texts["replace"] = QUICK + REPLACE + killed
     labs = {name: start(folder, name, text) for name, text in texts.items()}
@@ -163,6 +184,21 @@
     assert any("fleet replacement done" in e["text"] for e in truth.of("log")) and period.end < truth.end
 
 
+def test_places_to_pass_and_trials_are_kept_to(runs):
+    """Each node passes each few seconds, two at once; a server that all set aside is tried by one."""
+    for name in ("uses", "aside"):
+        status, printed, events = runs[name]
+        assert status in (0, 3), printed
+        truth = Truth(events)
+        assert not any(check(events).values()), printed
+        lines = [e["text"] for e in truth.of("log")]
+        if name == "uses":
+            assert sum("fleet pass begins place=" in line for line in lines) >= 3, printed
+        else:
+            assert sum("eject server=" in line for line in lines) >= 2, printed
+            assert any("fleet tries server=" in line for line in lines), printed
+
+
 @pytest.mark.parametrize(("run", "node", "kind"), [(r, n, k) for r, ks in BAD.items() for n, k in ks.items()])
 def test_a_node_that_misbehaves_is_caught(runs, run, node, kind):
     """Each checker must be able to fail on real processes, and names who did it."""
@@ -171,7 +207,9 @@
     broken = check(events)[CAUGHT[kind]]
     # What a slanderer says is held by those who believe it, who pushed a server over nobody saw, and whoever
     # leads in haste tells others to end.
-    assert broken and (kind in ("slander", "pile", "hasty") or any(node in str(b) for b in broken)), printed
+    assert broken and (
+        kind in ("slander", "pile", "hasty", "pushy") or any(node in str(b) for b in broken)
+    ), printed
 
 
 def pids_of(file):
