Duties: a small model explored to its end; lists of voters changed in service, in the lab

Need: the issue's small model (3 voters, 2 askers, one restart), and its cases of lists that differ or change. Change: explore/duty_model hands the program's asker and voter messages in waves, every order at a process, and tries each loss, delay, sleep and restart within bounds; lab plans voters and lists, fault type voters, mischief other_list; the checker duties also says when nobody holds the duty long after all faults.

--- a/laurelspindle/lab/checkers.py
+++ b/laurelspindle/lab/checkers.py
@@ -15,7 +15,8 @@
 from brackenladder.fleet.probe.settings import settings_for
 from brackenladder.fleet.remeasure.decisions import RemeasureSettings
 from laurelspindle.lab.history import Event
-from laurelspindle.lab.truth import HELD, Truth, seconds
+from laurelspindle.lab.truth import FOREVER, HELD, Truth, seconds
+from laurelspindle.world.site import BEGIN
 
 MAY_HAVE_RAN = ("error", "reset", "timeout", "cancelled")
 FAILURE = re.compile(r"Traceback|\b[A-Z]\w*(Error|Exception)\b|floods its log")
@@ -176,6 +177,11 @@
             yield seconds(begin), other, f"holds the duty while {node} may count on it for {over:.3f} s more"
         if next_token <= token:
             yield seconds(begin), other, f"holds it with token {next_token}, {node} had {token}"
+    calm = truth.end - max([truth.go, *(at for at, _ in truth.changes), *(p.end for p in truth.periods)])
+    if truth.plan.get("voters") and truth.agree <= calm < FOREVER:
+        last = seconds(max((until for _, until, *_ in spans), default=BEGIN))
+        if last < truth.end - truth.plan["lease_ms"] / 500:
+            yield truth.end, "all", f"nobody has held the duty since {last:.1f} s, all faults are long over"
 
 
 def replacement(truth: Truth) -> Found:
--- a/laurelspindle/lab/faults.py
+++ b/laurelspindle/lab/faults.py
@@ -102,6 +102,19 @@
                 return
             await asyncio.sleep(0.1)
 
+    async def play_voters(self, fault: Fault, names: list[str]) -> None:
+        """The list of voters is changed as operators do: every process anew with both, then with the new one
+        alone, `for_s` apart."""
+        for both in (True, False):
+            for member in self.lab.fleet.members:
+                if both:
+                    member.voters, member.old_voters = fault.voters, member.voters
+                else:
+                    member.old_voters = []
+                member.signal(signal.SIGTERM)
+                await self.back(member)
+                await asyncio.sleep(number(fault.for_s))
+
     async def back(self, member: Member) -> None:
         """The process ends, and another comes up in its place."""
         try:
--- a/laurelspindle/lab/fleet.py
+++ b/laurelspindle/lab/fleet.py
@@ -22,7 +22,7 @@
 WRONG_KEY = "another key, of another fleet...\n"
 SEEDS = 3  # nodes that all others ask first
 
-UNCHANGED = ("wrong_key", "earlier")  # mischief that today's start line shows nothing of
+UNCHANGED = ("wrong_key", "earlier", "other_list")  # mischief that today's start line shows nothing of
 
 WORDS = {
     signal.SIGKILL: "kill",
@@ -58,6 +58,9 @@
         self.view: dict[str, list[Any]] | None = None
         self.own = 0  # the incarnation that it says of itself
         self.page: dict[str, Any] = {}
+        names, count = [n.name for n in fleet.site.nodes], int(number(fleet.plan.voters))
+        self.voters = names[-count:] if mischief == "other_list" else names[:count]
+        self.old_voters: list[str] = []
 
     @property
     def running(self) -> bool:
@@ -111,7 +114,8 @@
                 "seeds": [f"{places.seen(i)}:{PORT}" for i in seeds],
                 "key": str(key),
                 "period_ms": int(number(fleet.plan.period_ms)),
-                "voters": [n.name for n in fleet.site.nodes[: int(number(fleet.plan.voters))]],
+                "voters": self.voters,
+                "old_voters": self.old_voters,
                 "lease_ms": int(number(fleet.plan.lease_ms)),
                 "longest_lease_ms": int(number(fleet.plan.lease_ms)),
                 "lab": {"clock_file": str(self.clock_file)},
--- a/laurelspindle/lab/plan.py
+++ b/laurelspindle/lab/plan.py
@@ -41,7 +41,7 @@
 class Fault(Who, forbid_unknown_fields=True, kw_only=True):
     """One fault. What does not belong to its type is not looked at."""
 
-    type: Literal["kill", "pause", "term", "replace", "cut", "links", "clock", "fleet_replace"]
+    type: Literal["kill", "pause", "term", "replace", "cut", "links", "clock", "fleet_replace", "voters"]
     at_s: From0 = 3.0
     for_s: From0 = 5.0  # then the process is started, resumed, the link healed, the clock set right
     back: bool = True  # whether what was killed or ended is started again
@@ -55,6 +55,7 @@
     kbytes_s: From0 = 0.0  # 0: as many as come
     offset_ms: Number = 0.0  # of a clock
     most: Some = 1  # of `fleet_replace`: out at a time
+    voters: list[str] = field(default_factory=list)  # of `voters`: the list to come
 
 
 class Mischief(Who, forbid_unknown_fields=True, kw_only=True):
@@ -63,6 +64,7 @@
     kind: Literal[
         "wrong_key",
         "earlier",
+        "other_list",
         "newer",
         "mute",
         "spoil",
@@ -150,7 +152,11 @@
     for i, f in enumerate(table.get("fault", ())):
         if top(f.get("at_s", 3.0)) >= length:
             out.append(f"fault[{i}].at_s: {f.get('at_s', 3.0)}: must be under length_s, {length:g}")
-        if f["type"] not in ("replace", "links", "fleet_replace") and not any(
+        if f["type"] == "voters" and (len(f.get("voters", ())) not in (3, 5) or not table.get("voters")):
+            out.append(
+                f"fault[{i}].voters: {f.get('voters', [])}: must be 3 or 5 names, in a plan with voters"
+            )
+        if f["type"] not in ("replace", "links", "fleet_replace", "voters") and not any(
             f.get(k) not in (None, [], 0, 0.0, -1) or (k in ("zone", "region") and f.get(k) == 0)
             for k in ("nodes", "zone", "region", "count", "part")
         ):
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -14,6 +14,7 @@
 from brackenladder.fleet.replace.decisions import Replacement
 from brackenladder.fleet.replace.messages import Plan, ReplaceKind, ReplaceMessage, ReplaceWire, State
 from laurelspindle.explore.duties import MUTANTS, explore, play, shrink
+from laurelspindle.explore.duty_model import Bounds, Model
 from laurelspindle.explore.duty_net import DUTY, Net
 from laurelspindle.explore.faults import Fault
 
@@ -464,3 +465,21 @@
     story = shrink(seed, mutant)
     assert story.broken and len(story.faults) <= 3
     assert not play(seed, "none", story.faults).broken
+
+
+@pytest.mark.parametrize(
+    ("mutant", "bounds", "broken"),
+    [
+        ("none", (8, 0, 1, 1), ""),
+        ("none", (5, 1, 0, 1), ""),
+        ("from-answer", (5, 1, 3, 0), "both askers hold the duty"),
+        ("no-look-at-clock", (5, 0, 3, 0), "both askers hold the duty"),
+        ("no-abstaining", (5, 1, 1, 1), "both askers hold the duty"),
+        ("token-not-raised", (4, 0, 0, 1), "token 1 after 1"),
+    ],
+)
+def test_a_small_model_is_explored_to_its_end(mutant, bounds, broken):
+    """Steps, upsets, sleeps, restarts; the last mutant, a majority of the living, takes 20 s by hand."""
+    found = Model(mutant, Bounds(*bounds)).explore(400_000)
+    assert found.broken == broken
+    assert found.hand_overs > 0 and (broken or len(found.layers) == bounds[0])
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -31,6 +31,10 @@
         ("[[mischief]]\nkind = 'odd'\ncount = 1", ["mischief[0].kind: 'odd': must be one of blind"]),
         ("earlier = 'HEAD'", ["earlier: 'HEAD': no node of this plan is of an earlier revision"]),
         ("[[mischief]]\nkind = 'earlier'\ncount = 1", ["earlier: missing: must be a revision"]),
+        (
+            "[[fault]]\ntype = 'voters'\nvoters = ['n0']",
+            ["fault[0].voters: ['n0']: must be 3 or 5 names, in a plan with voters"],
+        ),
         ("scenario = 'trouble'", ["trouble: tier: 3 tiers: a lab has one"]),
         ("set = {'load.fractio' = 1}", ["load.fractio"]),
         ("nodes = [", ["not TOML"]),
@@ -45,8 +49,8 @@
     assert len(told) == len(lines) and all(any(part in t for t in told) for part in lines)
 
 
-def test_fifteen_plans_ship_and_a_seed_fixes_what_they_draw():
-    assert len(shipped()) == 15
+def test_seventeen_plans_ship_and_a_seed_fixes_what_they_draw():
+    assert len(shipped()) == 17
     for name in shipped():
         one, again, other = draw(name, 3), draw(name, 3, {"nodes": 7}), draw(name, 4)
         assert one.fault == again.fault and scenario(one).nodes.count == one.nodes
@@ -213,6 +217,7 @@
         ([*ALL, duty(1, 2, "n0", 5), duty(2.1, 3, "n1", 6), duty(2.5, 4, "n1", 6)], {}),
         ([*ALL, duty(1, 2, "n0", 5), duty(1.9, 3, "n1", 6)], {"duties": ["n1"]}),
         ([*ALL, duty(1, 2, "n0", 5), duty(2.1, 3, "n1", 5)], {"duties": ["n1"]}),
+        ([*ALL, duty(1, 2, "n0", 5), duty(17, 18, "n0", 5)], {}),
         ([*ALL, {"t": 1, "event": "log", "node": "n1", "text": "n1: list failed, version=1 stays"}], {}),
     ],
 )
