--- a/brackenladder/fleet/host.py
+++ b/brackenladder/fleet/host.py
@@ -36,6 +36,7 @@
 LOUD = ("join", "suspect", "dead", "left", "alive", "refuted")  # changes that the log tells
 FREQUENT = (PROBES, PASSES)  # beginnings of duties that come and go
 LATE = 50_000  # microseconds: a tick so late is counted, since the process itself was slow
+SYNC_PERIODS = 15  # between two whole exchanges: what gossip missed is known after some of them
 LEAVES = 3  # times that a leaving process says so, since a datagram may be lost
 
 
@@ -85,7 +86,7 @@
             [s for s in c.seeds if s != c.advertise],
             self.rng,
             self.now(),
-            Timing(period=c.period, ack_within=c.period * 3 // 10),
+            Timing(period=c.period, ack_within=c.period * 3 // 10, sync_every=SYNC_PERIODS * c.period),
             self.told,
         )
         self.log.line(
--- a/laurelspindle/lab/measure.py
+++ b/laurelspindle/lab/measure.py
@@ -80,6 +80,8 @@
         "worth": end[0]["worth"] if end else 0.0,
         "broken": {name: [str(b) for b in bs[:3]] for name, bs in broken.items() if bs},
         "agreements": [[verb(what), took] for _, what, took in truth.agreements()],
+        "refused": sum(e["answer"] == "refused" for e in truth.of("request")),
+        "fault_s": max((p.end - p.begin for p in truth.periods), default=0.0),
     }
 
 
@@ -131,20 +133,38 @@
     return "; ".join(parts) or "-"
 
 
+FIGURES = (
+    *(("worth", "worth served", 1.0), ("lost", "requests lost", 1.0), ("refused", "tries refused", 1.0)),
+    *(("cpu", "CPU, % of a core", 100.0), ("memory_mb", "MB", 1.0), ("fault_s", "seconds of the fault", 1.0)),
+)
+Variant = tuple[str, bool]  # a plan, and whether without the fleet
+PAIRS: list[tuple[Variant, Variant]] = [
+    (("calm", True), ("calm", False)),
+    (("by-hand", False), ("release", False)),
+]
+
+
 def paired(rows: list[Row]) -> list[str]:
-    """Calm with the fleet against calm without, seed by seed: the 95% interval of the differences."""
+    """One variant against another, seed by seed: the 95% interval of the differences."""
     out = []
-    calm = {(r["nodes"], r["seed"], r["alone"]): r for r in rows if r["plan"] == "calm" and r["status"] == 0}
-    for nodes in sorted({n for n, _, _ in calm}):
-        seeds = [s for n, s, alone in calm if n == nodes and not alone and (nodes, s, True) in calm]
-        if len(seeds) < LEAST_PAIRS:
-            continue
-        for key, unit, scale in (("worth", "worth served", 1.0), ("lost", "requests lost", 1.0),
-                                 ("cpu", "CPU, % of a core", 100.0), ("memory_mb", "MB", 1.0)):  # fmt: skip
-            d = scale * np.array([calm[nodes, s, False][key] - calm[nodes, s, True][key] for s in seeds])
-            half = stats.t.ppf(0.975, len(d) - 1) * d.std(ddof=1) / len(d) ** 0.5
-            low, high = d.mean() - half, d.mean() + half
-            out.append(f"{nodes} nodes, {len(d)} pairs: {unit} {d.mean():+.4g} ({low:.4g} to {high:.4g})")
+    counted = {(r["plan"], r["alone"], r["nodes"], r["seed"]): r for r in rows if r["status"] == 0}
+    for before, after in PAIRS:
+        for nodes in sorted({n for plan, alone, n, _ in counted if (plan, alone) == after}):
+            seeds = [
+                s for *v, n, s in counted if (*v,) == after and n == nodes and (*before, n, s) in counted
+            ]
+            if len(seeds) < LEAST_PAIRS:
+                continue
+            for key, unit, scale in FIGURES:
+                one, two = (
+                    scale * np.array([counted[*v, nodes, s].get(key, 0.0) for s in seeds])
+                    for v in (before, after)
+                )
+                d = two - one
+                half = stats.t.ppf(0.975, len(d) - 1) * d.std(ddof=1) / len(d) ** 0.5
+                span = f"{d.mean():+.4g} ({d.mean() - half:.4g} to {d.mean() + half:.4g})"
+                names = " to ".join(plan + (", no fleet" if alone else "") for plan, alone in (before, after))
+                out.append(f"{names}, {nodes} nodes, {len(d)} pairs: {unit} {one.mean():.4g}, {span}")
     return out
 
 
