--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from math import ceil, sqrt
 from random import Random
 
@@ -500,6 +500,9 @@
         self.near: list[Server] = []  # members in this zone that may be drawn
         self.able: list[Server] = []  # all members that may be drawn
         self.ejected: list[Server] = []
+        self.shares: Mapping[int, float] = {}  # of the calls, by zone, as the fleet has it
+        self.trips: Mapping[int, int] = {}  # how much longer the way to a zone is
+        self.by_zone: dict[int, list[Server]] = {}  # those of `able`, where there are shares
         self.next_trial = 0
         self.requests: dict[int, Request] = {}
         self.flowing: set[int] = set()  # requests whose answers flow: their attempts are booked
@@ -695,6 +698,11 @@
             else:
                 self.eject(now, srv, srv.silent)
 
+    def zones(self, now: int, shares: Mapping[int, float], trips: Mapping[int, int]) -> None:
+        """How the calls go to the zones from now on: members are taken from each."""
+        self.shares, self.trips = shares, trips
+        self.refill(now)
+
     def timer(self, now: int, token: int) -> None:
         kind, value = token >> TOKEN_BITS, token & ((1 << TOKEN_BITS) - 1)
         if kind == TIMER_LIST:
@@ -867,7 +875,7 @@
         if r is not None and (ok or outcome == Outcome.TIMEOUT):
             klass = r.klass
             if srv.deviation.value < OUTLIER and not srv.ejected:
-                ctl.sample(now, klass, latency)
+                ctl.sample(now, klass, max(1, latency - self.trips.get(srv.zone, 0)))
             ratio = min(latency / self.mean_rtt[klass], RATIO_MOST)
             srv.deviation.add(ratio / srv.kind.value)
             srv.kind.add(ratio)
@@ -1019,7 +1027,7 @@
         for srv in self.members:
             srv.member = False
         self.members = []
-        if self.zoned:
+        if self.zoned or self.shares:
             # Failure prevented: a subset over all zones has one member or none where calls should stay.
             for zone in sorted({srv.zone for srv in listed}):
                 self.members += self.stretch([srv for srv in listed if srv.zone == zone])
@@ -1050,6 +1058,7 @@
                 self.controller.in_flight += -m.in_flight if aside else m.in_flight
                 m.aside = aside
         self.near = [m for m in self.able if m.zone == self.settings.zone]
+        self.by_zone = {zone: [m for m in self.able if m.zone == zone] for zone in self.shares}
 
     def draw(self, now: int, r: Request) -> Server | None:
         """Two random members; the one with less in flight takes the call, a further attempt as well.
@@ -1068,6 +1077,14 @@
                     trial.trial_out = True
                     trial.trial_at = now + EJECT_TIME
                     return trial
+        if self.shares:
+            drawn = self.rng.choices([*self.shares], [*self.shares.values()])
+            failed = r.tried[-1].zone if r.tried else -1  # where a zone is lost, a repeat there is lost too
+            for zone in sorted([*drawn, *self.shares], key=lambda zone: zone == failed):
+                srv = self.draw_two(now, r.klass, untried(self.by_zone[zone], r))
+                if srv is not None:
+                    return srv
+            return None
         if self.zoned and self.near and self.rng.random() >= self.spill:
             srv = self.draw_two(now, r.klass, untried(self.near, r))
             if srv is not None:
--- a/brackenladder/fleet/config.py
+++ b/brackenladder/fleet/config.py
@@ -11,15 +11,17 @@
 
 from brackenladder.fleet.membership.codec import NAME_MOST, KeyFault, read_key
 from brackenladder.fleet.membership.swim import Address
+from brackenladder.fleet.zones.settings import ZoneSettings
 
 VOTERS = (0, 3, 5)
 SEEDS_MOST = 64
 PERIOD_MS = (100, 60_000)
+ROOM_MOST = 10
 LEASE_MS = (200, 600_000)
 KEYS = (
     *("name", "zone", "region", "listen", "advertise", "seeds", "key", "old_key"),
     *("voters", "old_voters", "lease_ms", "longest_lease_ms", "votes", "period_ms", "lab"),
-    *("probe", "remeasure"),
+    *("probe", "remeasure", "zones"),
 )
 
 
@@ -46,6 +48,7 @@
     period: int  # of membership's probes
     probe: bool  # servers that are set aside are tried by one node a zone
     remeasure: float  # the share of the tier's nodes in a minRTT pass at once; 0: as each sees fit
+    zones: ZoneSettings | None  # None: the module's calls go where it sees fit
     clock_file: str | None  # lab: an offset of the wall clock in milliseconds, read again each period
 
 
@@ -151,6 +154,7 @@
         period=s.whole("period_ms", 1000, *PERIOD_MS) * 1000,
         probe=s.flag("probe"),
         remeasure=s.share("remeasure"),
+        zones=zones(s),
         clock_file=extra.text("clock_file", most=4096) if "clock_file" in extra.table else None,
     )
     if found.lease > found.longest:
@@ -176,6 +180,30 @@
     return tuple(str(n) for n in names)
 
 
+def zones(s: Section) -> ZoneSettings | None:
+    """The table `zones`, if there is one."""
+    table = s.table.get("zones")
+    if table is None:
+        return None
+    if not isinstance(table, dict):
+        s.fault("zones", table, "must be a table")
+        return None
+    inner = Section(table, "fleet.zones")
+    inner.only("room", "costs")
+    room, costs = table.get("room", 1.4), table.get("costs", {})
+    if isinstance(room, bool) or not isinstance(room, (int, float)) or not 1 <= room <= ROOM_MOST:
+        inner.fault("room", room, f"must be a number from 1 to {ROOM_MOST}")
+        room = 1.4
+    if not isinstance(costs, dict):
+        inner.fault("costs", costs, "must be a table of zones")
+        costs = {}
+    for zone, cost in costs.items():
+        if isinstance(cost, bool) or not isinstance(cost, (int, float)) or not 0 <= cost < 1e9:
+            inner.fault(f"costs.{zone}", cost, "must be a number from 0 on")
+    s.faults += inner.faults
+    return ZoneSettings(room=float(room), costs=costs)
+
+
 def folder(s: Section, key: str) -> Path | None:
     if key not in s.table:
         return None
--- a/brackenladder/fleet/hand.py
+++ b/brackenladder/fleet/hand.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import Any
 
@@ -16,6 +16,14 @@
 from brackenladder.fleet.probe.messages import ProbeMessage
 from brackenladder.fleet.probe.settings import settings_for
 from brackenladder.fleet.remeasure.decisions import Remeasure, RemeasureSettings
+from brackenladder.fleet.zones.decisions import Listed, Zones
+from brackenladder.fleet.zones.messages import ZoneMessage
+from brackenladder.fleet.zones.orders import Orders
+from brackenladder.interface import ListKind, Outcome, ServerEntry, Settings, State
+
+UNCOUNTED = (Outcome.CANCELLED, Outcome.NOT_SENT)  # say nothing of a server
+MOVED = 0.005  # a share that has moved less is not worth telling the module
+Spread = Callable[[dict[int, float], dict[int, int]], None]
 
 
 class Hand:
@@ -24,33 +32,97 @@
     def __init__(
         self,
         config: FleetConfig,
-        tier: int,
-        instances: int,
+        settings: Settings,
         now: Callable[[], int],
+        wall: Callable[[], int],
         wake: Callable[[], None],
         tell: Callable[[str], None],
     ) -> None:
         self.config = config
-        self.tier = tier
-        self.instances = instances
+        self.settings = settings
         self.now = now
+        self.wall = wall
         self.wake = wake
         self.tell = tell  # a line for the log
         self.verdict: Callable[[int, bool], None]  # of a server that another node tried; set by whoever hosts
+        self.spread: Spread  # shares and ways by the zones' numbers, to the module; set with it
         self.probe: Probe | None = None
         self.remeasure: Remeasure | None = None
-
-    def open(self, asker: Asker, alive: Callable[[], Sequence[str]], rng: Random) -> None:
+        self.zones: Zones | None = None
+        self.orders: Orders | None = None
+        self.alive: Callable[[], Sequence[str]] = tuple
+        self.entries: dict[int, ServerEntry] = {}  # ready servers, as discovery has them
+        self.ahead = 0  # the list's clock before ours
+        self.numbers: Mapping[str, int] = {}  # of the zones
+        self.shares: dict[str, float] = {}  # as the module was told last
+
+    def open(self, alive: Callable[[], Sequence[str]], rng: Random) -> None:
         """A new life begins. `alive`: the other members that are held alive."""
-        c = self.config
+        c, s = self.config, self.settings
+        self.alive = alive
+        if c.zones is not None:
+            now = self.now()
+            self.zones = Zones(c.zone, c.zones, s.cold_time, s.cold_share, now, self.place, self.tell)
+            self.orders = Orders(c.name, alive, self.wall, rng, now)
+            self.tell_zones()
+
+    def vote(self, asker: Asker, rng: Random) -> None:
+        """There are voters: duties can be had."""
+        c, s = self.config, self.settings
         if c.probe:
             settings = settings_for(c.longest)
-            self.probe = Probe(c.name, c.zone, settings, asker, alive, self.verdict, rng)
+            self.probe = Probe(c.name, c.zone, settings, asker, self.alive, self.verdict, rng)
         if c.remeasure:
-            self.remeasure = Remeasure(self.tier, self.instances, RemeasureSettings(c.remeasure), asker, rng)
+            self.remeasure = Remeasure(s.tier, s.instances, RemeasureSettings(c.remeasure), asker, rng)
 
     def close(self) -> None:
-        self.probe = self.remeasure = None
+        """A module that was told of zones keeps its last shares: there is no way to be without."""
+        self.probe = self.remeasure = self.zones = self.orders = None
+
+    def place(self) -> float:
+        """Where this node stands among the members, from 0 to 1."""
+        names = sorted([*self.alive(), self.config.name])
+        return names.index(self.config.name) / len(names)
+
+    # ---- what the node sees -----------------------------------------------------------------------------
+
+    def server_list(
+        self, now: int, kind: ListKind, entries: Sequence[ServerEntry], numbers: Mapping[str, int]
+    ) -> None:
+        """Discovery's news, as the module gets it; `numbers`: of the zones. `now`: by the list's clock."""
+        if kind == ListKind.FAILED:
+            return
+        if kind != ListKind.CHANGES:
+            self.entries.clear()
+        for e in entries:
+            if e.state == State.READY:
+                self.entries[e.server] = e
+            else:
+                self.entries.pop(e.server, None)
+        self.ahead = now - self.now()
+        self.numbers = numbers
+        self.tell_zones()
+
+    def tell_zones(self) -> None:
+        """The zones' part gets the list as it stands."""
+        if self.zones is None or not self.entries:
+            return
+        names = {number: name for name, number in self.numbers.items()}
+        cold = self.settings.cold_time - self.ahead
+        self.zones.listed(
+            {
+                number: Listed(names[e.zone], e.ready_at + cold if e.ready_at > 0 else 0)
+                for number, e in self.entries.items()
+            }
+        )
+        self.wake()
+
+    def ended(self, server: int, outcome: Outcome, latency: int, dial: float) -> None:
+        """An attempt has ended; `dial`: seconds that a new connection for it took, or 0."""
+        if self.zones is not None and outcome not in UNCOUNTED:
+            self.zones.ended(server, outcome == Outcome.OK, latency)
+            if dial:
+                self.zones.connected(server, int(dial * 1e6))
 
     # ---- what the module asks and tells -----------------------------------------------------------------
 
@@ -77,6 +149,8 @@
             self.wake()
 
     def may_try(self, server: int) -> bool:
+        if self.zones is not None and not self.zones.allows(server):
+            return False
         if self.probe is None:
             return True
         now = self.now()
@@ -87,11 +161,15 @@
         return may
 
     def set_aside(self, server: int, wait: int) -> None:
+        if self.zones is not None:
+            self.zones.set_aside(server, True)
         if self.probe is not None:
             self.probe.set_aside(self.now(), server, wait)
             self.wake()
 
     def back(self, server: int, well: bool) -> None:
+        if self.zones is not None:
+            self.zones.set_aside(server, False)
         if self.probe is not None:
             self.probe.back(self.now(), server, well)
             self.wake()
@@ -101,13 +179,34 @@
     def deadline(self, now: int) -> int | None:
         """When to `tick` next."""
         dues = [part.deadline(now) for part in (self.probe, self.remeasure) if part is not None]
+        if self.zones is not None and self.orders is not None and self.entries:
+            dues += [self.zones.deadline(), self.orders.deadline()]
         return min((d for d in dues if d is not None), default=None)
 
     def tick(self, now: int) -> Out:
         """Does what is due."""
-        return [sent for part in (self.probe, self.remeasure) if part is not None for sent in part.tick(now)]
-
-    def received(self, now: int, message: ProbeMessage) -> Out:
+        out = [sent for part in (self.probe, self.remeasure) if part is not None for sent in part.tick(now)]
+        if self.zones is None or self.orders is None:
+            return out
+        if self.entries and self.zones.tick(now):
+            self.zones.ordered(self.orders.left(), self.orders.returned())
+            self.tell_shares(now, self.zones)
+        return out + self.orders.tick(now)
+
+    def tell_shares(self, now: int, zones: Zones) -> None:
+        """The module hears of shares that have moved."""
+        shares = zones.shares(now)
+        before = self.shares
+        if list(shares) != list(before) or any(abs(shares[z] - before[z]) > MOVED for z in shares):
+            self.shares = shares
+            trips = {self.numbers[z]: trip for z, trip in zones.trips().items()}
+            self.spread({self.numbers[z]: share for z, share in shares.items()}, trips)
+
+    def received(self, now: int, message: ProbeMessage | ZoneMessage) -> Out:
+        if isinstance(message, ZoneMessage):
+            if self.orders is not None:
+                self.orders.received(message)
+            return []
         return [] if self.probe is None else self.probe.received(now, message)
 
     def forget(self, member: str) -> None:
@@ -120,4 +219,5 @@
     def view(self, now: int) -> dict[str, Any]:
         """Of each part that is on."""
         parts = {"probe": self.probe, "remeasure": self.remeasure}
-        return {name: part.view(now) for name, part in parts.items() if part is not None}
+        table = {name: part.view(now) for name, part in parts.items() if part is not None}
+        return table if self.zones is None else table | {"zones": self.zones.view(now)}
--- a/brackenladder/fleet/host.py
+++ b/brackenladder/fleet/host.py
@@ -28,6 +28,8 @@
 from brackenladder.fleet.remeasure.decisions import PREFIX as PASSES
 from brackenladder.fleet.replace.decisions import DUTY, MOST, Replacement
 from brackenladder.fleet.replace.messages import ReplaceMessage, ReplaceWire, State
+from brackenladder.fleet.zones.messages import ZoneMessage, ZoneWire
+from brackenladder.interface import Settings
 from brackenladder.net.lifecycle import Lifecycle, Stage
 from brackenladder.net.log import Log
 
@@ -51,8 +53,7 @@
         log: Log,
         life: Lifecycle,
         end: Callable[[], None],
-        tier: int,
-        instances: int,
+        settings: Settings,
     ) -> None:
         self.config = config
         self.loop = loop
@@ -61,9 +62,10 @@
         self.end = end  # ends this process as SIGTERM does
         self.replacement: Replacement | None = None
         self.rng = Random(f"fleet {config.name} {seed}")
-        self.hand = Hand(config, tier, instances, self.now, self.arm, log.line)
+        self.hand = Hand(config, settings, self.now, self.wall, self.arm, log.line)
         self.duties = Duties(config, log, FREQUENT) if config.voters else None
         parts: list[Part] = [] if self.duties is None else [self.duties.wire, ReplaceWire(), ProbeWire()]
+        parts += [ZoneWire()] if config.zones is not None else []
         self.codec = Codec(list(config.keys), parts)
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -93,12 +95,13 @@
             f"fleet joins name={c.name} zone={c.zone} region={c.region or '-'} listen={spelled(c.listen)}"
             f" advertise={spelled(c.advertise)} seeds={len(c.seeds)} incarnation={self.swim.me.incarnation}"
         )
+        self.hand.open(self.alive, self.rng)
         if self.duties is not None:
             life = self.swim.me.incarnation
             self.duties.open(life, self.now(), lambda: self.wall() // 1000, self.rng)
             self.replacement = Replacement(c.name, c.zone, life, self, self.now())
             assert self.duties.asker is not None
-            self.hand.open(self.duties.asker, self.alive, self.rng)
+            self.hand.vote(self.duties.asker, self.rng)
         self.tick()
 
     def leave(self) -> None:
@@ -146,18 +149,17 @@
             self.send(self.swim.tick(now))
             if self.duties is not None:
                 self.speak(self.duties.tick(now))
-                self.speak(self.hand.tick(now))
                 self.follow(now)
+            self.speak(self.hand.tick(now))
         finally:  # Failure prevented: one fault in a part ends the process's part in the fleet for good
             self.arm()
 
     def due(self) -> int:
         """When a part has something to do."""
         assert self.swim is not None
-        dues: list[int | None] = [self.swim.due()]
+        dues: list[int | None] = [self.swim.due(), self.hand.deadline(self.now())]
         if self.duties is not None and self.replacement is not None:
             dues += [self.duties.deadline(), self.replacement.deadline(self.token())]
-            dues.append(self.hand.deadline(self.now()))
         return min(d for d in dues if d is not None)
 
     def arm(self) -> None:
@@ -194,7 +196,7 @@
         if isinstance(message, DutyMessage):
             assert self.duties is not None
             self.speak(self.duties.received(self.now(), message))
-        elif isinstance(message, ProbeMessage):
+        elif isinstance(message, (ProbeMessage, ZoneMessage)):
             self.speak(self.hand.received(self.now(), message))
         elif isinstance(message, ReplaceMessage):
             assert self.replacement is not None
@@ -247,11 +249,12 @@
 
     def speak(self, out: Sequence[tuple[str, Any]]) -> None:
         """Sends to members by name; what a voter says to this process itself comes back at once."""
-        assert self.swim is not None and self.duties is not None
+        assert self.swim is not None
         waiting = list(out)
         while waiting:
             name, message = waiting.pop(0)
             if name == self.config.name:
+                assert self.duties is not None
                 waiting += self.duties.received(self.now(), message)
             elif (member := self.swim.members.get(name)) is not None:
                 self.transmit(message, member.claim.address)
@@ -342,6 +345,26 @@
         self.arm()
         return 200, json.dumps(self.replacement.view(self.token())).encode() + b"\n"
 
+    def zone(self, query: bytes) -> tuple[int, bytes]:
+        """`PUT /fleet/zone?do=leave|return&zone=NAME&for_s=N`."""
+        zones, orders = self.hand.zones, self.hand.orders
+        if zones is None or orders is None:
+            return 503, b"fleet.zones is not configured, or this process is leaving\n"
+        values = parse_qs(query.decode("latin-1"))
+        do, zone, length = (values.get(key, [""])[0] for key in ("do", "zone", "for_s"))
+        known = sorted({zones.zone, *zones.courses})
+        if zone not in known:
+            return 400, f"zone: must be one of {', '.join(known)}\n".encode()
+        if do == "leave" and not (length.isascii() and length.isdigit() and 0 < int(length) <= 86_400):
+            return 400, b"for_s: must be 1 to 86400\n"
+        if do not in ("leave", "return"):
+            return 400, b"do: must be leave or return\n"
+        if not orders.say(zone, int(length) * 1_000_000 if do == "leave" else 0):
+            return 409, b"zone: words on too many zones hold already\n"
+        self.log.line(f"fleet zone {zone}: told to {do}")
+        self.arm()
+        return 200, json.dumps(zones.view(self.now())).encode() + b"\n"
+
     def answer(self, query: bytes, act: Act) -> tuple[int, bytes]:
         if self.duties is None or self.transport is None:
             return 503, b"no voters are configured, or this process is leaving\n"
--- /dev/null
+++ b/brackenladder/fleet/zones/evidence.py
@@ -0,0 +1,133 @@
+"""How each zone does, by this node's own calls over the last window.
+
+Times are microseconds of this process's monotonic clock.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from brackenladder.fleet.zones.settings import ZoneSettings
+
+TRIPS = 16  # last times to connect that are kept of a zone
+
+
+@dataclass
+class Tally:
+    """One server's calls in a window."""
+
+    calls: int = 0
+    fails: int = 0
+    latency: int = 0  # of those that were answered, summed
+
+
+@dataclass
+class Zone:
+    """What is known of one zone."""
+
+    now: dict[int, Tally] = field(default_factory=dict)  # by server, the window at hand
+    last: dict[int, Tally] = field(default_factory=dict)  # and the one before
+    usual: float = 0.0  # latency while it did well, smoothed
+    pace: float = 1.0  # what part of its usual work it does
+    trips: deque[int] = field(default_factory=lambda: deque(maxlen=TRIPS))
+
+    def joined(self) -> dict[int, Tally]:
+        """Both windows, so that a look right after a turn is not blind."""
+        out = {s: Tally(t.calls, t.fails, t.latency) for s, t in self.last.items()}
+        for server, t in self.now.items():
+            sum_ = out.setdefault(server, Tally())
+            sum_.calls += t.calls
+            sum_.fails += t.fails
+            sum_.latency += t.latency
+        return out
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """`calls` of two windows at most; `bad`: the part of its servers that are."""
+
+    calls: int
+    bad: float
+
+
+class Evidence:
+    """Of all zones, by name."""
+
+    def __init__(self, settings: ZoneSettings, now: int) -> None:
+        self.settings = settings
+        self.zones: dict[str, Zone] = {}
+        self.turned = now
+
+    def of(self, zone: str) -> Zone:
+        return self.zones.setdefault(zone, Zone())
+
+    def ended(self, zone: str, server: int, ok: bool, latency: int) -> None:
+        """A call has ended."""
+        t = self.of(zone).now.setdefault(server, Tally())
+        t.calls += 1
+        if ok:
+            t.latency += latency
+        else:
+            t.fails += 1
+
+    def connected(self, zone: str, took: int) -> None:
+        """A connection to a server of the zone came up in this time."""
+        self.of(zone).trips.append(took)
+
+    def trip(self, zone: str, home: str) -> int:
+        """How much longer the way to a zone is than at home."""
+        there, here = self.of(zone).trips, self.of(home).trips
+        return max(0, min(there) - min(here)) if there and here else 0
+
+    def turn(self, now: int) -> None:
+        """A window is over once it has lasted; a zone's usual latency follows while it does well."""
+        span = now - self.turned
+        if span < self.settings.window:
+            return
+        self.turned = now
+        for z in self.zones.values():
+            answered = sum(t.calls - t.fails for t in z.now.values())
+            calls = sum(t.calls for t in z.now.values())
+            if answered >= self.settings.least and answered > calls * (1 - self.settings.failing):
+                mean = sum(t.latency for t in z.now.values()) / answered
+                if z.usual == 0:
+                    z.usual = mean
+                elif mean < self.settings.slower / 2 * z.usual:
+                    # Failure prevented: a zone that turns slow little by little is usual in the end.
+                    z.usual += min(1.0, span / self.settings.usual) * (mean - z.usual)
+            z.last, z.now = z.now, {}
+
+    def pace(self, zone: str) -> float:
+        """What part of its usual work a zone does, as it was last known."""
+        return self.of(zone).pace
+
+    def measure(self, zone: str) -> None:
+        """Works the pace out anew: answers that come, and how fast they do; small delays, which any load
+        brings, do not count. Without calls it is forgotten little by little."""
+        s, z = self.settings, self.of(zone)
+        tallies = z.now if sum(t.calls for t in z.now.values()) >= s.least else z.joined()
+        calls = sum(t.calls for t in tallies.values())
+        answered = sum(t.calls - t.fails for t in tallies.values())
+        if calls < s.least:
+            z.pace += s.forget * (1 - z.pace)
+            return
+        mean = sum(t.latency for t in tallies.values()) / max(1, answered)
+        speed = min(1.0, s.slack * z.usual / mean) if z.usual and mean else 1.0
+        z.pace = max(s.first, speed * answered / calls)
+
+    def verdict(self, zone: str, aside: set[int]) -> Verdict:
+        """Of a zone, with the servers that are set aside now."""
+        s, z = self.settings, self.of(zone)
+        tallies = z.joined()
+        calls = sum(t.calls for t in tallies.values())
+        judged, bad = set(aside), set(aside)
+        for server, t in tallies.items():
+            if t.calls < 2:
+                continue
+            judged.add(server)
+            answered = t.calls - t.fails
+            slow = bool(z.usual and answered and t.latency > s.slower * z.usual * answered)
+            if t.fails >= s.failing * t.calls or slow:
+                bad.add(server)
+        return Verdict(calls, len(bad) / len(judged) if judged else 0.0)
--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Protocol
@@ -302,6 +302,11 @@
     def tried(self, now: int, server: int, well: bool) -> None:
         """Another node of the fleet has tried a server that is set aside: it is well again, or not yet."""
 
+    def zones(self, now: int, shares: Mapping[int, float], trips: Mapping[int, int]) -> None:
+        """What part of the calls goes to each zone, in order of preference, and how much longer the way to
+        some zones is. A zone that is not among them gets nothing. Without this event the module sees to
+        zones itself."""
+
     def timer(self, now: int, token: int) -> None:
         """A timer that was set is due, `token` as it was given. Never during the event that set it."""
 
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -75,7 +75,10 @@
         hand = None if self.fleet is None else self.fleet.hand
         self.balancer = Balancer(config.settings, config.seed, self, hand)
         if hand is not None:
-            hand.verdict = self.tried
+            hand.verdict, hand.spread = self.tried, self.spread
+            self.roster.heard = hand.server_list
+            if config.fleet is not None and config.fleet.zones is not None:
+                self.requests.heard = hand.ended
         self.requests.module = self.roster.module = self.balancer
 
     async def start(self) -> None:
@@ -126,8 +129,8 @@
         def end() -> None:
             os.kill(os.getpid(), signal.SIGTERM)
 
-        c, s = self.config, self.config.settings
-        return Host(self.config.fleet, self.loop, c.seed, self.log_lines, self.life, end, s.tier, s.instances)
+        c = self.config
+        return Host(self.config.fleet, self.loop, c.seed, self.log_lines, self.life, end, c.settings)
 
     async def open_fleet(self) -> None:
         """Joins the fleet; a port that the process before still has is tried for again."""
@@ -191,6 +194,7 @@
             paths[b"/fleet"] = Page(b"GET", self.fleet.page, JSON)
             paths[b"/fleet/replace"] = Page(b"PUT", self.fleet.replace, JSON, asks=True)
             paths[b"/fleet/hold"] = Page(b"PUT", self.fleet.hold, JSON, asks=True)
+            paths[b"/fleet/zone"] = Page(b"PUT", self.fleet.zone, JSON, asks=True)
             paths[b"/fleet/give"] = Page(b"PUT", self.fleet.give, JSON, asks=True)
         return paths
 
@@ -240,6 +244,10 @@
         """Another node of the fleet has tried a server."""
         self.turns.post(self.balancer.tried, server, well)
 
+    def spread(self, shares: dict[int, float], trips: dict[int, int]) -> None:
+        """The fleet's word on how calls go to the zones."""
+        self.turns.post(self.balancer.zones, shares, trips)
+
     def failed(self, event: Event, args: tuple[Any, ...]) -> None:
         """The module has failed over an event: a request that it was about gets an answer all the same."""
         if event in (self.balancer.request, self.balancer.outcome):
--- a/brackenladder/net/requests.py
+++ b/brackenladder/net/requests.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 
 from brackenladder.balance import Balancer
 from brackenladder.interface import NEVER_RAN, Effect, Outcome
@@ -58,6 +59,9 @@
         return upload if upload is not None and not upload.whole else None
 
 
+Heard = Callable[[int, Outcome, int, float], None]  # server, how it ended, microseconds, seconds to connect
+
+
 class Passage:
     """An answer on its way from a server to a client: the `Flow` of one request."""
 
@@ -103,6 +107,7 @@
         self.counters = counters
         self.turns = turns
         self.module: Balancer  # what decides; it is made with these actions, and set then
+        self.heard: Heard | None = None  # hears of each attempt's end, where the fleet has zones
         self.open: dict[int, Open] = {}
         self.by_caller: dict[Caller, Open] = {}
         self.last_id = 0
@@ -314,6 +319,7 @@
         self, r: Open, number: int, server: int, began: int, outcome: Outcome, answer: Answer | None
     ) -> None:
         """An attempt's end: an answer goes to the client at once, then the module hears of it."""
+        dial = r.out.dial if r.out is not None else 0.0
         r.out = None
         self.counts[f"attempts_{outcome.name.lower()}"] += 1
         report: tuple[float, ...] = ()
@@ -333,6 +339,8 @@
         if final:
             self.open.pop(r.id, None)
         latency = (self.turns.now() if r.flow is None else r.flow.began) - began
+        if self.heard is not None:
+            self.heard(server, outcome, latency, dial)
         self.turns.post(self.module.outcome, r.id, number, server, outcome, latency, final, report)
 
     def cancel(self, request: int, attempt: int) -> None:
--- a/brackenladder/net/roster.py
+++ b/brackenladder/net/roster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
 from hashlib import blake2b
 from random import Random
 
@@ -18,6 +19,8 @@
 from brackenladder.net.servers import Pool
 from brackenladder.net.turns import Turns
 
+Heard = Callable[[int, ListKind, Sequence[ServerEntry], Mapping[str, int]], None]
+
 PUSH_RETRY = 0.1  # seconds, half to one and a half of them, before a silent agent is asked again
 
 
@@ -41,6 +44,7 @@
         self.log = log
         self.turns = turns
         self.module: Balancer  # set once it is made
+        self.heard: Heard | None = None  # hears what the module hears of servers, where there is a fleet
         self.rng = Random(f"node {config.seed}")  # apart from the module's
         version = config.known.version if config.known else 0
         self.discovery = Discovery(loop, config.discovery, version, self.told, strays, self.rng)
@@ -76,6 +80,8 @@
             self.log.line(f"list {listing.kind.name.lower()} version={listing.version} {told}")
         entries = [self.entry(number, line) for number, line in latest.items()]
         self.turns.post(self.module.server_list, listing.kind, entries)
+        if self.heard is not None:
+            self.heard(self.turns.now(), listing.kind, entries, self.zones)
 
     def place(self, number: int, line: Line) -> None:
         """Takes note of a server's address and state; connections to an old process are of no use."""
--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -54,6 +54,7 @@
         self.over = False
         self.connection: Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
+        self.dial = 0.0  # seconds that a new connection took to come up
         self.timer: asyncio.TimerHandle | None = None
         endpoint.busy += 1
 
@@ -77,6 +78,7 @@
         pool = self.pool
         connection = Connection(pool, self.endpoint)
         pool.opened(connection)
+        began = pool.loop.time()
         try:
             async with asyncio.timeout(pool.connect_timeout):
                 await pool.loop.create_connection(lambda: connection, self.endpoint.host, self.endpoint.port)
@@ -90,6 +92,7 @@
                 connection.close()
             raise
         self.connecting = None
+        self.dial = pool.loop.time() - began
         self.use(connection)
 
     def use(self, connection: Connection) -> None:
--- a/laurelspindle/cli/fleet.py
+++ b/laurelspindle/cli/fleet.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from urllib.parse import quote
+
 import click
 
 from laurelspindle.cli.errors import Bad
-from laurelspindle.live.pages import PageError, address_of, follow, put
+from laurelspindle.live.pages import PageError, address_of, follow, get, put
 
 
 @click.group()
@@ -58,3 +60,42 @@
         raise Bad(str(e)) from None
     click.echo(f"replacement {table['state']}")
     return 1 if act == "watch" and table["state"] == "stopped" else 0
+
+
+@fleet.command()
+@click.argument("act", type=click.Choice(["leave", "return", "status"]))
+@click.argument("zone")
+@click.option("--node", required=True, metavar="HOST:PORT", help="Of management, any member's.")
+@click.option("--for", "length", type=click.IntRange(1, 86_400), default=1800, help="Seconds; 1800.")
+def zone(act: str, zone: str, node: str, length: int) -> int:
+    """Take the fleet's calls out of ZONE, or let them return: `fleet zone leave b --node 10.0.0.7:8001`.
+
+    The word goes before what nodes see of the zone, reaches all members, and ends by itself; a newer one
+    takes its place. A zone returns by steps. `status` tells how the zone stands with the node that is asked.
+    Exits 1 where that node has no such zone.
+    """
+    try:
+        address = address_of(node)
+        if act == "status":
+            table = get(address, "/fleet").get("zones")
+            if table is None:
+                raise Bad(f"{node}: fleet.zones is not configured there")
+        else:
+            more = f"&for_s={length}" if act == "leave" else ""
+            table = put(address, f"/fleet/zone?do={act}&zone={quote(zone, safe='')}{more}")
+    except PageError as e:
+        raise Bad(str(e)) from None
+    found = table["zones"].get(zone)
+    if found is None:
+        known = ", ".join(table["zones"]) or "none"
+        click.echo(f"zone {zone}: {node} has no server of it; known are {known}")
+        return 1
+    if act == "leave":
+        click.echo(f"zone {zone}: to be left for {length} s")
+    elif act == "return":
+        click.echo(f"zone {zone}: may return, by steps")
+    else:
+        ordered = f", {found['ordered_s']:g} s still" if found["ordered_s"] else ""
+        share = f"{100 * found['share']:.1f}% of the calls of {node}"
+        click.echo(f"zone {zone}: {found['stand']}{ordered}, {share}")
+    return 0
--- a/laurelspindle/explore/duty_uses.py
+++ b/laurelspindle/explore/uses.py
@@ -1,7 +1,7 @@
 """What the fleet's uses of duties are worth: the same day with and without them, seed by seed.
 
-python -m laurelspindle.explore.duty_uses probe --seeds 10 --jobs 8
-python -m laurelspindle.explore.duty_uses remeasure --seeds 10 --jobs 8
+python -m laurelspindle.explore.uses probe --seeds 10 --jobs 8
+python -m laurelspindle.explore.uses remeasure --seeds 10 --jobs 8
 
 On the virtual clock: 50 front nodes, their duties between them, and the world's servers and clients.
 """
@@ -16,6 +16,7 @@
 import numpy as np
 from scipy import stats
 
+from brackenladder.fleet.zones.settings import ZoneSettings
 from laurelspindle.scenario.load import draw, load, plain, scenario_of
 from laurelspindle.scenario.model import Scenario
 from laurelspindle.virtual.fleet import Uses, VirtualFleet
@@ -45,6 +46,29 @@
         [],
     ),
 }
+# Three zones, a round-trip of 16 ms between them; their servers are at 47% of what they can do.
+REGION = [
+    *("servers=45", "zones.count=3", "nodes.count=18", "network.cross_ms=8", "length_s=90"),
+    *("load.fraction=0.47", "discovery.silent_notice_s=300"),
+]
+
+
+def hit(kind: str, at: float = 20.0, length: float = 25.0, **more: float) -> dict[str, Any]:
+    """A fault of the second zone, or of what `more` says."""
+    return {"type": kind, "at_s": at, "for_s": length, "zone": 1} | more
+
+
+TROUBLES: dict[str, list[dict[str, Any]]] = {
+    "zones": [],
+    "zone-lost": [hit("zone_lost")],
+    "zone-failing": [hit("zone_failing", share=0.3)],
+    "zone-slow": [hit("zone_slow", factor=5.0)],
+    "zone-cut": [hit("cut")],
+    "zone-flaps": [hit("zone_failing", at, 10.0, share=0.6) for at in (15.0, 35.0, 55.0)],
+    "release-bad": [hit("zone_failing", zone=z, share=0.3) for z in range(3)],
+    "one-bad": [hit("silent", part=0.03)],
+}
+DAYS |= {name: (Uses(zones=ZoneSettings()), REGION, faults) for name, faults in TROUBLES.items()}
 Row = dict[str, float]
 
 
@@ -70,7 +94,15 @@
         "messages a node and second": fleet.notes.messages / NODES / (run.result["day"]["length_s"]),
         "broken rules": float(sum(run.result["rules"].values())),
     }
-    if use == "probe":
+    if uses.zones is not None:
+        attempts = sum(account["attempts_a_call"][0] * c for c in account["calls"][:1])
+        row["attempts that cross zones, %"] = 100 * float(fleet.crossings()) / max(1.0, attempts)
+        row["attempts a call"] = account["attempts_a_call"][0]
+        row["p50, ms"], row["p99, ms"] = (account["latency_ms"][p] for p in ("p50", "p99"))
+        row["cold servers pushed over"] = float(sum("cold" in s for s in run.broken))
+        row["zones left, by all nodes"] = float(sum("is left" in text for *_, text in fleet.notes.lines))
+        row["zones whole again"] = float(sum("whole again" in text for *_, text in fleet.notes.lines))
+    elif use == "probe":
         row["trials of servers set aside"] = float(sum(fleet.notes.trials.values()))
         row["still aside at the end"] = float(sum(len(m.ejected) for m in modules))
         assert fleet.world is not None
--- a/laurelspindle/lab/checkers.py
+++ b/laurelspindle/lab/checkers.py
@@ -24,6 +24,10 @@
     r"fleet pass (?:(?P<over>over)|begins (?:(?P<place>place=\d+)|without a place waited=(?P<waited>[\d.]+)))"
 )
 TRIAL = re.compile(r"fleet tries server=(?P<server>\d+)")
+COURSE = re.compile(
+    r"fleet zone (?P<zone>\S+) (?:is left for (?P<hold>[\d.]+) s|is left by order|(?P<back>returns))"
+)
+FAR_MOST = 0.05  # of the calls, where nothing is wrong
 LINES = 0.2  # seconds within which a log line may be read
 REPEATED = 8  # stories of one checker that are told one by one
 
@@ -254,6 +258,62 @@
                 yield at, node, f"tries server {server} {at - before:.3f} s after {other} of its zone did"
 
 
+def left(truth: Truth) -> Found:
+    """Nothing goes to a zone from a node that has left it, by evidence or by order, until it returns."""
+    if not truth.plan.get("near"):
+        return
+    numbers = {f"z{z}": z for z in truth.zones.values()}
+    for name in truth.names:
+        attempts = [e for e in truth.of("attempt") if e["node"] == name]
+        for zone, begin, end, _ in courses(truth, name):
+            begin += LINES + truth.late(begin, begin)
+            times = [seconds(e["began"]) for e in attempts if e["zone"] == numbers.get(zone)]
+            sent = [at for at in times if begin < at < end - LINES]
+            if sent:
+                yield sent[0], name, f"{len(sent)} calls to zone {zone}, which it has left"
+
+
+def turns(truth: Truth) -> Found:
+    """A zone that was left by evidence is left alone for as long as the node said."""
+    if not truth.plan.get("near"):
+        return
+    for name in truth.names:
+        for zone, begin, end, hold in courses(truth, name):
+            if hold and end < truth.end and end - begin < hold - LINES:
+                yield end, name, f"returns to zone {zone} after {end - begin:.1f} s, {hold:g} were due"
+
+
+def courses(truth: Truth, name: str) -> list[tuple[str, float, float, float]]:
+    """By a node's log: zones that it left, when, until when, and for how long it said (0: by order)."""
+    out: list[tuple[str, float, float, float]] = []
+    open_: dict[str, tuple[float, float]] = {}
+    lives = [e["t"] for e in truth.of("process") if e["node"] == name and e["what"] == "start"]
+    for e in truth.of("log"):
+        found = COURSE.search(e["text"]) if e["node"] == name else None
+        if found is None:
+            continue
+        zone = found["zone"]
+        if zone in open_:
+            begin, hold = open_.pop(zone)
+            hold = hold if found["back"] else 0.0  # or an order came in between
+            out.append((zone, begin, min([e["t"], *(t for t in lives if t > begin)]), hold))
+        if not found["back"]:
+            open_[zone] = (e["t"], float(found["hold"] or 0))
+    for zone, (begin, hold) in open_.items():
+        out.append((zone, begin, min([truth.end, *(t for t in lives if t > begin)]), hold))
+    return out
+
+
+def home(truth: Truth) -> Found:
+    """Where nothing is wrong, calls stay in their zone."""
+    if not truth.plan.get("near") or truth.plan["fault"] or truth.plan["trouble"] or truth.mischief:
+        return
+    sent = [e for e in truth.of("attempt") if seconds(e["began"]) > truth.go + 2.0]
+    far = sum(e["zone"] != truth.zones[e["node"]] for e in sent)
+    if far > FAR_MOST * len(sent):
+        yield truth.end, "all", f"{far} of {len(sent)} calls left their zone, though nothing was wrong"
+
+
 def cold(truth: Truth) -> Found:
     """No cold server is pushed over by what nodes send that knew of its start."""
     for e in truth.of("end"):
@@ -267,6 +327,7 @@
     for f in (
         *(answers, attempts, drains, processes, logs, cold),
         *(views, deaths, incarnations, duties, replacement, passes, trials),
+        *(home, left, turns),
     )
 }
 
--- a/laurelspindle/lab/faults.py
+++ b/laurelspindle/lab/faults.py
@@ -115,6 +115,21 @@
                 await self.back(member)
                 await asyncio.sleep(number(fault.for_s))
 
+    async def play_zone_leave(self, fault: Fault, names: list[str]) -> None:
+        """An operator takes the fleet's calls out of the zone of those chosen, through another's page."""
+        site, members = self.lab.site, self.lab.fleet.members
+        chosen = {m.node.zone for m in self.members(names)}
+        asked = next((m for m in members if m.node.zone not in chosen and m.running), members[0])
+        for zone in sorted(chosen):
+            path = b"/fleet/zone?do=leave&zone=%b&for_s=%d" % (
+                site.zone_name(zone).encode(),
+                max(1, int(number(fault.for_s))),
+            )
+            reply = await ask(self.lab.loop, asked.scripts, path, 2.0, b"PUT")
+            if reply is None or reply.status != 200:
+                self.lab.tell("process", node=asked.name, what="no order", life=asked.life)
+        await asyncio.sleep(number(fault.for_s))
+
     async def back(self, member: Member) -> None:
         """The process ends, and another comes up in its place."""
         try:
--- a/laurelspindle/lab/fleet.py
+++ b/laurelspindle/lab/fleet.py
@@ -126,8 +126,9 @@
     def uses(self) -> dict[str, Any]:
         """Keys that nodes of earlier revisions may not know are left out where they are off."""
         plan = self.fleet.plan
-        uses = {"probe": plan.probe, "remeasure": number(plan.remeasure)}
-        return {key: value for key, value in uses.items() if value}
+        uses: dict[str, Any] = {"probe": plan.probe, "remeasure": number(plan.remeasure)}
+        found = {key: value for key, value in uses.items() if value}
+        return found | ({"zones": {}} if plan.near else {})
 
     def logged(self, text: str) -> None:
         if " stats " not in text:
--- a/laurelspindle/lab/mischief.py
+++ b/laurelspindle/lab/mischief.py
@@ -24,6 +24,7 @@
 from brackenladder.fleet.probe.decisions import Probe
 from brackenladder.fleet.remeasure.decisions import Remeasure
 from brackenladder.fleet.replace.decisions import Replacement
+from brackenladder.fleet.zones.decisions import Zones
 from brackenladder.interface import State
 from brackenladder.net.lifecycle import Lifecycle
 from brackenladder.net.requests import Requests, head_of
@@ -221,6 +222,25 @@
     wrap(Probe, "may_try", lambda go, self, now, server: True)
 
 
+def rash() -> None:
+    """Returns at once to a zone that it has left."""
+
+    def leave(go: Any, self: Any, now: int, zone: str, c: Any) -> None:
+        go(self, now, zone, c)
+        c.at = now
+
+    wrap(Zones, "leave", leave)
+
+
+def stray() -> None:
+    """Goes on sending to zones that it has left."""
+
+    def shares(go: Any, self: Any, now: int) -> dict[str, float]:
+        return dict.fromkeys(self.present(), 1 / max(1, len(self.present())))
+
+    wrap(Zones, "shares", shares)
+
+
 def crash() -> None:
     """Ends by itself some seconds after its start."""
     threading.Timer(SOON, lambda: os._exit(3)).start()
@@ -274,6 +294,8 @@
         brisk,
         unruly,
         pushy,
+        rash,
+        stray,
     )
 }
 
--- a/laurelspindle/lab/plan.py
+++ b/laurelspindle/lab/plan.py
@@ -41,7 +41,9 @@
 class Fault(Who, forbid_unknown_fields=True, kw_only=True):
     """One fault. What does not belong to its type is not looked at."""
 
-    type: Literal["kill", "pause", "term", "replace", "cut", "links", "clock", "fleet_replace", "voters"]
+    type: Literal[
+        "kill", "pause", "term", "replace", "cut", "links", "clock", "fleet_replace", "voters", "zone_leave"
+    ]
     at_s: From0 = 3.0
     for_s: From0 = 5.0  # then the process is started, resumed, the link healed, the clock set right
     back: bool = True  # whether what was killed or ended is started again
@@ -83,6 +85,8 @@
         "brisk",
         "pushy",
         "unruly",
+        "rash",
+        "stray",
     ]
 
 
@@ -104,6 +108,7 @@
     lease_ms: Over0 = 1500.0
     probe: bool = False  # servers that are set aside are tried by one node a zone
     remeasure: Share = 0.0  # of the nodes in a minRTT pass at once; 0: as each sees fit
+    near: bool = False  # calls keep to their zone, by `fleet.zones`
     ready_s: Over0 = 20.0  # that a process has to get ready
     join_s: Over0 = 30.0  # that the processes have at most to find one another before the clients begin
     agree_s: Over0 = 12.0  # so long after the last fault all views must agree
--- a/laurelspindle/live/nodes.py
+++ b/laurelspindle/live/nodes.py
@@ -215,6 +215,7 @@
             id=f"{call.id:016x}",
             node=self.name,
             server=attempt.server.spec.name,
+            zone=attempt.server.zone,
             klass=site.world.day.klass[call.root.klass].name,
             effect=site.world.classes[call.root.klass].effect.name.lower(),
             began=attempt.sent_at,
--- a/laurelspindle/live/pages.py
+++ b/laurelspindle/live/pages.py
@@ -42,6 +42,11 @@
     return dict(json.loads(text))
 
 
+def get(address: tuple[str, int], path: str) -> dict[str, Any]:
+    """What a page says. PageError."""
+    return call(address, "GET", path)
+
+
 def put(address: tuple[str, int], path: str) -> dict[str, Any]:
     """Asks for something to be done; what the page says of it. PageError."""
     return call(address, "PUT", path)
@@ -53,7 +58,7 @@
     missed = 0
     while True:
         try:
-            table = dict(call(address, "GET", "/fleet").get("replace") or {"state": "none"})
+            table = dict(get(address, "/fleet").get("replace") or {"state": "none"})
             missed = 0
         except PageError:
             missed += 1
--- a/laurelspindle/policies/base.py
+++ b/laurelspindle/policies/base.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from random import Random
 
 from brackenladder.interface import (
@@ -138,6 +138,9 @@
         if r is not None and r.out >= 0 and self.settings.cancel:
             self.actions.cancel(request, r.attempt - 1)
 
+    def zones(self, now: int, shares: Mapping[int, float], trips: Mapping[int, int]) -> None:
+        """Not used, for the same reason."""
+
     def tried(self, now: int, server: int, well: bool) -> None:
         """Not used: a baseline has no fleet."""
 
--- a/laurelspindle/scenario/check.py
+++ b/laurelspindle/scenario/check.py
@@ -123,7 +123,7 @@
     zones = low(table.get("zones", {}).get("count", 1))
     tiers = len(table["tier"]) if "tier" in table else 3
     for i, f in enumerate(table.get("fault", ())):
-        if f["type"] in ("zone_lost", "cut") and top(f.get("zone", 0)) >= zones:
+        if f["type"] in ("zone_lost", "zone_slow", "zone_failing", "cut") and top(f.get("zone", 0)) >= zones:
             yield f"fault[{i}].zone: {top(f.get('zone', 0)):g}: must be under zones.count, {zones:g}"
         if f.get("tier", -1) >= tiers:
             yield f"fault[{i}].tier: {f['tier']}: must be under the number of tiers, {tiers}"
--- a/laurelspindle/scenario/model.py
+++ b/laurelspindle/scenario/model.py
@@ -172,6 +172,8 @@
         "cut",
         "replace",
         "zone_lost",
+        "zone_slow",
+        "zone_failing",
         "release",
         "restart",
         "discovery_silent",
@@ -181,7 +183,7 @@
     part: Share = 0.15  # of the servers, or of the front nodes for `restart` and `release`
     factor: From1 = 3.0  # times slower
     share: Annotated[Number, Meta(extra_json_schema={"minimum": 0, "maximum": 0.99})] = (
-        0.5  # taken by another
+        0.5  # taken by another; of the calls, for `zone_failing`
     )
     steps: Some = 4  # for `replace`, `release` and `restart`
     zone: Any0 = 0
--- a/laurelspindle/virtual/fleet.py
+++ b/laurelspindle/virtual/fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -18,11 +19,13 @@
 from brackenladder.fleet.duties.settings import DutySettings, Electorate
 from brackenladder.fleet.duties.voter import Voter
 from brackenladder.fleet.hand import Hand
-from brackenladder.interface import Actions, Events, Settings
+from brackenladder.fleet.zones.settings import ZoneSettings
+from brackenladder.interface import Actions, Events, ListKind, Outcome, ServerEntry, Settings
 from brackenladder.interface import Fleet as Hook
 from laurelspindle.world.site import World
 
 EPOCH = 1_700_000_000_000  # milliseconds of Unix time at the clock's 0
+DIALS = 16  # calls to each new connection
 NOWHERE = ("127.0.0.1", 1)
 
 
@@ -32,6 +35,7 @@
 
     probe: bool = False
     remeasure: float = 0.0
+    zones: ZoneSettings | None = None
     voters: int = 3
     lease: int = 3_000_000
     longest: int = 10_000_000
@@ -46,6 +50,7 @@
     refused_in_pass: int = 0
     most_in_pass: int = 0
     messages: int = 0
+    lines: list[tuple[int, str, str]] = field(default_factory=list)  # when, who, what
 
 
 class Watched(Balancer):
@@ -60,6 +65,31 @@
         self.all.append(self)
         assert fleet.world is not None
         self.clock = fleet.world.clock
+        self.hook = hook if isinstance(hook, Hand) and fleet.uses.zones is not None else None
+        self.world = fleet.world
+        self.home = settings.zone
+
+    def server_list(self, now: int, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
+        super().server_list(now, kind, entries)
+        if self.hook is not None:
+            self.hook.server_list(now, kind, entries, {f"z{i}": i for i in range(self.world.zones)})
+
+    def outcome(
+        self,
+        now: int,
+        request: int,
+        attempt: int,
+        server: int,
+        outcome: Outcome,
+        latency: int,
+        final: bool,
+        report: Sequence[float],
+    ) -> None:
+        super().outcome(now, request, attempt, server, outcome, latency, final, report)
+        if self.hook is not None:
+            # A connection is taken to come up in a round-trip of the world's network, drawn anew.
+            way = self.world.network.between(self.home, self.world.by_id[server].zone, request)
+            self.hook.ended(server, outcome, latency, 2 * way / 1e6 if request % DIALS == 0 else 0.0)
 
     def readmit(self, srv: Server, well: bool = False) -> None:
         self.notes.readmitted.append(self.clock.now)
@@ -95,11 +125,11 @@
         config = FleetConfig(
             name=self.name, zone=f"z{settings.zone}", region="", listen=NOWHERE, advertise=NOWHERE, seeds=(),
             keys=(), voters=names, old_voters=(), lease=uses.lease, longest=uses.longest, votes=None,
-            period=1_000_000, probe=uses.probe, remeasure=uses.remeasure, clock_file=None,
+            period=1_000_000, probe=uses.probe, remeasure=uses.remeasure, zones=uses.zones, clock_file=None,
         )  # fmt: skip
         duties = DutySettings(lease=uses.lease, longest=uses.longest)
         lists = [Electorate(names)]
-        self.hand = Hand(config, settings.tier, settings.instances, self.now, self.arm, lambda text: None)
+        self.hand = Hand(config, settings, self.now, lambda: self.wall() * 1000, self.arm, self.tell)
         self.hand.verdict = self.verdict
         self.asker = Asker(self.name, seed & 0xFFFFFF, lists, duties, self.rng, self.wall)
         votes = lists if self.name in names else []
@@ -107,7 +137,9 @@
         if self.clock.now <= world.begin + 1_000_000:  # as the day begins, the fleet has stood for long
             self.voter.abstain_until = 0
             self.voter.recalled = dict.fromkeys(names, 0)
-        self.hand.open(self.asker, self.others, self.rng)
+        self.hand.spread = self.spread
+        self.hand.open(self.others, self.rng)
+        self.hand.vote(self.asker, self.rng)
 
     def now(self) -> int:
         return self.clock.now
@@ -119,6 +151,15 @@
         """Those that run, in order."""
         return [n for n in self.fleet.processes if n != self.name and self.fleet.runs(n)]
 
+    def tell(self, text: str) -> None:
+        """A line of the fleet's log."""
+        self.fleet.notes.lines.append((self.clock.now, self.name, text))
+
+    def spread(self, shares: dict[int, float], trips: dict[int, int]) -> None:
+        node: Any = self.world.nodes[self.index]
+        if node.module is not None:
+            node.post(node.module.zones, (shares, trips))
+
     def verdict(self, server: int, well: bool) -> None:
         node: Any = self.world.nodes[self.index]
         if node.module is not None:
@@ -198,3 +239,8 @@
         assert self.world is not None
         node: Any = self.world.nodes[int(name[1:])]
         return bool(node.up and not node.leaving)
+
+    def crossings(self) -> int:
+        """Attempts that went to another zone."""
+        assert self.world is not None
+        return self.world.accounts.crossings
--- a/laurelspindle/world/faults.py
+++ b/laurelspindle/world/faults.py
@@ -105,11 +105,30 @@
 
     def start_zone_lost(self) -> None:
         """All servers of a zone at once; without zones, the fault's part of each tier."""
-        if self.world.zones > 1:
-            zone = whole(self.fault.zone)
-            self.crash([s for tier in self.world.tiers for s in tier if s.zone == zone and s.up])
-        else:
-            self.start_crash()
+        self.crash(self.of_zone())
+
+    def of_zone(self) -> list[Server]:
+        """All that run in the fault's zone; without zones, its part of all."""
+        if self.world.zones == 1:
+            return self.servers()
+        zone = whole(self.fault.zone)
+        return [s for tier in self.world.tiers for s in tier if s.zone == zone and s.up]
+
+    def start_zone_slow(self) -> None:
+        """A zone dies slowly: all its servers take so many times as long."""
+        self.struck = self.of_zone()
+        self.set_slow(self.factor)
+        self.end_at(lambda _: self.set_slow(1 / self.factor))
+
+    def start_zone_failing(self) -> None:
+        """Or a share of all its calls ends in an error."""
+        self.struck = self.of_zone()
+        self.set_failing(self.share)
+        self.end_at(lambda _: self.set_failing(None))
+
+    def set_failing(self, share: float | None) -> None:
+        for server in self.struck:
+            server.failing = server.spec.error_rate if share is None else share
 
     def start_silent(self) -> None:
         self.struck = self.servers()
--- a/laurelspindle/world/server.py
+++ b/laurelspindle/world/server.py
@@ -72,6 +72,7 @@
         self.ready_at = 0
         self.warmth = 1.0
         self.slow = 1.0
+        self.failing = spec.error_rate  # share of the calls that end in an error
         self.taken = 0.0  # share of the machine that another program has
         self.paused = False
         self.life = 0  # of its process
@@ -234,7 +235,7 @@
             part, job.left = job.left, 0.0
             self.run(job, part)
         else:
-            error = self.spec.error_rate > 0 and self.errors.random() < self.spec.error_rate
+            error = self.failing > 0 and self.errors.random() < self.failing
             self.finish(job, Outcome.ERROR if error else Outcome.OK)
 
     def call(self, job: Job) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -35,7 +35,19 @@
         ({"voters": ["a", "b", "c"], "name": "n7", "advertise": "10.0.0.1:9"}, []),
         ({"zone": ...}, ["fleet.zone: missing: must be text of 1 to 64 characters"]),
         ({"zone": "", "listen": "x"}, ["fleet.listen: 'x': must be an address", "fleet.zone: ''"]),
-        ({"zones": 1}, ["fleet.zones: unknown key: known are name, zone"]),
+        ({"regions": 1}, ["fleet.regions: unknown key: known are name, zone"]),
+        ({"zones": 1}, ["fleet.zones: 1: must be a table"]),
+        ({"zones": {"room": 2, "costs": {"b": 1}}}, []),
+        (
+            {"zones": {"room": 0.5, "costs": {"b": -1}, "near": 1}},
+            [
+                "zones.near: unknown key",
+                "zones.room: 0.5: must be a number from 1",
+                "zones.costs.b: -1: must",
+            ],
+        ),
+        ({"probe": 1, "remeasure": 2}, ["fleet.probe: 1: must be true or false", "fleet.remeasure: 2: must"]),
+        ({"probe": True}, ["fleet.voters: missing: must be given where probe is"]),
         ({"seeds": ["127.0.0.1:1", 7]}, ["fleet.seeds[1]: 7: must be an address of the form host:port"]),
         ({"listen": "localhost:7400"}, ["fleet.listen: 'localhost:7400': must be an address of the form"]),
         (
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -49,12 +49,12 @@
     assert len(told) == len(lines) and all(any(part in t for t in told) for part in lines)
 
 
-def test_nineteen_plans_ship_and_a_seed_fixes_what_they_draw():
-    assert len(shipped()) == 19
+def test_twenty_one_plans_ship_and_a_seed_fixes_what_they_draw():
+    assert len(shipped()) == 21
     for name in shipped():
         one, again, other = draw(name, 3), draw(name, 3, {"nodes": 7}), draw(name, 4)
         assert one.fault == again.fault and scenario(one).nodes.count == one.nodes
-        ranged = name not in ("calm", "lossy", "rolling", "wrong-key", "versions")
+        ranged = name not in ("calm", "lossy", "rolling", "wrong-key", "versions", "near")
         assert (one.fault != other.fault) is (ranged or name == "lossy")
 
 
