A process killed before it was ready stood for ever in the way of a replacement's checker

Change: the first later life that got ready. Hand-made histories for replacement, home, left and turns; stray and rash among the nodes that must be caught as real processes.

--- a/laurelspindle/lab/checkers.py
+++ b/laurelspindle/lab/checkers.py
@@ -295,8 +295,9 @@
         zone = found["zone"]
         if zone in open_:
             begin, hold = open_.pop(zone)
-            hold = hold if found["back"] else 0.0  # or an order came in between
-            out.append((zone, begin, min([e["t"], *(t for t in lives if t > begin)]), hold))
+            end = min([e["t"], *(t for t in lives if t > begin)])
+            # An order may come in between, or another process, which knows nothing of it.
+            out.append((zone, begin, end, hold if found["back"] and end == e["t"] else 0.0))
         if not found["back"]:
             open_[zone] = (e["t"], float(found["hold"] or 0))
     for zone, (begin, hold) in open_.items():
--- a/laurelspindle/lab/truth.py
+++ b/laurelspindle/lab/truth.py
@@ -141,8 +141,10 @@
         }
 
     def back_at(self, name: str, life: Life) -> float:
-        """When the process that came after a life was ready."""
-        return next((x.ready for x in self.lives[name] if x.start > life.start), FOREVER)
+        """When a process that came after a life was ready; the next one may have ended before it was."""
+        return next(
+            (x.ready for x in self.lives[name] if x.start > life.start and x.ready < FOREVER), FOREVER
+        )
 
     def excused(self, name: str, begin: float, end: float) -> bool:
         """Whether a node may have left a request of that time unanswered: it was killed or paused in it, or
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -267,6 +267,98 @@
     assert {n: [b.who for b in found[n]] for n in ("passes", "trials") if found[n]} == broken
 
 
+def replaced(t, node, ready, life=1):
+    """By its own hand; a new process is ready then."""
+    return [
+        log(t, node, "stage serving -> ending"),
+        process(t + 0.1, node, "exit", life, status=0, asked=False),
+        process(t + 0.1, node, "start", life + 1),
+        process(ready, node, "ready", life + 1),
+    ]
+
+
+def plan_event(t, what):
+    return {"t": t, "event": "fault", "what": what, "type": "fleet_replace", "on": [], "most": 1}
+
+
+SHOT = [process(2.2, "n0", "kill", 2), process(2.2, "n0", "exit", 2, status=-9, asked=True)]
+
+
+@pytest.mark.parametrize(
+    ("ends", "broken"),
+    [
+        ([*replaced(2, "n0", 3), *replaced(4, "n1", 5), *replaced(6, "n2", 7)], []),
+        ([*replaced(2, "n0", 5), *replaced(4, "n1", 5), *replaced(6, "n2", 7)], ["n1"]),
+        ([*replaced(2, "n0", 3), *replaced(4, "n1", 5)], ["n2"]),
+        (
+            [*replaced(2, "n0", 3), *replaced(4, "n0", 5, 2), *replaced(6, "n1", 7), *replaced(8, "n2", 9)],
+            ["n0"],
+        ),
+        # The new process is killed before it is ready, and another takes its place.
+        (
+            [
+                *replaced(2, "n0", 3)[:-1],
+                *SHOT,
+                process(2.5, "n0", "start", 3),
+                process(3.0, "n0", "ready", 3),
+                *replaced(4, "n1", 5),
+                *replaced(6, "n2", 7),
+            ],
+            [],
+        ),
+    ],
+)
+def test_a_replacement_is_judged_by_who_is_out(ends, broken):
+    run = RUN | {"plan": RUN["plan"] | {"supervise": True}}
+    found = check([run, *START, plan_event(1, "begin"), *ends, plan_event(12, "end"), *END])
+    assert [b.who for b in found["replacement"]] == broken
+
+
+def gone(t, node="n0", hold=10):
+    return log(t, node, f"fleet zone z1 is left for {hold} s")
+
+
+def returns(t, node="n0"):
+    return log(t, node, "fleet zone z1 returns, by steps")
+
+
+def to_zone(at, zone, node="n0"):
+    return attempt(at, at + 0.1, call=f"{node} {at}") | {"node": node, "zone": zone}
+
+
+NEAR = {"near": True, "fault": [], "trouble": []}
+HIT = {"near": True, "fault": [], "trouble": [{}]}
+
+
+@pytest.mark.parametrize(
+    ("plan", "events", "broken"),
+    [
+        (NEAR, [*(to_zone(3 + i / 10, 0) for i in range(40)), to_zone(8, 1)], {}),
+        (
+            NEAR,
+            [*(to_zone(3 + i / 10, 0) for i in range(40)), *(to_zone(8 + i, 1) for i in range(4))],
+            {"home": 1},
+        ),
+        (HIT, [to_zone(3, 1), to_zone(4, 1)], {}),
+        (HIT, [to_zone(3, 1), gone(4), to_zone(4.1, 1), to_zone(5, 0), returns(14), to_zone(15, 1)], {}),
+        (HIT, [gone(4), to_zone(5, 1), returns(14)], {"left": 1}),
+        (HIT, [gone(4), to_zone(5, 1, "n1"), returns(14)], {}),  # another node's
+        (HIT, [gone(4), returns(9)], {"turns": 1}),
+        (HIT, [log(4, "n0", "fleet zone z1 is left by order, 5 s still"), to_zone(5, 1)], {"left": 1}),
+        (HIT, [gone(4), log(5, "n0", "fleet zone z1 is left by order, 5 s still"), returns(10)], {}),
+        (
+            HIT,
+            [gone(4), process(5.0, "n0", "start", life=2), to_zone(6, 1), returns(14)],
+            {},
+        ),  # a new process
+    ],
+)
+def test_what_goes_to_which_zone_is_judged(plan, events, broken):
+    run = RUN | {"plan": RUN["plan"] | plan, "nodes": [["n0", 0], ["n1", 1], ["n2", 2]]}
+    found = check([run, *START, *ALL, *events, *END])
+    assert {n: len(found[n]) for n in ("home", "left", "turns") if found[n]} == broken
+
+
 def test_how_long_the_views_took():
     truth = Truth([RUN, *START, *ALL, *KILL, *SEE, *END])
     assert [(at, what, round(took, 2)) for at, what, took in truth.agreements()] == [(3.0, "n2 kill", 2.0)]
--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -61,6 +61,7 @@
     "e": {"any": "hasty"},
     "f": {"n1": "unruly"},
     "g": {"any": "pushy"},
+    "h": {"n0": "stray", "n3": "rash"},
 }
 CAUGHT = {  # the checkers that must name each
     "mute": "answers",
@@ -77,6 +78,8 @@
     "hasty": "replacement",
     "unruly": "passes",
     "pushy": "trials",
+    "stray": "left",
+    "rash": "turns",
 }
 REPLACE = """
 voters = 3
@@ -96,6 +99,15 @@
 for_s = 20.0
 part = 0.25
 """
+FAILING = """
+near = true
+[[trouble]]
+type = "zone_failing"
+zone = 0
+share = 0.7
+at_s = 0.5
+for_s = 20.0
+"""
 DRAINS = """
 scenario = "{scenario}"
 [[fault]]
@@ -144,6 +156,8 @@
     all_ = '[[mischief]]\nkind = "{}"\npart = 1.0\n'
     texts["f"] = duty + "remeasure = 0.2\n" + mischief(BAD["f"])
     texts["uses"] = duty + "remeasure = 0.4\n" + all_.format("brisk")
+    texts["h"] = duty + FAILING + mischief(BAD["h"])
+    texts["zones"] = duty + FAILING
     texts["g"] = silent + all_.format("pushy")
     texts["aside"] = silent + all_.format("brisk")
     killed = '[[fault]]\ntype = "kill"\ncount = 1\nat_s = 3.0\nfor_s = 0.1\n'
@@ -186,7 +200,7 @@
 
 def test_places_to_pass_and_trials_are_kept_to(runs):
     """Each node passes each few seconds, two at once; a server that all set aside is tried by one."""
-    for name in ("uses", "aside"):
+    for name in ("uses", "aside", "zones"):
         status, printed, events = runs[name]
         assert status in (0, 3), printed
         truth = Truth(events)
@@ -194,6 +208,9 @@
         lines = [e["text"] for e in truth.of("log")]
         if name == "uses":
             assert sum("fleet pass begins place=" in line for line in lines) >= 3, printed
+        elif name == "zones":
+            left = {e["node"] for e in truth.of("log") if "fleet zone z0 is left" in e["text"]}
+            assert left == {"n0", "n3"}, printed
         else:
             assert sum("eject server=" in line for line in lines) >= 2, printed
             assert any("fleet tries server=" in line for line in lines), printed
