Zones: six failures in a row are looked at at once, not at the next half second

Cause: a zone that died kept all its nodes' calls until the next look; each cost a repeat, and the budget for those was gone.

--- a/brackenladder/fleet/hand.py
+++ b/brackenladder/fleet/hand.py
@@ -120,7 +120,8 @@
     def ended(self, server: int, outcome: Outcome, latency: int, dial: float) -> None:
         """An attempt has ended; `dial`: seconds that a new connection for it took, or 0."""
         if self.zones is not None and outcome not in UNCOUNTED:
-            self.zones.ended(server, outcome == Outcome.OK, latency)
+            if self.zones.ended(self.now(), server, outcome == Outcome.OK, latency):
+                self.wake()
             if dial:
                 self.zones.connected(server, int(dial * 1e6))
 
--- a/brackenladder/fleet/zones/decisions.py
+++ b/brackenladder/fleet/zones/decisions.py
@@ -89,11 +89,20 @@
     def set_aside(self, server: int, on: bool) -> None:
         (self.aside.add if on else self.aside.discard)(server)
 
-    def ended(self, server: int, ok: bool, latency: int) -> None:
-        """A call to a server has ended."""
+    def ended(self, now: int, server: int, ok: bool, latency: int) -> bool:
+        """A call to a server has ended. Whether it is time for a look now.
+
+        Failure prevented: a zone dies, and for half a second all calls still go there, each at the cost of a
+        repeat that the budget soon has not.
+        """
         known = self.servers.get(server)
-        if known is not None:
-            self.evidence.ended(known.zone, server, ok, latency)
+        if known is None:
+            return False
+        self.evidence.ended(known.zone, server, ok, latency)
+        if self.evidence.of(known.zone).failed == self.settings.row:
+            self.next = now
+            return True
+        return False
 
     def connected(self, server: int, took: int) -> None:
         """A connection to a server came up."""
--- a/brackenladder/fleet/zones/evidence.py
+++ b/brackenladder/fleet/zones/evidence.py
@@ -29,6 +29,7 @@
     now: dict[int, Tally] = field(default_factory=dict)  # by server, the window at hand
     last: dict[int, Tally] = field(default_factory=dict)  # and the one before
     usual: float = 0.0  # latency while it did well, smoothed
+    failed: int = 0  # of its calls, one after the other
     pace: float = 1.0  # what part of its usual work it does
     trips: deque[int] = field(default_factory=lambda: deque(maxlen=TRIPS))
 
@@ -64,8 +65,10 @@
 
     def ended(self, zone: str, server: int, ok: bool, latency: int) -> None:
         """A call has ended."""
-        t = self.of(zone).now.setdefault(server, Tally())
+        z = self.of(zone)
+        t = z.now.setdefault(server, Tally())
         t.calls += 1
+        z.failed = 0 if ok else z.failed + 1
         if ok:
             t.latency += latency
         else:
@@ -109,6 +112,9 @@
         tallies = z.now if sum(t.calls for t in z.now.values()) >= s.least else z.joined()
         calls = sum(t.calls for t in tallies.values())
         answered = sum(t.calls - t.fails for t in tallies.values())
+        if z.failed >= s.row:
+            z.pace = s.first
+            return
         if calls < s.least:
             z.pace += s.forget * (1 - z.pace)
             return
--- a/brackenladder/fleet/zones/settings.py
+++ b/brackenladder/fleet/zones/settings.py
@@ -17,6 +17,7 @@
     every: int = SEC // 2  # between two looks
     window: int = 2 * SEC  # over which evidence is gathered
     least: int = 10  # calls to a zone in a window, below which it tells nothing
+    row: int = 6  # so many of a zone's calls failed one after the other: it is dead until one does not
     failing: float = 0.2  # of a server's calls: it is bad
     slack: float = 1.5  # times its usual latency: so much is no sign of weakness
     forget: float = 0.1  # of what a zone's pace lacks, at each look that has no calls to tell
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -102,7 +102,7 @@
             i = rng.randrange(len(alike))
             hit = zone in (bad or ()) and (servers is None or i < servers)
             called.add(zone)
-            z.ended(alike[i], not (hit and rng.random() < share), int(50_000 * (slow if hit else 1)))
+            z.ended(now, alike[i], not (hit and rng.random() < share), int(50_000 * (slow if hit else 1)))
         now = z.next
         z.tick(now)
     return called
@@ -136,6 +136,18 @@
         assert "a" not in z.shares(z.next) and not z.allows(100) and z.allows(200)
 
 
+def test_a_dead_zone_is_seen_after_some_calls_and_not_at_the_next_look():
+    z = zones("a", a=10, b=10, c=10)
+    play(z, 10)
+    now = z.next - 400_000
+    looks = [z.ended(now, 100 + i, False, 1000) for i in range(SET.row)]
+    assert looks == [False] * (SET.row - 1) + [True] and z.tick(now)
+    assert z.shares(now)["a"] < 0.1
+    z.ended(now, 100, True, 50_000)  # one answer: it was not the zone
+    z.tick(z.next)
+    assert z.shares(z.next)["a"] > 0.5
+
+
 def test_if_all_far_zones_look_bad_the_fault_is_near():
     """Failure prevented: a node that is cut off declares all other zones dead, one after the other."""
     z = zones("a", a=4, b=10, c=10)  # home bears little, so the others are called
