Zones measured beside a strictly local baseline; regions in the world

Need: the shares must be set against all zones alike and against strictly local; a fleet lies in regions.

--- a/brackenladder/fleet/hand.py
+++ b/brackenladder/fleet/hand.py
@@ -29,6 +29,8 @@
 class Hand:
     """Implements `interface.Fleet`. Before `open` and after `close` a node does as one alone."""
 
+    zones_kind = Zones  # a workbench may measure against another
+
     def __init__(
         self,
         config: FleetConfig,
@@ -62,7 +64,9 @@
         self.alive = alive
         if c.zones is not None:
             now = self.now()
-            self.zones = Zones(c.zone, c.zones, s.cold_time, s.cold_share, now, self.place, self.tell)
+            self.zones = self.zones_kind(
+                c.zone, c.zones, s.cold_time, s.cold_share, now, self.place, self.tell
+            )
             self.orders = Orders(c.name, alive, self.wall, rng, now)
             self.tell_zones()
 
--- a/laurelspindle/explore/uses.py
+++ b/laurelspindle/explore/uses.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 import multiprocessing
-from collections.abc import Callable
+from collections import Counter
+from dataclasses import replace
 from typing import Any
 
 import click
@@ -20,10 +21,11 @@
 from laurelspindle.scenario.load import draw, load, plain, scenario_of
 from laurelspindle.scenario.model import Scenario
 from laurelspindle.virtual.fleet import Uses, VirtualFleet
-from laurelspindle.virtual.play import play
+from laurelspindle.virtual.play import Run, play
 
 NODES = 50
 COMMON = [f"nodes.count={NODES}", "nodes.start_spread_ms=200"]
+WHOLE = 0.99  # of the worth in a second: as good as all
 SETTLED = 50.0  # seconds: the refusals of the first passes are long over
 SILENT: dict[str, Any] = {"type": "silent", "at_s": 10.0, "for_s": 50.0, "part": 0.333}
 DAYS: dict[str, tuple[Uses, list[str], list[dict[str, Any]]]] = {
@@ -48,12 +50,13 @@
 }
 # Three zones, a round-trip of 16 ms between them; their servers are at 47% of what they can do.
 REGION = [
-    *("servers=45", "zones.count=3", "nodes.count=18", "network.cross_ms=8", "length_s=90"),
+    *("servers=75", "zones.count=3", "nodes.count=30", "network.cross_ms=8", "length_s=90"),
     *("load.fraction=0.47", "discovery.silent_notice_s=300"),
 ]
+BROKEN, MENDED = 20.0, 45.0
 
 
-def hit(kind: str, at: float = 20.0, length: float = 25.0, **more: float) -> dict[str, Any]:
+def hit(kind: str, at: float = BROKEN, length: float = MENDED - BROKEN, **more: float) -> dict[str, Any]:
     """A fault of the second zone, or of what `more` says."""
     return {"type": kind, "at_s": at, "for_s": length, "zone": 1} | more
 
@@ -68,10 +71,18 @@
     "release-bad": [hit("zone_failing", zone=z, share=0.3) for z in range(3)],
     "one-bad": [hit("silent", part=0.03)],
     "region-lost": [hit("zone_lost")],  # the others at 66%: with its load they are at 99%
+    "regions": [hit("zone_lost")],
+}
+OTHER = {
+    "region-lost": ["load.fraction=0.66"],
+    # Five zones in two regions, 60 ms apart; 200 nodes.
+    "regions": [
+        *("zones.count=5", "zones.regions=2", "network.region_ms=30", "network.cross_ms=2"),
+        *("nodes.count=200", "servers=200", "length_s=60"),
+    ],
 }
-FULLER = {"region-lost": ["load.fraction=0.66"]}
 DAYS |= {
-    name: (Uses(zones=ZoneSettings()), REGION + FULLER.get(name, []), faults)
+    name: (Uses(zones=ZoneSettings(), far_cost=3.0), REGION + OTHER.get(name, []), faults)
     for name, faults in TROUBLES.items()
 }
 # A call to another zone takes 120 ms longer, and one zone's nodes have clients for two.
@@ -89,11 +100,16 @@
     return scenario_of(plain(load("lab", [*COMMON, *keys])) | {"fault": faults})
 
 
-def figures(what: tuple[str, int, bool]) -> Row:
+def variants(use: str) -> list[str]:
+    """What is played side by side: the module alone, a baseline where there is one, the fleet."""
+    return ["alone", "strict", "fleet"] if DAYS[use][0].zones is not None else ["alone", "fleet"]
+
+
+def figures(what: tuple[str, int, str]) -> Row:
     """One run."""
-    use, seed, on = what
+    use, seed, variant = what
     uses, _, _ = DAYS[use]
-    fleet = VirtualFleet(uses if on else None)
+    fleet = VirtualFleet(None if variant == "alone" else replace(uses, strict=variant == "strict"))
     run = play(draw(scenario(use), seed), fleet)
     account, bins = run.result["account"], run.result["table"]
     modules = fleet.modules
@@ -106,13 +122,7 @@
         "broken rules": float(sum(run.result["rules"].values())),
     }
     if uses.zones is not None:
-        attempts = sum(account["attempts_a_call"][0] * c for c in account["calls"][:1])
-        row["attempts that cross zones, %"] = 100 * float(fleet.crossings()) / max(1.0, attempts)
-        row["attempts a call"] = account["attempts_a_call"][0]
-        row["p50, ms"], row["p99, ms"] = (account["latency_ms"][p] for p in ("p50", "p99"))
-        row["cold servers pushed over"] = float(sum("cold" in s for s in run.broken))
-        row["zones left, by all nodes"] = float(sum("is left" in text for *_, text in fleet.notes.lines))
-        row["zones whole again"] = float(sum("whole again" in text for *_, text in fleet.notes.lines))
+        row |= zone_figures(run, fleet)
     elif use == "probe":
         row["trials of servers set aside"] = float(sum(fleet.notes.trials.values()))
         row["still aside at the end"] = float(sum(len(m.ejected) for m in modules))
@@ -129,23 +139,48 @@
     return row
 
 
+def zone_figures(run: Run, fleet: VirtualFleet) -> Row:
+    """What calls that keep near are judged by."""
+    account, seconds = run.result["account"], run.result["seconds"]
+    attempts = account["attempts_a_call"][0] * account["calls"][0]
+    served = [b["served_worth"] / b["worth"] if b["worth"] else 1.0 for b in seconds]
+    broken, after = int(BROKEN), [n for n, s in enumerate(served) if n >= BROKEN and s < WHOLE]
+    begun = [n for n in after if n < broken + 15]
+    lines = [text for *_, text in fleet.notes.lines]
+    by_node = Counter((n, t.split()[2]) for _, n, t in fleet.notes.lines if "is left" in t)
+    return {
+        "worst 10 s, points": 100 * account["worst_window"],
+        "seconds under 99% after the fault": float(max(begun) + 1 - broken if begun else 0),
+        "attempts that cross zones, %": 100 * fleet.crossings() / max(1.0, attempts),
+        "attempts a call": account["attempts_a_call"][0],
+        "p50, ms": account["latency_ms"]["p50"],
+        "p99, ms": account["latency_ms"]["p99"],
+        "cold servers pushed over": float(sum("cold" in s for s in run.broken)),
+        "zones left, by all nodes": float(sum(by_node.values())),
+        "most by one node": float(max(by_node.values(), default=0)),
+        "zones whole again": float(sum("whole again" in text for text in lines)),
+    }
+
+
 def lost(bins: list[dict[str, Any]], since: float) -> float:
     """Requests that were not served, of those asked from then on."""
     return float(sum(b["asked"] - b["served"] for b in bins if b["at_s"] >= since))
 
 
-def table(pairs: list[tuple[Row, Row]]) -> list[str]:
-    """Markdown: a line for each figure, with the 95% interval of the difference seed by seed."""
-    out = [
-        f"| figure, mean of {len(pairs)} seeds | alone | fleet | difference (95%) |",
-        "| --- | --- | --- | --- |",
-    ]
-    for key in pairs[0][0]:
-        alone, fleet = (np.array([p[i][key] for p in pairs]) for i in (0, 1))
-        d = fleet - alone
-        half = stats.t.ppf(0.975, len(d) - 1) * d.std(ddof=1) / len(d) ** 0.5 if len(d) > 1 else 0.0
-        span = f"{d.mean():+.4g} ({d.mean() - half:.4g} to {d.mean() + half:.4g})"
-        out.append(f"| {key} | {alone.mean():.4g} | {fleet.mean():.4g} | {span} |")
+def table(rows: dict[str, list[Row]]) -> list[str]:
+    """Markdown: a line for each figure, with the 95% interval of the fleet's difference seed by seed."""
+    names = list(rows)
+    count = len(rows["fleet"])
+    heads = " | ".join([*names, *(f"fleet less {n} (95%)" for n in names[:-1])])
+    out = [f"| mean of {count} seeds | {heads} |", "| --- " * (2 * len(names)) + "|"]
+    for key in rows["fleet"][0]:
+        of = {name: np.array([r[key] for r in rows[name]]) for name in names}
+        cells = [f"{v.mean():.4g}" for v in of.values()]
+        for name in names[:-1]:
+            d = of["fleet"] - of[name]
+            half = stats.t.ppf(0.975, len(d) - 1) * d.std(ddof=1) / len(d) ** 0.5
+            cells.append(f"{d.mean():+.3g} ({d.mean() - half:.3g} to {d.mean() + half:.3g})")
+        out.append(f"| {key} | {' | '.join(cells)} |")
     return out
 
 
@@ -155,11 +190,11 @@
 @click.option("--jobs", type=click.IntRange(1), default=4)
 def main(use: str, seeds: int, jobs: int) -> None:
     """Play USE's day with and without it, and print a table."""
-    work = [(use, seed, on) for seed in range(1, seeds + 1) for on in (False, True)]
-    run: Callable[[tuple[str, int, bool]], Row] = figures
+    names = variants(use)
+    work = [(use, seed, name) for seed in range(1, seeds + 1) for name in names]
     with multiprocessing.get_context("spawn").Pool(jobs) as pool:
-        rows = pool.map(run, work, chunksize=1)
-    click.echo("\n".join(table(list(zip(rows[::2], rows[1::2], strict=True)))))
+        found = pool.map(figures, work, chunksize=1)
+    click.echo("\n".join(table({name: found[i :: len(names)] for i, name in enumerate(names)})))
 
 
 if __name__ == "__main__":
--- a/laurelspindle/lab/plan.py
+++ b/laurelspindle/lab/plan.py
@@ -182,7 +182,12 @@
 def scenario(plan: Plan) -> Scenario:
     """The plan's scenario with its keys, zones and length. PlanError."""
     keys = [f"{k}={word(v)}" for k, v in plan.set.items()]
-    keys += [f"zones.count={plan.zones}", f"nodes.count={plan.nodes}", f"length_s={plan.length_s}"]
+    keys += [
+        f"zones.count={plan.zones}",
+        f"zones.regions={plan.regions}",
+        f"nodes.count={plan.nodes}",
+        f"length_s={plan.length_s}",
+    ]
     try:
         found = load(plan.scenario, keys)
     except ScenarioError as e:
--- a/laurelspindle/lab/run.py
+++ b/laurelspindle/lab/run.py
@@ -28,7 +28,7 @@
 from laurelspindle.live.places import Places
 from laurelspindle.scenario.load import draw as draw_day
 from laurelspindle.virtual.play import made
-from laurelspindle.world.network import num
+from laurelspindle.world.network import num, one_way
 from laurelspindle.world.site import BEGIN, World
 from laurelspindle.world.streams import Streams
 
@@ -66,9 +66,7 @@
         self.places = Places()
         self.history = History(history)
         self.late_ms = 0.0
-        network = self.day.network
-        same, cross = int(num(network.same_ms) * 1000), int(num(network.cross_ms) * 1000)
-        self.links = Links(self.clock, self.streams, lambda a, b: same if a == b else cross)
+        self.links = Links(self.clock, self.streams, lambda a, b: one_way(self.day, a, b))
         epoch = time_ns() // 1_000_000 - BEGIN // 1000
         self.site = Site(self.loop, self.clock, self.places, NoControl(), self.tell, self.link, epoch)
         self.world = World(self.day, self.clock, self.site)
--- a/laurelspindle/live/emulate.py
+++ b/laurelspindle/live/emulate.py
@@ -18,7 +18,7 @@
 from laurelspindle.live.places import Places
 from laurelspindle.scenario.model import Scenario
 from laurelspindle.world.call import Call, Request
-from laurelspindle.world.network import num
+from laurelspindle.world.network import one_way
 from laurelspindle.world.site import BEGIN, World
 from laurelspindle.world.streams import Streams
 
@@ -60,10 +60,9 @@
     loop = asyncio.get_running_loop()
     clock = LiveClock(loop, BEGIN)
     streams = Streams(day.seed)
-    same, cross = int(num(day.network.same_ms) * 1000), int(num(day.network.cross_ms) * 1000)
 
     def link(a: str, zone: int, b: str, other: int) -> Link:
-        return Link(clock, streams.random(f"link/{a}/{b}"), same if zone == other else cross)
+        return Link(clock, streams.random(f"link/{a}/{b}"), one_way(day, zone, other))
 
     def observe(event: str, **fields: Any) -> None:
         pass
--- a/laurelspindle/scenario/check.py
+++ b/laurelspindle/scenario/check.py
@@ -121,6 +121,8 @@
     if shares and not sum(shares) > 0:
         yield "class[0].share: 0: must be over 0 for one class"
     zones = low(table.get("zones", {}).get("count", 1))
+    if top(table.get("zones", {}).get("regions", 1)) > zones:
+        yield f"zones.regions: {table['zones']['regions']}: must be at most zones.count, {zones:g}"
     tiers = len(table["tier"]) if "tier" in table else 3
     for i, f in enumerate(table.get("fault", ())):
         if f["type"] in ("zone_lost", "zone_slow", "zone_failing", "cut") and top(f.get("zone", 0)) >= zones:
--- a/laurelspindle/scenario/model.py
+++ b/laurelspindle/scenario/model.py
@@ -115,6 +115,7 @@
 
     count: Some = 1
     skew: Share = 0.0  # the first zone's clients: this share more than an even part
+    regions: Some = 1  # zones lie in them in turn
 
 
 class Network(Section):
@@ -122,6 +123,7 @@
 
     same_ms: From0 = (0.09, 0.23)
     cross_ms: From0 = (5.6, 10.0)
+    region_ms: From0 = 0.0  # between zones of two regions; 0: as between any two
     client_ms: From0 = (0.56, 1.1)
     jitter: Share = (0.09, 0.28)
     loss: Share = 0.0  # of the messages between nodes and servers; a lost one comes after `resend_ms`
--- a/laurelspindle/virtual/fleet.py
+++ b/laurelspindle/virtual/fleet.py
@@ -8,7 +8,7 @@
 
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
@@ -22,6 +22,8 @@
 from brackenladder.fleet.zones.settings import ZoneSettings
 from brackenladder.interface import Actions, Events, ListKind, Outcome, ServerEntry, Settings
 from brackenladder.interface import Fleet as Hook
+from laurelspindle.policies.local import StrictlyLocal
+from laurelspindle.world.network import whole
 from laurelspindle.world.site import World
 
 EPOCH = 1_700_000_000_000  # milliseconds of Unix time at the clock's 0
@@ -36,6 +38,8 @@
     probe: bool = False
     remeasure: float = 0.0
     zones: ZoneSettings | None = None
+    strict: bool = False  # calls stay in their zone until it is empty: a baseline
+    far_cost: float = 1.0  # of a call to another region
     together: bool = False  # the length of the way is left in the samples, to see the harm
     voters: int = 3
     lease: int = 3_000_000
@@ -126,11 +130,14 @@
         config = FleetConfig(
             name=self.name, zone=f"z{settings.zone}", region="", listen=NOWHERE, advertise=NOWHERE, seeds=(),
             keys=(), voters=names, old_voters=(), lease=uses.lease, longest=uses.longest, votes=None,
-            period=1_000_000, probe=uses.probe, remeasure=uses.remeasure, zones=uses.zones, clock_file=None,
+            period=1_000_000, probe=uses.probe, remeasure=uses.remeasure, clock_file=None,
+            zones=self.zone_settings(world, settings.zone),
         )  # fmt: skip
         duties = DutySettings(lease=uses.lease, longest=uses.longest)
         lists = [Electorate(names)]
         self.hand = Hand(config, settings, self.now, lambda: self.wall() * 1000, self.arm, self.tell)
+        if uses.strict:
+            self.hand.zones_kind = StrictlyLocal
         self.hand.verdict = self.verdict
         self.asker = Asker(self.name, seed & 0xFFFFFF, lists, duties, self.rng, self.wall)
         votes = lists if self.name in names else []
@@ -152,6 +159,14 @@
         """Those that run, in order."""
         return [n for n in self.fleet.processes if n != self.name and self.fleet.runs(n)]
 
+    def zone_settings(self, world: World, home: int) -> ZoneSettings | None:
+        """With the costs of the world's regions."""
+        uses, regions = self.fleet.uses, whole(world.day.zones.regions)
+        if uses.zones is None or regions == 1:
+            return uses.zones
+        far = [z for z in range(world.zones) if z % regions != home % regions]
+        return replace(uses.zones, costs={f"z{z}": uses.far_cost for z in far})
+
     def tell(self, text: str) -> None:
         """A line of the fleet's log."""
         self.fleet.notes.lines.append((self.clock.now, self.name, text))
--- a/laurelspindle/virtual/host.py
+++ b/laurelspindle/virtual/host.py
@@ -282,7 +282,7 @@
             )
         self.clock.call_unless(now + left, self.timed_out, attempt, is_over)
         network = self.network
-        delay = (network.same if server.zone == self.zone else network.cross)[attempt.draw & MASK]
+        delay = network.ways[self.zone][server.zone][attempt.draw & MASK]
         link = self.links.get(server_id)
         if link is None:
             link = self.links[server_id] = Link(server.life)
@@ -317,7 +317,7 @@
         network = self.network
         if attempt.ended or (network.cut and not network.reaches(self.zone, zone)):
             return
-        delay = (network.same if zone == self.zone else network.cross)[attempt.draw >> REPLY_BITS & MASK]
+        delay = network.ways[self.zone][zone][attempt.draw >> REPLY_BITS & MASK]
         self.ticker.tick_at(self.clock.now + delay).messages.append((self.returned, (attempt, outcome)))
 
     def returned(self, what: tuple[Attempt, Outcome]) -> None:
--- a/laurelspindle/world/network.py
+++ b/laurelspindle/world/network.py
@@ -18,12 +18,14 @@
         factors = 1 + jitter * rng.exponential(1.0, TABLE)
         lost = rng.random(TABLE) < loss
         extra = num(net.resend_ms) * 1000
-        self.same = [
-            int(num(net.same_ms) * 1000 * f + extra * gone) for f, gone in zip(factors, lost, strict=True)
-        ]
-        self.cross = [
-            int(num(net.cross_ms) * 1000 * f + extra * gone) for f, gone in zip(factors, lost, strict=True)
-        ]
+
+        def table(delay: int) -> list[int]:
+            return [int(delay * f + extra * gone) for f, gone in zip(factors, lost, strict=True)]
+
+        zones = whole(day.zones.count)
+        delays = {one_way(day, a, b) for a in range(zones) for b in range(zones)}
+        tables = {delay: table(delay) for delay in sorted(delays)}
+        self.ways = [[tables[one_way(day, a, b)] for b in range(zones)] for a in range(zones)]
         self.client = [int(num(net.client_ms) * 1000 * f) for f in factors]
         self.connect_timeout = int(num(net.connect_timeout_ms) * 1000)
         self.idle = int(num(net.idle_s) * 1e6)
@@ -35,13 +37,20 @@
 
     def between(self, a: int, b: int, draw: int) -> int:
         """The delay of a message between zones, by the draw that belongs to its call and attempt."""
-        return (self.same if a == b else self.cross)[draw & (TABLE - 1)]
+        return self.ways[a][b][draw & (TABLE - 1)]
 
     def outside(self, key: int, number: int) -> int:
         """The delay between a client and a node."""
         return self.client[scramble(key, number) & (TABLE - 1)]
 
 
+def one_way(day: Scenario, a: int, b: int) -> int:
+    """The plain delay from one zone to another, microseconds."""
+    net, regions = day.network, whole(day.zones.regions)
+    far = num(net.region_ms) if a % regions != b % regions else 0.0
+    return int((num(net.same_ms) if a == b else far or num(net.cross_ms)) * 1000)
+
+
 def num(value: float | tuple[float, float]) -> float:
     """A figure of a day, in which every range is fixed."""
     assert not isinstance(value, tuple), "a day has no ranges"
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -70,7 +70,7 @@
         clock.run(BEGIN + 5_000_000)
         struck = sorted(s.id for s in world.troubles[0].struck)
         states = [(s.id, s.paused, s.pauses.getstate()) for tier in world.tiers for s in tier]
-        seen.append((arrivals, struck, states, world.network.same))
+        seen.append((arrivals, struck, states, world.network.ways[0][0]))
         assert struck and world.accounts.attempts[0] > 100
     assert seen[0] == seen[1]
 
