--- a/brackenladder/fleet/hand.py
+++ b/brackenladder/fleet/hand.py
@@ -22,6 +22,7 @@
 from brackenladder.interface import ListKind, Outcome, ServerEntry, Settings, State
 
 UNCOUNTED = (Outcome.CANCELLED, Outcome.NOT_SENT)  # say nothing of a server
+WAY = 500  # microseconds, or a tenth: nor is a way that is longer or shorter by that
 MOVED = 0.005  # a share that has moved less is not worth telling the module
 Spread = Callable[[dict[int, float], dict[int, int]], None]
 
@@ -56,7 +57,8 @@
         self.entries: dict[int, ServerEntry] = {}  # ready servers, as discovery has them
         self.ahead = 0  # the list's clock before ours
         self.numbers: Mapping[str, int] = {}  # of the zones
-        self.shares: dict[str, float] = {}  # as the module was told last
+        self.shares: dict[str, float] = {}  # as the module was told last...
+        self.trips: dict[str, int] = {}  # ...and the ways
 
     def open(self, alive: Callable[[], Sequence[str]], rng: Random) -> None:
         """A new life begins. `alive`: the other members that are held alive."""
@@ -200,12 +202,13 @@
 
     def tell_shares(self, now: int, zones: Zones) -> None:
         """The module hears of shares that have moved."""
-        shares = zones.shares(now)
-        before = self.shares
-        if list(shares) != list(before) or any(abs(shares[z] - before[z]) > MOVED for z in shares):
-            self.shares = shares
-            trips = {self.numbers[z]: trip for z, trip in zones.trips().items()}
-            self.spread({self.numbers[z]: share for z, share in shares.items()}, trips)
+        shares, trips = zones.shares(now), zones.trips()
+        before, ways = self.shares, self.trips
+        moved = list(shares) != list(before) or any(abs(shares[z] - before[z]) > MOVED for z in shares)
+        if moved or any(abs(trip - ways.get(z, 0)) > max(WAY, trip // 10) for z, trip in trips.items()):
+            self.shares, self.trips = shares, trips
+            numbers = self.numbers
+            self.spread({numbers[z]: x for z, x in shares.items()}, {numbers[z]: t for z, t in trips.items()})
 
     def received(self, now: int, message: ProbeMessage | ZoneMessage) -> Out:
         if isinstance(message, ZoneMessage):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -182,7 +182,9 @@
     the process for good."""
 
     async def scene():
-        given = section(tmp_path, listen=f"127.0.0.1:{free_udp()}", voters=["n0", "b", "c"], period_ms=100)
+        given = section(
+            tmp_path, listen=f"127.0.0.1:{free_udp()}", voters=["n0", "b", "c"], period_ms=100, zones={}
+        )
         bench = await Bench(config={"fleet": given, "management": "127.0.0.1:0"}, peers=False).start()
         fleet = bench.node.fleet
         await until(lambda: fleet.swim is not None and fleet.timer is not None)
@@ -204,9 +206,16 @@
             (b"/fleet/give", b"duty=job&script=s", 200),
             (b"/fleet/replace", b"do=dance", 400),
             (b"/fleet/replace", b"do=begin&most=0", 400),
+            (b"/fleet/hold", b"duty=probe.x&script=s", 400),
+            (b"/fleet/zone", b"do=leave&zone=nowhere&for_s=5", 400),
+            (b"/fleet/zone", b"do=leave&zone=here&for_s=0", 400),
+            (b"/fleet/zone", b"do=dance&zone=here", 400),
+            (b"/fleet/zone", b"do=leave&zone=here&for_s=5", 200),
+            (b"/fleet/zone", b"do=return&zone=here", 200),
         ):
             assert bench.node.paths()[path].act(query)[0] == status, (path, query)
         fleet.close()
-        assert bench.node.paths()[b"/fleet/replace"].act(b"do=begin")[0] == 503
+        for path in (b"/fleet/replace", b"/fleet/zone"):
+            assert bench.node.paths()[path].act(b"do=begin")[0] == 503
 
     play(scene)
