--- a/laurelspindle/explore/uses.py
+++ b/laurelspindle/explore/uses.py
@@ -72,9 +72,13 @@
     "one-bad": [hit("silent", part=0.03)],
     "region-lost": [hit("zone_lost")],  # the others at 66%: with its load they are at 99%
     "regions": [hit("zone_lost")],
+    "uneven": [],
+    "no-clients": [],
 }
 OTHER = {
     "region-lost": ["load.fraction=0.66"],
+    "uneven": ["zones.count=2", "zones.servers.0=2", "zones.servers.1=50", "servers=52"],
+    "no-clients": ["zones.count=2", "zones.skew=1.0"],
     # Five zones in two regions, 60 ms apart; 200 nodes.
     "regions": [
         *("zones.count=5", "zones.regions=2", "network.region_ms=30", "network.cross_ms=2"),
--- a/laurelspindle/scenario/check.py
+++ b/laurelspindle/scenario/check.py
@@ -121,6 +121,9 @@
     if shares and not sum(shares) > 0:
         yield "class[0].share: 0: must be over 0 for one class"
     zones = low(table.get("zones", {}).get("count", 1))
+    for zone in table.get("zones", {}).get("servers", {}):
+        if not (zone.isascii() and zone.isdigit() and int(zone) < zones):
+            yield f"zones.servers.{zone}: must be a zone's number, under zones.count, {zones:g}"
     if top(table.get("zones", {}).get("regions", 1)) > zones:
         yield f"zones.regions: {table['zones']['regions']}: must be at most zones.count, {zones:g}"
     tiers = len(table["tier"]) if "tier" in table else 3
--- a/laurelspindle/scenario/model.py
+++ b/laurelspindle/scenario/model.py
@@ -116,6 +116,7 @@
     count: Some = 1
     skew: Share = 0.0  # the first zone's clients: this share more than an even part
     regions: Some = 1  # zones lie in them in turn
+    servers: dict[str, Over0] = field(default_factory=dict)  # by zone's number, weights of their servers; 1
 
 
 class Network(Section):
--- a/laurelspindle/world/site.py
+++ b/laurelspindle/world/site.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from math import floor
@@ -30,6 +31,12 @@
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 
 
+def dealt(shares: list[float], count: int) -> list[int]:
+    """So many places, each given to one of the shares' owners: evenly mixed, in proportion."""
+    turns = sorted(((i + 0.5) / share, k) for k, share in enumerate(shares) for i in range(count))
+    return [k for _, k in turns][:count]
+
+
 @dataclass(frozen=True, slots=True)
 class ServerSpec:
     """A machine's figures. Times in microseconds, work in core-microseconds of the yardstick."""
@@ -130,34 +137,27 @@
     def draw_specs(self) -> list[list[ServerSpec]]:
         """The machines of each tier, kinds by their shares, zones in turn, cells within a zone."""
         out: list[list[ServerSpec]] = []
+        weights = [num(self.day.zones.servers.get(str(z), 1.0)) for z in range(self.zones)]
         ids = self.streams.random("ids")
         taken: set[int] = set()
         for t, tier in enumerate(self.day.tier):
             count = max(1, round(whole(self.day.servers) * num(tier.size)))
-            shares = [num(k.share) for k in tier.kind]
-            kinds = [
-                k
-                for _, k in sorted(
-                    ((i + 0.5) / share, k) for k, share in enumerate(shares) for i in range(count)
-                )
-            ][:count]
+            kinds = dealt([num(k.share) for k in tier.kind], count)
             cell = whole(tier.cell_size)
+            zones, inside = dealt(weights, count), Counter[int]()
             row = []
             for i in range(count):
                 number = ids.randrange(1, 2**32)
                 while number in taken:
                     number = ids.randrange(1, 2**32)
                 taken.add(number)
-                row.append(
-                    self.spec(f"{tier.name}/{i}", number, t, i % self.zones, self.cell_of(i, cell), kinds[i])
-                )
+                zone = zones[i]
+                within = inside[zone] // cell * self.zones + zone  # cells lie within a zone
+                inside[zone] += 1
+                row.append(self.spec(f"{tier.name}/{i}", number, t, zone, within, kinds[i]))
             out.append(row)
         return out
 
-    def cell_of(self, place: int, size: int) -> int:
-        """Cells lie within a zone; their numbers are unique within the tier."""
-        return place // self.zones // size * self.zones + place % self.zones
-
     def spec(self, name: str, number: int, tier: int, zone: int, cell: int, kind: int) -> ServerSpec:
         k: Kind = self.day.tier[tier].kind[kind]
         cores = whole(k.cores)
