A zone that nobody calls from here is whole again in time

Cause: steps of a return wait for answers; a far zone gets no call while all is well at home, so it stayed at 2% and would have borne nothing when the own zone died. Measured: the new case of test_zones stays RETURNING for ever without it.

--- a/brackenladder/fleet/zones/decisions.py
+++ b/brackenladder/fleet/zones/decisions.py
@@ -217,12 +217,20 @@
         elif c.stand == Stand.RETURNING:
             if bad or (verdict.tells(s.least) and verdict.bad >= s.spread):
                 self.leave(now, zone, c)
-            elif now >= c.at and 2 * verdict.answered > verdict.calls:
+            elif now >= c.at and 2 * verdict.answered > verdict.calls or self.unasked(now, verdict, c):
                 c.part, c.at = min(1.0, 2 * c.part), now + s.step
                 if c.part == 1.0:
                     c.stand, c.back_at = Stand.IN, now
                     self.tell(f"fleet zone {zone} is whole again")
 
+    def unasked(self, now: int, verdict: Verdict, c: Course) -> bool:
+        """Whether nothing has gone to a zone for so long that no evidence is to be had.
+
+        Failure prevented: a far zone that is not called while all is well at home stays at 2% for ever, and
+        bears nothing on the day that the own zone dies.
+        """
+        return verdict.calls == 0 and now >= c.at + self.settings.hold
+
     def leave(self, now: int, zone: str, c: Course) -> None:
         """Nothing goes there for a while; for longer, if it has come back only lately."""
         s = self.settings
@@ -316,6 +324,7 @@
                 "share": round(shares.get(zone, 0.0), 4),
                 "strength": round(strength[zone], 2),
                 "part": round(c.part, 3),
+                "pace": round(self.evidence.pace(zone), 3),
                 "ordered_s": round(ordered / 1e6, 1),
             }
         return {"home": self.zone, "isolated": self.isolated, "zones": table, "counts": dict(self.counts)}
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -217,6 +217,16 @@
     assert z.course("a").hold >= 4 * SET.hold
 
 
+def test_a_far_zone_that_nobody_calls_is_whole_again_in_time():
+    z = zones("a", a=10, b=10, c=10)
+    z.ordered({"b": SEC})
+    z.ordered({})
+    assert z.course("b").stand == Stand.RETURNING
+    assert "b" not in play(z, 60) and z.course("b").stand == Stand.RETURNING
+    play(z, 40)
+    assert z.course("b").stand == Stand.IN
+
+
 def test_nodes_do_not_return_together():
     times = []
     for place in (0.0, 0.5, 0.9):
