--- a/laurelspindle/explore/uses.py
+++ b/laurelspindle/explore/uses.py
@@ -89,8 +89,8 @@
     name: (Uses(zones=ZoneSettings(), far_cost=3.0), REGION + OTHER.get(name, []), faults)
     for name, faults in TROUBLES.items()
 }
-# A call to another zone takes 120 ms longer, and one zone's nodes have clients for two.
-FAR = [*REGION, "network.cross_ms=60", "load.fraction=0.7", "zones.skew=0.6"]
+# A call to another zone takes 120 ms longer, and one zone has a third of its servers.
+FAR = [*REGION, "network.cross_ms=60", "load.fraction=0.75", "zones.servers.0=0.3"]
 DAYS |= {
     name: (Uses(zones=ZoneSettings(), together=together), FAR, [])
     for name, together in (("far-apart", False), ("far-together", True))
