Read once more: one t interval, one sum of a zone's calls, a zone's names worked out with the list

Cause: two tables worked the same interval out by themselves, evidence summed the same tallies in three places, and the zones' names were sorted out of all servers at each look and each trial. Change: experiment.compare.t_interval, evidence.whole, names kept with the list; the last look's verdicts are no longer kept to know which zones have servers. Behaviour as before.

--- a/brackenladder/fleet/zones/decisions.py
+++ b/brackenladder/fleet/zones/decisions.py
@@ -69,12 +69,12 @@
         self.tell = tell
         self.evidence = Evidence(settings, now)
         self.servers: dict[int, Listed] = {}
+        self.names: list[str] = []  # of the zones that these lie in
         self.aside: set[int] = set()
         self.courses: dict[str, Course] = {}
         self.orders: dict[str, int] = {}  # zones that an operator has left, and how long still
         self.returned: set[str] = set()  # and those that he has let return
         self.isolated = False
-        self.evidenced: dict[str, Verdict] = {}  # zones that have servers, as they were seen last
         self.next = now
         self.counts: Counter[str] = Counter()
 
@@ -84,7 +84,8 @@
         """Discovery's list as it stands: those that are ready."""
         self.servers = dict(servers)
         self.aside &= servers.keys()
-        for zone in sorted({s.zone for s in servers.values()}):
+        self.names = sorted({s.zone for s in servers.values()})
+        for zone in self.names:
             self.courses.setdefault(zone, Course())
 
     def set_aside(self, server: int, on: bool) -> None:
@@ -148,7 +149,7 @@
         if now < self.next:
             return False
         self.next = now + self.settings.every
-        verdicts = self.evidenced = {z: self.verdict(z) for z in self.present()}
+        verdicts = {z: self.verdict(z) for z in self.present()}
         bad = {z for z, v in verdicts.items() if v.bad >= self.settings.spread}
         self.look_around(verdicts, bad)
         for zone, verdict in verdicts.items():
@@ -177,8 +178,8 @@
                 c.stand, c.part = Stand.IN, 1.0
 
     def present(self) -> list[str]:
-        """Zones that have servers."""
-        return sorted({s.zone for s in self.servers.values()})
+        """Zones that have servers, in order."""
+        return self.names
 
     def verdict(self, zone: str) -> Verdict:
         aside = {s for s in self.aside if s in self.servers and self.servers[s].zone == zone}
@@ -231,7 +232,7 @@
         load topples the next.
         """
         out = sum(
-            z not in self.evidenced or c.stand != Stand.IN or z in self.orders
+            z not in self.names or c.stand != Stand.IN or z in self.orders
             for z, c in self.courses.items()
             if z != zone
         )
--- a/brackenladder/fleet/zones/evidence.py
+++ b/brackenladder/fleet/zones/evidence.py
@@ -21,6 +21,23 @@
     fails: int = 0
     latency: int = 0  # of those that were answered, summed
 
+    @property
+    def answered(self) -> int:
+        return self.calls - self.fails
+
+    def add(self, other: Tally) -> None:
+        self.calls += other.calls
+        self.fails += other.fails
+        self.latency += other.latency
+
+
+def whole(tallies: dict[int, Tally]) -> Tally:
+    """All servers' calls together."""
+    out = Tally()
+    for t in tallies.values():
+        out.add(t)
+    return out
+
 
 @dataclass
 class Zone:
@@ -37,10 +54,7 @@
         """Both windows, so that a look right after a turn is not blind."""
         out = {s: Tally(t.calls, t.fails, t.latency) for s, t in self.last.items()}
         for server, t in self.now.items():
-            sum_ = out.setdefault(server, Tally())
-            sum_.calls += t.calls
-            sum_.fails += t.fails
-            sum_.latency += t.latency
+            out.setdefault(server, Tally()).add(t)
         return out
 
 
@@ -103,10 +117,10 @@
             return
         self.turned = now
         for z in self.zones.values():
-            answered = sum(t.calls - t.fails for t in z.now.values())
-            calls = sum(t.calls for t in z.now.values())
-            if answered >= self.settings.least and answered > calls * (1 - self.settings.failing):
-                mean = sum(t.latency for t in z.now.values()) / answered
+            all_ = whole(z.now)
+            well = all_.answered > all_.calls * (1 - self.settings.failing)
+            if all_.answered >= self.settings.least and well:
+                mean = all_.latency / all_.answered
                 if z.usual == 0:
                     z.usual = mean
                 elif mean < self.settings.slower / 2 * z.usual:
@@ -122,34 +136,31 @@
         """Works the pace out anew: answers that come, and how fast they do; small delays, which any load
         brings, do not count. Without calls it is forgotten little by little."""
         s, z = self.settings, self.of(zone)
-        tallies = z.now if sum(t.calls for t in z.now.values()) >= s.least else z.joined()
-        calls = sum(t.calls for t in tallies.values())
-        answered = sum(t.calls - t.fails for t in tallies.values())
         if z.failed >= s.row:
             z.pace = s.first
             return
-        if calls < s.least:
+        all_ = whole(z.now)
+        if all_.calls < s.least:
+            all_ = whole(z.joined())
+        if all_.calls < s.least:
             z.pace += s.forget * (1 - z.pace)
             return
-        mean = sum(t.latency for t in tallies.values()) / max(1, answered)
+        mean = all_.latency / max(1, all_.answered)
         speed = min(1.0, s.slack * z.usual / mean) if z.usual and mean else 1.0
-        z.pace = max(s.first, speed * answered / calls)
+        z.pace = max(s.first, speed * all_.answered / all_.calls)
 
     def verdict(self, zone: str, aside: set[int]) -> Verdict:
         """Of a zone, with the servers that are set aside now."""
         s, z = self.settings, self.of(zone)
         tallies = z.joined()
-        calls = sum(t.calls for t in tallies.values())
         judged, bad = set(aside), set(aside)
         for server, t in tallies.items():
             if t.calls < 2:
                 continue
             judged.add(server)
-            done = t.calls - t.fails
-            slow = bool(z.usual and done and t.latency > s.slower * z.usual * done)
+            slow = bool(z.usual and t.answered and t.latency > s.slower * z.usual * t.answered)
             if t.fails >= s.failing * t.calls or slow:
                 bad.add(server)
-        answered = sum(t.calls - t.fails for t in tallies.values())
-        dead = z.failed >= s.row
+        all_, dead = whole(tallies), z.failed >= s.row
         part = len(bad) / len(judged) if judged else 0.0
-        return Verdict(calls, answered, 1.0 if dead else part, dead)
+        return Verdict(all_.calls, all_.answered, 1.0 if dead else part, dead)
--- a/laurelspindle/experiment/compare.py
+++ b/laurelspindle/experiment/compare.py
@@ -45,6 +45,13 @@
     return float(found.low), float(found.high)
 
 
+def t_interval(differences: Array) -> tuple[float, float, float]:
+    """The mean of paired differences and its 95% interval by Student's t, for two pairs or more."""
+    mean = float(differences.mean())
+    half = float(stats.t.ppf(0.975, len(differences) - 1) * differences.std(ddof=1) / len(differences) ** 0.5)
+    return mean, mean - half, mean + half
+
+
 def resampled(differences: Array, seed: int = 1) -> Array:
     rng = np.random.default_rng(seed)
     n = len(differences)
--- a/laurelspindle/explore/uses.py
+++ b/laurelspindle/explore/uses.py
@@ -15,9 +15,9 @@
 
 import click
 import numpy as np
-from scipy import stats
 
 from brackenladder.fleet.zones.settings import ZoneSettings
+from laurelspindle.experiment.compare import t_interval
 from laurelspindle.scenario.load import draw, load, plain, scenario_of
 from laurelspindle.scenario.model import Scenario
 from laurelspindle.virtual.fleet import Uses, VirtualFleet
@@ -181,9 +181,8 @@
         of = {name: np.array([r[key] for r in rows[name]]) for name in names}
         cells = [f"{v.mean():.4g}" for v in of.values()]
         for name in names[:-1]:
-            d = of["fleet"] - of[name]
-            half = stats.t.ppf(0.975, len(d) - 1) * d.std(ddof=1) / len(d) ** 0.5
-            cells.append(f"{d.mean():+.3g} ({d.mean() - half:.3g} to {d.mean() + half:.3g})")
+            mean, low, high = t_interval(of["fleet"] - of[name])
+            cells.append(f"{mean:+.3g} ({low:.3g} to {high:.3g})")
         out.append(f"| {key} | {' | '.join(cells)} |")
     return out
 
--- a/laurelspindle/lab/measure.py
+++ b/laurelspindle/lab/measure.py
@@ -20,8 +20,8 @@
 import click
 import msgspec
 import numpy as np
-from scipy import stats
 
+from laurelspindle.experiment.compare import t_interval
 from laurelspindle.lab.checkers import check
 from laurelspindle.lab.history import HistoryError, read
 from laurelspindle.lab.plan import shipped
@@ -160,11 +160,10 @@
                     scale * np.array([counted[*v, nodes, s].get(key, 0.0) for s in seeds])
                     for v in (before, after)
                 )
-                d = two - one
-                half = stats.t.ppf(0.975, len(d) - 1) * d.std(ddof=1) / len(d) ** 0.5
-                span = f"{d.mean():+.4g} ({d.mean() - half:.4g} to {d.mean() + half:.4g})"
+                mean, low, high = t_interval(two - one)
+                span = f"{mean:+.4g} ({low:.4g} to {high:.4g})"
                 names = " to ".join(plan + (", no fleet" if alone else "") for plan, alone in (before, after))
-                out.append(f"{names}, {nodes} nodes, {len(d)} pairs: {unit} {one.mean():.4g}, {span}")
+                out.append(f"{names}, {nodes} nodes, {len(seeds)} pairs: {unit} {one.mean():.4g}, {span}")
     return out
 
 
