A client that has left is seen at the last moment before its request is sent on

Cause: while reading is paused (eight requests sent ahead, or a body that waits) a client's end is not read, and what it left went to servers one request after the other; a client that ended before it had read its answers held its descriptor without end and, once it read, had its waiting requests handed on.

--- a/brackenladder/net/caller.py
+++ b/brackenladder/net/caller.py
@@ -17,6 +17,7 @@
 from brackenladder.net.message import REASONS, Message
 from brackenladder.net.passing import LARGEST, WHOLE, Source, Upload
 from brackenladder.net.room import Room
+from brackenladder.net.sockets import ENDED, shows
 
 LARGEST_HEAD = 32768
 SLICE = 8192  # bytes parsed in one go
@@ -157,6 +158,8 @@
                 self.reject(431)
 
     def on_message_begin(self) -> None:
+        if self.deaf:
+            return
         self.partial = Message()
         self.head = 0
         if self.due is None:
@@ -416,11 +419,27 @@
     # ---- ends -----------------------------------------------------------------------------------------
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.lost = True
+        self.leave()
         self.owner.callers.discard(self)
         self.owner.budget.client(-1)
-        self.rest = b""
         self.owe(0)
+
+    def eof_received(self) -> bool:
+        """The client's end is its leaving; what has been answered whole it may still read.
+
+        Failure prevented: a transport that closes itself waits without end for a client that does not read.
+        """
+        owed = self.source is None and self.unsent()
+        self.leave()
+        if owed and not self.ended:
+            self.finish()
+        return owed
+
+    def leave(self) -> None:
+        """The client has gone: nothing of what it sent is handed on from now, or waited for."""
+        self.lost = self.deaf = True
+        self.rest = b""
+        self.partial = None
         self.forget()
         if self.open is not None:
             self.owner.room.give(self.open.size)
@@ -428,6 +447,17 @@
             self.owner.handler.left(self)
         self.source = None
 
+    def stays(self) -> bool:
+        """Whether the client is still there, asked of its socket; one that is not leaves now.
+
+        Failure prevented: while nothing is read from a client that has sent much ahead, or while the process
+        was late, its end is not seen, and requests that nobody waits for go to servers one after the other.
+        """
+        if not self.lost and shows(self.transport, ENDED):
+            self.leave()
+            self.transport.abort()
+        return not self.lost
+
     def forget(self) -> None:
         """Throws away the requests that wait: they get no answer."""
         self.owner.room.give(sum(message.size for message in self.waiting))
--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -120,6 +120,8 @@
         """
         now = self.loop.time()
         for caller in list(self.callers):
+            if caller.paused and not caller.stays():
+                continue
             if caller.due is None or now < caller.due or caller.deaf:
                 continue
             if caller.open is not None and caller.open is not caller.partial:
--- a/brackenladder/net/connection.py
+++ b/brackenladder/net/connection.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from dataclasses import dataclass
 from typing import Protocol, cast
 
@@ -15,6 +14,7 @@
 from brackenladder.interface import Outcome
 from brackenladder.net.passing import LARGEST, WHOLE, Flow, Upload
 from brackenladder.net.room import Room
+from brackenladder.net.sockets import CAME, shows
 
 
 @dataclass
@@ -341,11 +341,7 @@
         Failure prevented: the server has closed it, the event loop has not come to that yet, and a request
         that may not be repeated is written to it and counts as one that may have run.
         """
-        if self.transport.is_closing():
-            return True
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return shows(self.transport, CAME)
 
     def close(self) -> None:
         """Ends the connection at once, with no wait for what the other side has not read."""
--- a/brackenladder/net/requests.py
+++ b/brackenladder/net/requests.py
@@ -274,7 +274,9 @@
 
         def compose() -> bytes | None:
             left = expires - self.turns.now()
-            return head_of(r.message, left // 1000) if r.caller is not None and left > 0 else None
+            if r.caller is None or not r.caller.stays() or left <= 0:
+                return None
+            return head_of(r.message, left // 1000)
 
         def sent() -> None:
             self.counters.sent()
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,311 @@
+"""Clients that leave while their request waits, on loopback sockets: nothing of it goes to a server any more.
+
+The client's end is in the node's socket before the step that could send the request on. Whether the event
+loop has seen it by then differs: `seen` waits until it has, the other orders never give it a turn.
+"""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+from loopback import OK, Bench, Server, always, call, gated, play, until
+
+from brackenladder.interface import Outcome
+from brackenladder.net import caller as node_caller
+from brackenladder.net.passing import WHOLE
+
+HOW = pytest.mark.parametrize("how", ["fin", "rst"])
+FORBIDDEN = {"policy_limits": {"cancel": False}}
+LATER = {"layers": ["front", "store"], "tier": 1}
+EVERYWHERE = pytest.mark.parametrize(
+    "where", [{}, FORBIDDEN, LATER], ids=["usual", "no cancel", "later tier"]
+)
+REJECTED = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class Late:
+    """A loop whose connections come up once a test lets them."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.up = asyncio.Event()
+        self.asked = asyncio.Event()
+
+    async def create_connection(self, *args):
+        self.asked.set()
+        await self.up.wait()
+        return await self.loop.create_connection(*args)
+
+    def __getattr__(self, name):
+        return getattr(self.loop, name)
+
+
+class Leaver:
+    """A client on a plain socket, which ends when it is told and not a turn of the loop later."""
+
+    def __init__(self, bench: Bench) -> None:
+        self.socket = socket.create_connection(("127.0.0.1", bench.port))
+
+    def go(self, how: str) -> None:
+        if how == "rst":
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.socket.close()
+
+
+async def only_caller(bench: Bench):
+    await until(lambda: len(bench.node.callers.callers) == 1)
+    return next(iter(bench.node.callers.callers))
+
+
+async def nothing_came(bench: Bench, *sent: tuple[Server, int]) -> None:
+    """The servers have had so many requests, and get one more of a client that stays; nothing is left over."""
+    node = bench.node
+    await until(lambda: not node.callers.callers and not node.requests.by_caller)
+    assert (await bench.once(call()))[0] == 200
+    await until(lambda: not node.callers.callers and not node.requests.open)
+    assert sum(len(s.requests) for s, _ in sent) == sum(n for _, n in sent) + 1
+    assert node.budget.clients == 0 and node.room.held == 0
+    assert node.budget.servers == sum(len(e.idle) for e in node.pool.endpoints.values())
+
+
+@HOW
+@EVERYWHERE
+@pytest.mark.parametrize("ahead", [2, 20])
+@pytest.mark.parametrize("order", ["seen", "answer first", "sweep first"])
+def test_behind_others_on_its_connection(how, where, ahead, order):
+    """With 20 sent ahead the connection is not being read, so its end shows in the socket alone."""
+
+    async def scene():
+        release = asyncio.Event()
+        bench = await Bench(server := Server(gated(release)), **where).start()
+        client = Leaver(bench)
+        client.socket.sendall(call() * ahead)
+        await until(lambda: len(server.requests) == 1)
+        caller = await only_caller(bench)
+        await until(lambda: len(caller.waiting) == ahead - 1)
+        assert caller.paused == (ahead == 20)
+        client.go(how)
+        if order == "seen":
+            await until(lambda: caller.lost)
+        elif order == "sweep first":
+            bench.node.callers.sweep()
+            assert caller.lost or not caller.paused
+        release.set()
+        await nothing_came(bench, (server, 1))
+
+    play(scene)
+
+
+def test_sent_ahead_by_one_who_does_not_read_and_ends():
+    """The end comes while answers wait to be written: they are written, and the rest goes nowhere."""
+
+    async def scene():
+        body = bytes(WHOLE)
+        long = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        bench = await Bench(server := Server(always(long))).start()
+        client = Leaver(bench)
+        caller = await only_caller(bench)
+        while not caller.full:
+            client.socket.sendall(call())
+            sent = len(server.requests) + 1
+            await until(lambda sent=sent: len(server.requests) == sent and (caller.open is None))
+        client.socket.sendall(call() * 3)
+        await until(lambda: len(caller.waiting) == 3)
+        client.socket.shutdown(socket.SHUT_WR)
+        await until(lambda: caller.lost)
+        count = len(server.requests)
+        client.socket.setblocking(False)
+        read = 0
+        while data := await asyncio.get_running_loop().sock_recv(client.socket, 1 << 20):
+            read += len(data)
+        assert read == count * len(long)
+        client.socket.close()
+        await nothing_came(bench, (server, count))
+
+    play(scene)
+
+
+def test_one_who_ends_and_never_reads_gives_its_descriptor_back(monkeypatch):
+    """Failure prevented: a transport that closes itself waits for such a client without end."""
+
+    async def scene():
+        monkeypatch.setattr(node_caller, "UNREAD", 0.0)
+        monkeypatch.setattr(node_caller, "LINGER", 0.0)
+        body = bytes(WHOLE)
+        long = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        bench = await Bench(server := Server(always(long))).start()
+        client = Leaver(bench)
+        caller = await only_caller(bench)
+        while not caller.full:
+            client.socket.sendall(call())
+            sent = len(server.requests) + 1
+            await until(lambda sent=sent: len(server.requests) == sent and (caller.open is None))
+        client.socket.shutdown(socket.SHUT_WR)
+        await until(lambda: not bench.node.callers.callers)
+        assert bench.node.budget.clients == 0 and bench.node.room.held == 0
+
+    play(scene)
+
+
+@HOW
+@EVERYWHERE
+@pytest.mark.parametrize("order", ["seen", "failure first"])
+@pytest.mark.parametrize("failure", [Outcome.CONNECT_FAILED, Outcome.REJECTED, Outcome.TIMEOUT])
+def test_for_a_retry(how, where, order, failure):
+    """The attempt fails after the client's end, in the same turn of the loop or after it was seen."""
+
+    async def scene():
+        release = asyncio.Event()
+        server, other = Server(gated(release)), Server(gated(release))
+        bench = await Bench(server, other, **where).start()
+        client = Leaver(bench)
+        client.socket.sendall(call())
+        await until(lambda: len(server.requests) + len(other.requests) == 1)
+        caller = await only_caller(bench)
+        (request,) = bench.node.requests.open.values()
+        client.go(how)
+        if order == "seen":
+            await until(lambda: caller.lost)
+        if request.out is not None:
+            request.out.stop(failure)
+        release.set()
+        await nothing_came(bench, (server, 1), (other, 0))
+
+    play(scene)
+
+
+@HOW
+def test_refused_by_every_member(how):
+    """Every server turns it away; the client leaves before the last of them does."""
+
+    async def scene():
+        release = asyncio.Event()
+
+        async def full(request, writer):
+            await release.wait()
+            return REJECTED
+
+        servers = [Server(full), Server(full)]
+        bench = await Bench(*servers).start()
+        client = Leaver(bench)
+        client.socket.sendall(call())
+        await until(lambda: sum(len(s.requests) for s in servers) == 1)
+        client.go(how)
+        release.set()
+        await until(lambda: not bench.node.callers.callers and not bench.node.requests.open)
+        for server in servers:
+            server.handle = always(OK)
+        await nothing_came(bench, (servers[0], 1), (servers[1], 0))
+
+    play(scene)
+
+
+@HOW
+@EVERYWHERE
+@pytest.mark.parametrize("order", ["seen", "up first"])
+@pytest.mark.parametrize("klass", ["view", "invite"])
+def test_for_a_connection_that_comes_up_late(how, where, order, klass):
+    async def scene():
+        bench = await Bench(server := Server(), **where).start()
+        bench.node.pool.loop = late = Late(asyncio.get_running_loop())
+        client = Leaver(bench)
+        client.socket.sendall(call(klass))
+        await late.asked.wait()
+        caller = await only_caller(bench)
+        client.go(how)
+        if order == "seen":
+            await until(lambda: caller.lost)
+        late.up.set()
+        await nothing_came(bench, (server, 0))
+
+    play(scene)
+
+
+@HOW
+def test_for_room_among_connections(how):
+    """It waits in the listener's queue while there is no room, and its client leaves there."""
+
+    async def scene():
+        bench = await Bench(server := Server()).start()
+        listener = bench.node.callers.listener
+        room, listener.room = listener.room, lambda: False
+        listener.look()
+        client = Leaver(bench)
+        client.socket.sendall(call())
+        client.go(how)
+        listener.room = room
+        listener.look()
+        await nothing_came(bench, (server, 0))
+
+    play(scene)
+
+
+@HOW
+@pytest.mark.parametrize(
+    ("order", "size"),
+    [("seen", 10), ("seen", WHOLE), ("up first", 10), ("up first", WHOLE), ("up first", 4 * WHOLE)],
+)
+def test_for_its_own_body(how, order, size):
+    """A part of the body has come; of a long one so much that nothing more is read before a server takes it.
+
+    Of the longest the end stands behind bytes that the socket has no room for: it is seen as they are read.
+    """
+
+    async def scene():
+        bench = await Bench(server := Server()).start()
+        bench.node.pool.loop = late = Late(asyncio.get_running_loop())
+        client = Leaver(bench)
+        head = call("offer").partition(b"Content-Length")[0]
+        client.socket.sendall(head + b"Content-Length: %d\r\n\r\n" % (size + 1) + bytes(size))
+        caller = await only_caller(bench)
+        await until(lambda: caller.partial is not None)
+        if size >= WHOLE:
+            await late.asked.wait()
+            await until(lambda: caller.paused)
+        client.go(how)
+        if order == "seen":
+            bench.node.callers.sweep()
+            await until(lambda: caller.lost)
+        late.up.set()
+        await nothing_came(bench, (server, 0))
+
+    play(scene)
+
+
+@HOW
+def test_in_the_turn_in_which_its_answer_comes(how):
+    """Its own answer is written or not, but what waits behind it goes nowhere."""
+
+    async def scene():
+        bench = await Bench(server := Server(always(None))).start()
+        client = Leaver(bench)
+        client.socket.sendall(call() * 2)
+        await until(lambda: len(server.requests) == 1)
+        caller = await only_caller(bench)
+        await until(lambda: len(caller.waiting) == 1)
+        (request,) = bench.node.requests.open.values()
+        client.go(how)
+        bench.node.requests.conclude(request.id, 504)  # as its guard does
+        assert request.out is not None
+        request.out.stop(Outcome.TIMEOUT)
+        server.handle = always(OK)
+        await nothing_came(bench, (server, 1))
+
+    play(scene)
+
+
+def test_one_who_stays_is_served_in_full_behind_others():
+    """The look at the socket takes nobody who stays for one who has left."""
+
+    async def scene():
+        bench = await Bench(server := Server(), config={"limits": {"sockets": 1024}}).start()
+        client = await bench.client()
+        client.send(call() * 20)
+        for _ in range(20):
+            assert (await client.receive())[0] == 200
+        assert len(server.requests) == 20
+        client.writer.close()
+        await until(lambda: not bench.node.callers.callers)
+
+    play(scene)
