--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -59,7 +59,7 @@
 
 
 async def nothing_came(bench: Bench, *sent: tuple[Server, int]) -> None:
-    """The servers have had so many requests, and get one more of a client that stays; nothing is left over."""
+    """So many requests came, one more of a client that stays does, and nothing is left over."""
     node = bench.node
     await until(lambda: not node.callers.callers and not node.requests.by_caller)
     assert (await bench.once(call()))[0] == 200
