A connection to a server counts from the moment it is asked for

Cause: Pool.opened was called as the task first ran, a turn after has_room said yes, so exchanges of one turn (a burst, retries at one list change) each found the last place free and went over the budget of descriptors. Found by reading. Change: it is counted in dial_one; a task that is cancelled, perhaps before it ran, gives it back. Measured: tests/test_crossings.py with 2 and 7 exchanges in one turn and one place: 1 dialled, before 2 and 7.

--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -69,15 +69,29 @@
         if connection is not None:
             self.use(connection)
         elif self.pool.has_room():
-            self.connecting = self.pool.loop.create_task(self.connect())
+            self.dial_one()
         else:
             self.end(Outcome.CONNECT_FAILED, None)
 
-    async def connect(self) -> None:
+    def dial_one(self) -> None:
+        """Begins to open a connection.
+
+        Failure prevented: it is counted only as its task first runs, and all exchanges of one turn find the
+        same last place free.
+        """
+        connection = Connection(self.pool, self.endpoint)
+        self.pool.opened(connection)
+        self.connecting = self.pool.loop.create_task(self.connect(connection))
+
+        def ended(task: asyncio.Task[None]) -> None:
+            if task.cancelled():  # perhaps before it ran at all
+                self.pool.lost(connection)
+
+        self.connecting.add_done_callback(ended)
+
+    async def connect(self, connection: Connection) -> None:
         """Opens a connection within the connect time-out."""
         pool = self.pool
-        connection = Connection(pool, self.endpoint)
-        pool.opened(connection)
         began = pool.loop.time()
         try:
             async with asyncio.timeout(pool.connect_timeout):
@@ -87,7 +101,6 @@
             self.end(Outcome.CONNECT_FAILED, None)
             return
         except asyncio.CancelledError:
-            pool.lost(connection)
             if connection.transport is not None:
                 connection.close()
             raise
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,7 +1,11 @@
 """Two events that cross, on loopback sockets, in both orders: rows of docs/crossings.md name these tests."""
 
-from loopback import OK, Bench, Server, always, call, play
+import asyncio
 
+import pytest
+from loopback import OK, Bench, Server, always, call, gated, play, record_outcomes, until
+
+from brackenladder.interface import Outcome
 from brackenladder.net.caller import Caller
 from brackenladder.net.passing import WHOLE
 
@@ -37,3 +41,29 @@
         assert server.connections == 1
 
     play(scene)
+
+
+@pytest.mark.parametrize("count", [2, 7])
+def test_exchanges_that_begin_in_one_turn_share_what_room_there_is(count):
+    """Failure prevented: each finds the last free place, and all of them open a connection."""
+
+    async def scene():
+        release = asyncio.Event()
+        bench = await Bench(Server(gated(release)), Server(gated(release))).start()
+        pool = bench.node.pool
+        outcomes = record_outcomes(bench)
+        pool.budget.resize(40, 40)
+        pool.budget.server(pool.budget.for_servers() - 1)  # one place is left
+        clients = [await bench.client() for _ in range(count)]
+        await until(lambda: len([c for c in bench.node.callers.callers if c.transport]) == count)
+        for caller in list(bench.node.callers.callers):
+            data = call("view")
+            bench.node.room.buffer[: len(data)] = data
+            caller.buffer_updated(len(data))
+        assert pool.budget.servers <= pool.budget.for_servers()
+        release.set()
+        for client in clients:
+            await client.receive()
+        assert Outcome.CONNECT_FAILED in outcomes and pool.dialled == 1
+
+    play(scene)
