Nothing is read on where the connection ends anyway

Cause: read on before every end of an exchange, also on connections about to be closed (a test's stand-in had no loop). Change: only where the connection is kept.

--- a/brackenladder/net/connection.py
+++ b/brackenladder/net/connection.py
@@ -310,8 +310,8 @@
         self.forget_body()
         reuse = reuse and not self.unsent()
         self.upload = None
-        self.go_on()  # its client may have taken no more just as the last of the answer came
         if reuse and self.endpoint.ready and not self.transport.is_closing():
+            self.go_on()  # its client may have taken no more just as the last of the answer came
             self.pool.keep(self)
         else:
             self.close()
