A configuration half written at SIGHUP is read again until it is whole

Cause: reload read the file once; half written it was one log line, and the node stayed with a discovery that closes 1.5 s later, while what the new one says counts as told after 4 s. Found by reading Node.reload. Change: read again every 0.1 s, 100 times at most, one line at the first failure and one when given up; a later signal begins anew.

--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -37,6 +37,8 @@
 LONGEST = 3_000_000  # after SIGTERM the platform waits for the longest deadline, for so long at most...
 LAST = 500_000  # ...and 0.7 s more; so long into that, a request that came late must have its answer
 PEERS_RETRY = 0.05  # seconds
+RELOAD_AGAIN = 0.1  # seconds after which a configuration that cannot be read is read again...
+RELOADS = 100  # ...so many times at most
 STATS_EVERY = 1.0  # seconds between two lines of statistics
 
 
@@ -67,6 +69,7 @@
         self.roster = Roster(config, loop, self.pool, self.life, self.log_lines, strays, self.turns)
         self.discovery = self.roster.discovery
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
+        self.reloading: asyncio.TimerHandle | None = None  # a configuration that could not be read yet
         self.handover = Handover(loop, config.folder, self.share, self.log_lines)
         # What the module does to requests, and what it asks of discovery, their parts do themselves.
         self.send, self.cancel = self.requests.send, self.requests.cancel
@@ -172,12 +175,22 @@
         self.log_lines.line("stats " + " ".join(f"{name}={value:.4g}" for name, value in figures.items()))
         self.loop.call_later(STATS_EVERY, self.write_stats)
 
-    def reload(self, environ: Mapping[str, str]) -> None:
-        """The configuration file was replaced: of what it tells, only discovery's address can change."""
+    def reload(self, environ: Mapping[str, str], again: int = 0) -> None:
+        """The configuration file was replaced: of what it tells, only discovery's address can change.
+
+        Failure prevented: the signal finds the file half written, no second one comes, and the node stays
+        with a discovery that is given up.
+        """
+        if self.reloading is not None:
+            self.reloading.cancel()
+            self.reloading = None
         try:
             address = load_discovery(environ)
         except ConfigError as e:
-            self.log_lines.line(f"reload: {e}")
+            if again in (0, RELOADS):
+                self.log_lines.line(f"reload: {e}: " + ("given up" if again else "will be read again"))
+            if again < RELOADS:
+                self.reloading = self.loop.call_later(RELOAD_AGAIN, self.reload, environ, again + 1)
             return
         self.log_lines.line(f"reload discovery={address[0]}:{address[1]}")
         self.discovery.move(address)
@@ -227,6 +240,8 @@
         if self.fleet is not None:
             self.fleet.leave()
         await self.callers.drain()
+        if self.reloading is not None:
+            self.reloading.cancel()
         self.discovery.close()
         self.handover.close()
         if self.requests.guarded:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,11 +1,13 @@
 """Two events that cross, on loopback sockets, in both orders: rows of docs/crossings.md name these tests."""
 
 import asyncio
+import json
 
 import pytest
-from loopback import OK, Bench, Server, always, call, gated, play, record_outcomes, until
+from loopback import OK, Bench, Discovery, Server, always, call, gated, play, record_outcomes, until
 
 from brackenladder.interface import Outcome
+from brackenladder.net import node as node_module
 from brackenladder.net.caller import Caller
 from brackenladder.net.passing import WHOLE
 
@@ -67,3 +69,44 @@
         assert Outcome.CONNECT_FAILED in outcomes and pool.dialled == 1
 
     play(scene)
+
+
+# ---- lists ------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("part", [0, 1, 40, -1], ids=["empty", "a byte", "a part", "all but a byte"])
+@pytest.mark.parametrize("signals", [1, 2])
+def test_a_configuration_half_written_at_the_signal_is_read_once_it_is_whole(tmp_path, part, signals, capsys):
+    """Failure prevented: no second signal comes, and the node asks an address that is given up for good."""
+
+    async def scene():
+        bench = await Bench(Server()).start()
+        await (second := Discovery()).start()
+        file = tmp_path / "config.json"
+        whole = json.dumps({"name": "n0", "discovery": f"127.0.0.1:{second.port}"})
+        file.write_text(whole[:part])
+        for _ in range(signals):
+            bench.node.reload({"LB_CONFIG": str(file)})
+        assert bench.node.reloading is not None and not second.connections
+        file.write_text(whole)
+        bench.node.discovery.watch(True)
+        await until(lambda: bool(second.requests))
+        assert bench.node.reloading is None
+
+    play(scene)
+    lines = [line for line in capsys.readouterr().err.splitlines() if " reload" in line]
+    assert len(lines) == signals + 1 and "will be read again" in lines[0]
+
+
+def test_a_configuration_that_stays_unreadable_is_given_up_with_a_line(tmp_path, monkeypatch, capsys):
+    async def scene():
+        monkeypatch.setattr(node_module, "RELOAD_AGAIN", 0.0)
+        bench = await Bench(Server()).start()
+        address = bench.node.discovery.address
+        bench.node.reload({"LB_CONFIG": str(tmp_path / "none.json")})
+        await until(lambda: bench.node.reloading is None)
+        assert bench.node.discovery.address == address
+
+    play(scene)
+    lines = [line for line in capsys.readouterr().err.splitlines() if " reload" in line]
+    assert len(lines) == 2 and lines[1].endswith("given up")
