An answer older than the list in hand is dropped, unless discovery has begun anew

Cause: a whole list of a lower version was taken as it came (it brings drained servers back, docs/open-ends.md), while changes of a lower version were dropped for ever, so that a discovery that began its versions anew was never heard again. Change: one rule for both: the first old answer is dropped with a line; the second in a row is believed if it is a whole list, and otherwise the whole list is asked for. An old replica that answers twice in a row cannot be told from a new beginning. Measured: tests/test_crossings.py, seven cases in both orders; those of whole lists and of new beginnings fail without the change.

--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -20,6 +20,7 @@
 ANSWER_TIME = 1.0  # after its wait, a watch that has not been answered has failed
 FETCH_TIME = 6.0
 LARGEST_ANSWER = 4 << 20
+OLDER = 2  # so many answers in a row that are older than the list in hand tell that discovery has begun anew
 
 Told = Callable[[Listing | None], None]
 
@@ -147,6 +148,7 @@
         self.version = version
         self.told = told
         self.log = log
+        self.older = 0  # answers in a row that were older than the list in hand
         self.watching: Call | None = None
         self.fetching: Call | None = None
 
@@ -211,11 +213,30 @@
         except (ValueError, RecursionError) as e:
             self.log.line(f"discovery: answer dropped: {e}")
             return None
-        if listing.kind == ListKind.CHANGES and listing.version < self.version:
-            # Failure prevented: an old answer that was overtaken brings drained servers back.
-            return Listing(ListKind.CHANGES, self.version, ())
-        self.version = listing.version
-        return listing
+        return self.newer(listing)
+
+    def newer(self, listing: Listing) -> Listing:
+        """The listing, or no change in place of one that is older than the list in hand.
+
+        Failure prevented: an old answer that was overtaken brings drained servers back; or, the other way,
+        discovery has begun its versions anew, and the node is deaf to it. Two old answers in a row tell the
+        second case: then a whole list is believed, and where only changes came one is asked for.
+        """
+        if listing.version >= self.version:
+            self.older = 0
+            self.version = listing.version
+            return listing
+        self.older += 1
+        doubted = self.older >= OLDER
+        what = "begun anew" if doubted else "older than the list in hand"
+        self.log.line(f"discovery: version {listing.version} after {self.version}: {what}")
+        if doubted and listing.kind == ListKind.FULL:
+            self.older = 0
+            self.version = listing.version
+            return listing
+        if doubted:
+            self.fetch()
+        return Listing(ListKind.CHANGES, self.version, ())
 
     def close(self) -> None:
         """Ends all calls."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -110,3 +110,74 @@
     play(scene)
     lines = [line for line in capsys.readouterr().err.splitlines() if " reload" in line]
     assert len(lines) == 2 and lines[1].endswith("given up")
+
+
+async def served(bench: Bench) -> set[str]:
+    """The names of the servers that the node takes for ready, by who answers."""
+    return {f"s{i}" for i, s in enumerate(bench.servers) if any(
+        e.ready and e.port == s.port for e in bench.node.pool.endpoints.values())}  # fmt: skip
+
+
+@pytest.mark.parametrize("full", [True, False])
+@pytest.mark.parametrize("between", [True, False])
+def test_an_answer_older_than_the_list_in_hand_brings_nobody_back(full, between, capsys):
+    """Both orders: the old answer after the newer one, once, and once more after a good one in between."""
+
+    async def scene():
+        bench = await Bench(gone := Server(), stays := Server(), discovery="push").start()
+        told = bench.discovery
+        told.say(50, True, stays.entry("s1"))
+        told.say(45, full, gone.entry("s0"), stays.entry("s1"))
+        if between:
+            told.say(51, False)
+            told.say(45, full, gone.entry("s0"), stays.entry("s1"))
+        told.say(52, False)
+        await until(lambda: bench.node.discovery.version == 52)
+        assert await served(bench) == {"s1"}
+        assert len(told.requests) >= 4 and bench.node.discovery.fetching is None
+
+    play(scene)
+    lines = [line for line in capsys.readouterr().err.splitlines() if "older than the list" in line]
+    assert len(lines) == 1 + between
+
+
+def test_a_discovery_that_began_its_versions_anew_is_believed_at_the_second_answer():
+    """Failure prevented: its changes are dropped as old for as long as its versions are lower."""
+
+    async def scene():
+        bench = await Bench(Server(), stays := Server(), discovery="push").start()
+        told = bench.discovery
+        told.say(50, True, *(s.entry(f"s{i}") for i, s in enumerate(bench.servers)))
+        told.say(2, True, stays.entry("s1"))
+        told.say(2, True, stays.entry("s1"))
+        await until(lambda: bench.node.discovery.version == 2)
+        assert await served(bench) == {"s1"}
+
+    play(scene)
+
+
+@pytest.mark.parametrize("order", ["whole list first", "a change first"])
+def test_a_discovery_anew_that_tells_changes_alone_is_asked_for_the_whole_list(order):
+    """The watch's next answer and the whole list cross: whichever comes first, the last word is the newer."""
+
+    async def scene():
+        bench = await Bench(Server(), stays := Server(), discovery="push").start()
+        told, node = bench.discovery, bench.node
+        told.say(50, True, *(s.entry(f"s{i}") for i, s in enumerate(bench.servers)))
+        told.say(2, False)
+        told.say(2, False)
+        await until(lambda: node.discovery.fetching is not None and node.discovery.watching is not None)
+        whole = json.dumps({"version": 2, "full": True, "servers": [stays.entry("s1")]}).encode()
+        change = json.dumps({"version": 3, "full": False, "servers": []}).encode()
+        fetching, watching = node.discovery.fetching, node.discovery.watching
+        assert fetching is not None and watching is not None
+        if order == "a change first":
+            node.discovery.watched(watching, change)
+            node.discovery.fetched(fetching, whole)
+            node.discovery.watched(node.discovery.watching, change)
+        else:
+            node.discovery.fetched(fetching, whole)
+            node.discovery.watched(watching, change)
+        assert await served(bench) == {"s1"} and node.discovery.version == 3
+
+    play(scene)
