A node that ends keeps requests that have begun to come, and the queue it has no room for

Cause: Caller.closes looked at requests that wait and not at one half read or still in the socket: the last answer ended the connection under them. Listener.stop closed the socket when room ran out, which resets who waits in its queue. Both found by reading; both end at one point, what a closing node still owes. Change: closes looks at the half-read request and at the socket; stop keeps the socket until its queue is empty.

--- a/brackenladder/net/caller.py
+++ b/brackenladder/net/caller.py
@@ -303,7 +303,8 @@
         Failure prevented: requests that came behind it, whole, are thrown away as the node leaves.
         """
         still = message.upload is not None and not message.upload.whole
-        leaving = self.owner.life.leaving and not self.waiting and not self.rest
+        begun = self.waiting or self.rest or self.partial not in (None, message)
+        leaving = self.owner.life.leaving and not begun and not self.unread()
         return not message.keep or self.refusing or still or leaving
 
     def write(self, data: bytes) -> None:
@@ -450,8 +451,8 @@
     def stays(self) -> bool:
         """Whether the client is still there, asked of its socket; one that is not leaves now.
 
-        Failure prevented: while nothing is read from a client that has sent much ahead, or while the process
-        was late, its end is not seen, and requests that nobody waits for go to servers one after the other.
+        Failure prevented: while nothing is read from a client that has sent much ahead, its end is not seen,
+        and requests that nobody waits for go to servers.
         """
         if not self.lost and shows(self.transport, ENDED):
             self.leave()
@@ -483,9 +484,8 @@
 
     def idle(self) -> bool:
         """Whether no request is open, has begun or waits in the socket, and all answers have gone."""
-        if self.open is not None or self.partial is not None or self.waiting or self.deaf or self.rest:
-            return False
-        return not self.unsent() and not self.unread()
+        begun = self.open is not None or self.partial is not None or self.waiting or self.deaf or self.rest
+        return not begun and not self.unsent() and not self.unread()
 
     def unsent(self) -> bool:
         """Whether bytes of an answer wait in the process: closing now would cut it short."""
--- a/brackenladder/net/listener.py
+++ b/brackenladder/net/listener.py
@@ -5,7 +5,6 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from contextlib import suppress
 
 Address = tuple[str, int]
 
@@ -89,15 +88,16 @@
             self.socket = None
 
     def stop(self) -> None:
-        """Takes all that waits in the queue and closes the socket.
+        """Takes all that waits in the queue and closes the socket. Without room it stays for later.
 
         Failure prevented: whoever connects between the last accept and the close is reset, so nothing is
-        done in between.
+        done in between; or the close resets those for whom there was no room.
         """
-        self.pause()
-        listener, self.socket = self.socket, None
-        assert listener is not None
-        with suppress(OSError):  # none waits any more
+        assert self.socket is not None
+        try:
             while self.room():
-                self.take(listener.accept()[0])
-        listener.close()
+                self.take(self.socket.accept()[0])
+        except BlockingIOError:  # none waits any more
+            self.release()
+        except OSError:  # the one that waited has gone
+            pass
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import pytest
 from loopback import OK, Bench, Discovery, Server, always, call, gated, play, record_outcomes, until
@@ -181,3 +182,70 @@
         assert await served(bench) == {"s1"} and node.discovery.version == 3
 
     play(scene)
+
+
+# ---- ends -------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("read", [True, False], ids=["half read", "in the socket"])
+@pytest.mark.parametrize("leaving", [True, False])
+def test_the_last_answer_is_written_as_the_next_request_has_begun_to_come(read, leaving):
+    """Failure prevented: the node leaves, and a request that its client has written is thrown away."""
+
+    async def scene():
+        bench = await Bench(server := Server(always(None))).start()
+        node = bench.node
+        client = socket.create_connection(("127.0.0.1", bench.port))
+        client.setblocking(False)
+        client.send(call())
+        await until(lambda: len(server.requests) == 1)
+        (request,) = node.requests.open.values()
+        caller = request.caller
+        assert caller is not None
+        if leaving:
+            drain = asyncio.create_task(node.drain())
+            await until(lambda: node.callers.emptying)
+        half = len(call()) // 2
+        client.send(call()[:half])
+        if read:
+            await until(lambda: caller.partial is not None)
+        node.requests.conclude(request.id, 504)
+        server.handle = always(OK)
+        client.send(call()[half:])
+        answers = b""
+        loop = asyncio.get_running_loop()
+        while answers.count(b"HTTP/1.1 ") < 2:
+            more = await loop.sock_recv(client, 9999)
+            assert more, "the connection ended with a request unanswered"
+            answers += more
+        first, _, second = answers.partition(b"HTTP/1.1 200")
+        assert b"Connection: close" not in first and (b"Connection: close" in second) == leaving
+        client.close()
+        if leaving:
+            await asyncio.wait_for(drain, 20)
+
+    play(scene)
+
+
+def test_a_listener_that_ends_without_room_keeps_its_queue(monkeypatch):
+    """Failure prevented: at SIGTERM all room is taken, and who waits in the queue is reset by the close."""
+
+    async def scene():
+        monkeypatch.setattr("brackenladder.net.callers.TAKING", 0.0)
+        bench = await Bench(Server()).start()
+        listener = bench.node.callers.listener
+        room, listener.room = listener.room, lambda: False
+        listener.look()
+        client = await bench.client()  # the system has taken it, the node has not
+        client.send(call())
+        drain = asyncio.create_task(bench.node.drain())
+        await until(lambda: bench.node.callers.emptying)
+        listener.stop()
+        listener.room = room
+        assert (await client.receive())[0] == 200
+        assert await client.ended()
+        client.writer.close()
+        await asyncio.wait_for(drain, 20)
+        assert listener.socket is None
+
+    play(scene)
