--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -84,7 +84,7 @@
         self.connecting = self.pool.loop.create_task(self.connect(connection))
 
         def ended(task: asyncio.Task[None]) -> None:
-            if task.cancelled():  # perhaps before it ran at all
+            if task.cancelled() and connection.transport is None:  # perhaps before it ran at all
                 self.pool.lost(connection)
 
         self.connecting.add_done_callback(ended)
@@ -96,14 +96,15 @@
         try:
             async with asyncio.timeout(pool.connect_timeout):
                 await pool.loop.create_connection(lambda: connection, self.endpoint.host, self.endpoint.port)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, asyncio.CancelledError) as e:
+            # It may have come up in the very turn in which its time ran out.
             pool.lost(connection)
-            self.end(Outcome.CONNECT_FAILED, None)
-            return
-        except asyncio.CancelledError:
             if connection.transport is not None:
                 connection.close()
-            raise
+            if isinstance(e, asyncio.CancelledError):
+                raise
+            self.end(Outcome.CONNECT_FAILED, None)
+            return
         self.connecting = None
         self.dial = pool.loop.time() - began
         self.use(connection)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -267,6 +267,23 @@
         return getattr(self.loop, name)
 
 
+class Late:
+    """A loop whose connections come up once a test lets them."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.up = asyncio.Event()
+        self.asked = asyncio.Event()
+
+    async def create_connection(self, *args):
+        self.asked.set()
+        await self.up.wait()
+        return await self.loop.create_connection(*args)
+
+    def __getattr__(self, name):
+        return getattr(self.loop, name)
+
+
 def always(*answers: bytes | None):
     """A handle that gives these answers in turn, the last one for good."""
     left = list(answers)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,7 +9,7 @@
 import struct
 
 import pytest
-from loopback import OK, Bench, Server, always, call, gated, play, until
+from loopback import OK, Bench, Late, Server, always, call, gated, play, until
 
 from brackenladder.interface import Outcome
 from brackenladder.net import caller as node_caller
@@ -24,23 +24,6 @@
 REJECTED = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 
 
-class Late:
-    """A loop whose connections come up once a test lets them."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self.loop = loop
-        self.up = asyncio.Event()
-        self.asked = asyncio.Event()
-
-    async def create_connection(self, *args):
-        self.asked.set()
-        await self.up.wait()
-        return await self.loop.create_connection(*args)
-
-    def __getattr__(self, name):
-        return getattr(self.loop, name)
-
-
 class Leaver:
     """A client on a plain socket, which ends when it is told and not a turn of the loop later."""
 
