What never ends is cut by its bytes: heads, trailers, extensions and interim answers

Cause: the bound on a client's head ended with the head, and servers' and discovery's heads had none, while the parser keeps a line until it ends: a trailer or a header line without end grew for the attempt's whole time, over the memory of a small node. Change: bytes in a row that bring nothing of a body are counted: 32 KiB from a client (431), 128 KiB from a server (a broken-off answer), and all bytes of discovery's answer within its 4 MiB. unread asks the same poll as the other looks.

--- a/brackenladder/net/caller.py
+++ b/brackenladder/net/caller.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import socket
 import struct
-import termios
 from collections import deque
 from typing import Protocol, cast
 
@@ -17,7 +15,7 @@
 from brackenladder.net.message import REASONS, Message
 from brackenladder.net.passing import LARGEST, WHOLE, Source, Upload
 from brackenladder.net.room import Room
-from brackenladder.net.sockets import ENDED, shows
+from brackenladder.net.sockets import CAME, ENDED, shows
 
 LARGEST_HEAD = 32768
 SLICE = 8192  # bytes parsed in one go
@@ -71,7 +69,8 @@
         self.rest = b""  # has come and is not parsed yet
         self.parsing = False
         self.partial: Message | None = None
-        self.head = 0
+        self.heading = False  # its head is still coming
+        self.bare = 0  # bytes of it that have come in a row and were none of its body
         self.waiting: deque[Message] = deque()
         self.open: Message | None = None
         self.source: Source | None = None  # where the open request's answer flows from
@@ -142,6 +141,7 @@
 
     def feed(self, data: bytes) -> None:
         """Parses a slice, small beside the bound on a head, which is measured in whole slices."""
+        partial, moved = self.partial, self.moved
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -152,16 +152,18 @@
                     message.keep = False
         except httptools.HttpParserError:
             self.reject(400)
-        if self.partial is not None and self.head >= 0:
-            self.head += len(data)
-            if self.head > LARGEST_HEAD:
-                self.reject(431)
+        if self.partial is None or self.deaf:
+            return
+        # A trailer, like a head, is kept by the parser until it ends.
+        self.bare = self.bare + len(data) if self.partial is partial and self.moved == moved else len(data)
+        if self.bare > LARGEST_HEAD:
+            self.reject(431)
 
     def on_message_begin(self) -> None:
         if self.deaf:
             return
         self.partial = Message()
-        self.head = 0
+        self.heading = True
         if self.due is None:
             self.due = self.owner.loop.time() + SLOW
 
@@ -170,7 +172,7 @@
             self.partial.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.partial is not None and self.head >= 0:  # or it is a trailer, which ends here
+        if self.partial is not None and self.heading:  # or it is a trailer, which ends here
             key = name.lower()
             self.partial.lines.append((key, name, value))
             self.partial.headers.setdefault(key, value)
@@ -178,7 +180,7 @@
                 self.reject(431)
 
     def on_headers_complete(self) -> None:
-        self.head = -1
+        self.heading = False
         message = self.partial
         if message is None:
             return
@@ -271,7 +273,7 @@
         if self.open is not None or self.full or self.lost:
             return
         if not self.waiting:
-            if self.partial is not None and self.head < 0:
+            if self.partial is not None and not self.heading:
                 self.go_ahead(self.partial)
             return
         self.open = message = self.waiting.popleft()
@@ -478,7 +480,7 @@
             return None
         if self.partial is None and self.kept:
             return None if self.unsent() else (1, self.active)
-        if self.partial is not None and self.head < 0:  # its body is coming
+        if self.partial is not None and not self.heading:  # its body is coming
             return None
         return (0 if now - self.active >= WRITES else 2), self.active
 
@@ -493,7 +495,5 @@
 
     def unread(self) -> bool:
         """Whether bytes wait in the socket: closing now would reset a client that has just sent."""
-        if self.transport is None or self.transport.is_closing():
-            return False
-        number = self.transport.get_extra_info("socket").fileno()
-        return any(fcntl.ioctl(number, termios.FIONREAD, b"\0\0\0\0"))
+        up = self.transport is not None and not self.transport.is_closing()
+        return up and shows(self.transport, CAME)
--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -127,7 +127,7 @@
             if caller.open is not None and caller.open is not caller.partial:
                 continue  # what is ahead may wait
             if caller.partial is not None:
-                if caller.head < 0 and caller.moved >= LEAST_MOVED:
+                if not caller.heading and caller.moved >= LEAST_MOVED:
                     caller.due, caller.moved = now + SLOW, 0
                     continue
                 self.counts["late"] += 1
--- a/brackenladder/net/connection.py
+++ b/brackenladder/net/connection.py
@@ -16,6 +16,8 @@
 from brackenladder.net.room import Room
 from brackenladder.net.sockets import CAME, shows
 
+LARGEST_BARE = 128 << 10  # bytes of an answer without any of its body, above all its head
+
 
 @dataclass
 class Answer:
@@ -99,6 +101,7 @@
         self.passed = 0  # bytes of it
         self.held = False  # nothing is read, since the client takes no more
         self.moved = 0.0
+        self.bare = 0  # bytes in a row that were of no body
         self.counted = False
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
 
@@ -162,6 +165,7 @@
         self.flow = None
         self.forget_head()
         self.complete = self.stray = self.keep = False
+        self.bare = 0
         if not self.transport.is_closing():
             self.transport.write(data)
         if self.transport.is_closing():
@@ -191,11 +195,15 @@
             # Failure prevented: bytes that nobody asked for would be taken for the next answer.
             self.close()
             return
+        self.bare += nbytes
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.complete = False
             self.stray = True
+        if self.bare > LARGEST_BARE and not self.complete:
+            # Failure prevented: a head, a trailer or interim answers without end fill the memory.
+            self.stray = True
         self.moved = self.pool.loop.time()
         self.settle()
 
@@ -284,6 +292,7 @@
         self.headed = self.parser.get_status_code() >= 200
 
     def on_body(self, body: bytes) -> None:
+        self.bare = 0
         if self.stray:
             return
         if self.flow is not None:
--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -49,6 +49,7 @@
         self.time = time
         self.parser = httptools.HttpResponseParser(self)
         self.body = b""
+        self.size = 0
         self.complete = False
         if self.transport is None:
             self.limit(CONNECT_TIMEOUT)
@@ -86,7 +87,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.fail()
             return
-        if len(self.body) > LARGEST_ANSWER:
+        self.size += len(data)
+        if self.size > LARGEST_ANSWER:  # its head counts: the parser keeps a line of it until it ends
             self.fail()
         elif self.complete and not self.over:
             if self.parser.get_status_code() != 200:
@@ -97,8 +99,7 @@
             self.told(self, self.body)
 
     def on_body(self, body: bytes) -> None:
-        if len(self.body) <= LARGEST_ANSWER:
-            self.body += body
+        self.body += body
 
     def on_message_complete(self) -> None:
         self.complete = True
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -357,3 +357,70 @@
             assert outcomes[1] == Outcome.NOT_SENT
 
     play(scene)
+
+
+# ---- what never ends -------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("before", "again"),
+    [
+        (b"HTTP/1.1 200 OK\r\nX-Load-Report: ", b"x" * 4096),
+        (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 512),
+        (b"", b"HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n" * 128),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-T: ", b"x" * 4096),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=", b"x" * 4096),
+    ],
+    ids=["line", "lines", "interim", "trailer", "extension"],
+)
+def test_an_answer_that_never_ends_fails_before_it_fills_the_memory(before, again):
+    """Failure prevented: the parser keeps a line until it ends, and the process is killed for its memory."""
+
+    async def scene():
+        sent = 0
+
+        async def endless(request, writer):
+            nonlocal sent
+            writer.write(before)
+            while not writer.transport.is_closing():
+                writer.write(again)
+                sent += len(again)
+                await writer.drain()
+            return None
+
+        bench = await Bench(Server(endless), policy_limits={"max_attempts": 1}).start()
+        outcomes = record_outcomes(bench)
+        assert (await bench.once(call("invite")))[0] == 502
+        assert outcomes == [Outcome.RESET]
+        await until(lambda: bench.node.budget.servers == 0)
+        assert bench.node.room.held == 0 and not bench.node.requests.open
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        call().partition(b"X-Call-Id")[0] + b"X-Call-Id: " + b"x" * (1 << 20),
+        call("offer").partition(b"Content-Length")[0]
+        + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-T: "
+        + b"x" * (1 << 20),
+        call("offer").partition(b"Content-Length")[0]
+        + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+        + b"2;x="
+        + b"x" * (1 << 20),
+    ],
+    ids=["head", "trailer", "extension"],
+)
+def test_a_request_that_never_ends_is_refused_and_reaches_no_server(data):
+    async def scene():
+        bench = await Bench(server := Server()).start()
+        client = await bench.client()
+        client.send(data)
+        status, headers, _ = await client.receive()
+        assert status == 431 and headers["connection"] == "close"
+        client.writer.close()
+        await until(lambda: not bench.node.callers.callers)
+        assert not server.requests and bench.node.room.held == 0
+
+    play(scene)
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -87,7 +87,7 @@
         assert not bench.node.callers.make_room()
         body = await bench.client()
         body.send(call("offer", body=b"x" * 10)[:-5])
-        await until(lambda: any(c.partial and c.head < 0 for c in bench.node.callers.callers))
+        await until(lambda: any(c.partial and not c.heading for c in bench.node.callers.callers))
         assert not bench.node.callers.make_room()
 
     play(scene)
