A request's time runs while it waits behind another, and ends with an ending node's

Cause: the time left was counted from the turn in which a request was handed on, so one that had waited behind another was answered after its client's time; and a long body's time, which begins with its last byte, could last beyond the ending process. Change: what it waited is taken off; one cut at the last answer serves both where a request and where its body has come. Bad answers of discovery (cut, spoilt, foreign, late, byte by byte) and its moves while a watch is out were held already, and have their tests.

--- a/brackenladder/net/caller.py
+++ b/brackenladder/net/caller.py
@@ -251,6 +251,7 @@
             message.upload, message.body, message.size = None, b"", 0
             self.deaf = True
         self.owner.room.take(message.size)
+        message.came = self.owner.loop.time()
         self.waiting.append(message)
 
     def reject(self, status: int) -> None:
@@ -453,8 +454,7 @@
     def stays(self) -> bool:
         """Whether the client is still there, asked of its socket; one that is not leaves now.
 
-        Failure prevented: while nothing is read from a client that has sent much ahead, its end is not seen,
-        and requests that nobody waits for go to servers.
+        Failure prevented: while nothing is read from a client its end is not seen, and what it left is sent.
         """
         if not self.lost and shows(self.transport, ENDED):
             self.leave()
--- a/brackenladder/net/requests.py
+++ b/brackenladder/net/requests.py
@@ -165,9 +165,10 @@
             self.beyond(caller, message)
             return
         left = int(budget) * 1000
-        if self.last_answer is not None:
-            # Failure prevented: the process is killed with a request that it took while it was ending.
-            left = min(left, max(0, self.last_answer - now))
+        if message.upload is None:
+            # Failure prevented: one that waited behind others on its connection is answered after its time.
+            left = max(0, left - int((self.loop.time() - message.came) * 1e6))
+        left = self.before_the_end(now, left)
         self.last_id += 1
         request = Open(self.last_id, caller, message, klass, now, left)
         self.open[request.id] = self.by_caller[caller] = request
@@ -177,6 +178,13 @@
         number = self.tenants.get(tenant or b"", len(self.tenants))
         self.turns.post(self.module.request, request.id, klass, number, left, repeat)
 
+    def before_the_end(self, now: int, left: int) -> int:
+        """What is left of a request's time, cut at the last answer of a node that ends.
+
+        Failure prevented: the process is killed with a request that came, or came whole, while it was ending.
+        """
+        return left if self.last_answer is None else min(left, max(0, self.last_answer - now))
+
     def beyond(self, caller: Caller, message: Message) -> None:
         """Refuses a request for which the node itself has no room; the module never hears of it.
 
@@ -298,7 +306,9 @@
     def uploaded(self, r: Open, number: int) -> None:
         """The last byte of a long body has gone to the server: only now the request's time begins."""
         if r.caller is not None:
-            r.deadline = self.turns.now() + r.left
+            now = self.turns.now()
+            r.left = self.before_the_end(now, r.left)
+            r.deadline = now + r.left
             self.watch_over(r)
         self.turns.post(self.module.upload, r.id, number, False)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -135,7 +135,8 @@
         told.say(52, False)
         await until(lambda: bench.node.discovery.version == 52)
         assert await served(bench) == {"s1"}
-        assert len(told.requests) >= 4 and bench.node.discovery.fetching is None
+        await until(lambda: len(told.requests) == 4 + 2 * between)
+        assert bench.node.discovery.fetching is None
 
     play(scene)
     lines = [line for line in capsys.readouterr().err.splitlines() if "older than the list" in line]
@@ -249,3 +250,124 @@
         assert listener.socket is None
 
     play(scene)
+
+
+@pytest.mark.parametrize("waited", [0.0, 30.0])
+def test_the_time_of_a_request_runs_while_it_waits_behind_another(waited):
+    """Failure prevented: it is given its whole time as its turn comes, and is answered after its client's."""
+
+    async def scene():
+        release = asyncio.Event()
+        bench = await Bench(server := Server(gated(release))).start()
+        client = await bench.client()
+        client.send(call() + call(budget=15000))
+        await until(lambda: any(c.waiting for c in bench.node.callers.callers))
+        (caller,) = bench.node.callers.callers
+        caller.waiting[0].came -= waited
+        release.set()
+        assert (await client.receive())[0] == 200
+        status = (await client.receive())[0]
+        assert (status, len(server.requests)) == ((200, 2) if waited == 0 else (503, 1))
+
+    play(scene)
+
+
+@pytest.mark.parametrize("order", ["whole first", "end first"])
+def test_a_long_body_comes_whole_as_the_node_is_told_to_end(order):
+    """Failure prevented: its time begins with its last byte, and lasts beyond the process's."""
+
+    async def scene():
+        bench = await Bench(server := Server(always(None))).start()
+        node = bench.node
+        client = await bench.client()
+        size = 2 * WHOLE
+        data = call("offer", budget=600_000).partition(b"Content-Length")[0]
+        client.send(data + b"Content-Length: %d\r\n\r\n" % size + bytes(size - 1))
+        await until(
+            lambda: any(r.message.upload and r.message.upload.spent for r in node.requests.open.values())
+        )
+        (request,) = node.requests.open.values()
+        if order == "whole first":
+            client.send(b"x")
+            await until(lambda: len(server.requests) == 1 and request.guard is not None)
+        drain = asyncio.create_task(node.drain())
+        await until(lambda: node.requests.last_answer is not None)
+        if order == "end first":
+            client.send(b"x")
+            await until(lambda: len(server.requests) == 1 and request.guard is not None)
+            assert node.requests.last_answer is not None and request.deadline <= node.requests.last_answer
+        client.writer.transport.abort()
+        await asyncio.wait_for(drain, 20)
+
+    play(scene)
+
+
+BAD = {
+    "cut": b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{",
+    "spoilt": b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}}",
+    "of another service": b'HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{"leader": 1}',
+    "no answer": b"SSH-2.0-OpenSSH\r\n\r\n",
+    "a failure": b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+    "twice": OK + OK,
+}
+
+
+@pytest.mark.parametrize("answer", BAD.values(), ids=list(BAD))
+@pytest.mark.parametrize("at", ["once", "byte by byte"])
+def test_a_bad_answer_to_a_watch_leaves_the_list_and_is_asked_for_again(answer, at, capsys):
+    async def scene():
+        bench = await Bench(server := Server(), discovery="push").start()
+        told, node = bench.discovery, bench.node
+        told.say(50, True, server.entry("s0"))
+        await until(lambda: node.discovery.version == 50 and len(told.requests) == 2)
+        watch = node.discovery.watching
+        assert watch is not None
+        for data in [answer] if at == "once" else [answer[i : i + 1] for i in range(len(answer))]:
+            if not watch.over:
+                watch.data_received(data)
+        if not watch.over:  # the rest never comes: its time runs out
+            watch.fail()
+        watch.data_received(answer)  # and comes late
+        assert watch.transport is None and node.discovery.version == 50 and await served(bench) == {"s0"}
+        await until(lambda: len(told.requests) == 3)
+        assert told.requests[-1].target.startswith("/v1/endpoints?since=50&")
+        told.answers.put_nowait(None)  # what the call that is over was waiting for
+        told.say(51, True, server.entry("s0", "draining"))
+        await until(lambda: node.discovery.version == 51)
+        assert await served(bench) == set()
+
+    play(scene)
+    lines = [
+        line for line in capsys.readouterr().err.splitlines() if "discovery:" in line or "failed" in line
+    ]
+    assert 1 <= len([line for line in lines if "failed" in line]) <= 2
+
+
+@pytest.mark.parametrize("times", [1, 2])
+@pytest.mark.parametrize("watch", ["out", "connecting", "between two"])
+def test_discovery_moves_while_a_watch_is_out_or_coming_up(watch, times):
+    """The old address's answer, coming after all, tells nothing; one watch is out at the new one."""
+
+    async def scene():
+        bench = await Bench(server := Server(), discovery="push").start()
+        told, discovery = bench.discovery, bench.node.discovery
+        await (second := Discovery()).start()
+        if watch != "connecting":
+            await until(lambda: len(told.requests) == 1)
+        old = discovery.watching
+        assert old is not None
+        if watch == "between two":
+            discovery.watch(False)
+        for _ in range(times):
+            discovery.move(("127.0.0.1", second.port))
+        listing = json.dumps({"version": 99, "full": True, "servers": []}).encode()
+        old.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(listing), listing))
+        discovery.watch(True)
+        await until(lambda: len(second.requests) >= 1)
+        assert discovery.version == 41
+        second.answers.put_nowait(None) if times == 2 and len(second.requests) == 2 else None
+        second.say(60, False, server.entry("s0", "draining"))
+        await until(lambda: discovery.version == 60)
+        assert await served(bench) == set()
+
+    play(scene)
