A client that sends much ahead is read on, so that its end is seen behind all of it

Change: reading stops for bodies that pass through alone; 32 KiB wait behind the eight, who sends more gets 503 with advice in its turn and is heard for its end.

--- a/brackenladder/net/caller.py
+++ b/brackenladder/net/caller.py
@@ -6,21 +6,20 @@
 import socket
 import struct
 from collections import deque
-from typing import Protocol, cast
+from typing import cast
 
 import httptools
 
-from brackenladder.net.descriptors import Descriptors
-from brackenladder.net.lifecycle import Lifecycle
 from brackenladder.net.message import REASONS, Message
 from brackenladder.net.passing import LARGEST, WHOLE, Source, Upload
-from brackenladder.net.room import Room
+from brackenladder.net.roles import Crowd
 from brackenladder.net.sockets import CAME, ENDED, shows
 
 LARGEST_HEAD = 32768
 SLICE = 8192  # bytes parsed in one go
 LARGEST_LINES = 128  # header lines of one request
 PIPELINED = 8  # whole requests that wait on one connection while an earlier one is open
+AHEAD = 32768  # bytes that wait behind these; who sends more is refused, and no longer heard but for its end
 SLOW = 2.2  # seconds in which the head of a new connection's request, or of one that has begun, must come...
 WRITES = 2.0  # seconds that a client may take to write a head: until then it gives way to no new one
 UNREAD = 30.0  # seconds in which a client must take something of its last answer
@@ -28,36 +27,6 @@
 LINGER_MOST = 10.0  # ...and so long in all
 
 
-class Handler(Protocol):
-    """What a connection hands its requests to."""
-
-    def message(self, caller: Caller, message: Message) -> None:
-        """A request, whole or with an upload; one `caller.answer` or `caller.begin` must follow."""
-
-    def beyond(self, caller: Caller, message: Message) -> None:
-        """A request for which there is no room; `caller.answer` must be called once for it."""
-
-    def spoilt(self, caller: Caller, status: int) -> None:
-        """The open request's upload will not go on; `caller.answer` must be called unless it has been."""
-
-    def left(self, caller: Caller) -> None:
-        """The client went away while its request was open."""
-
-
-class Crowd(Protocol):
-    """What a connection needs of the crowd that it is one of."""
-
-    loop: asyncio.AbstractEventLoop
-    room: Room
-    budget: Descriptors
-    life: Lifecycle
-    callers: set[Caller]
-    handler: Handler
-
-    def keep_few(self) -> None:
-        """Looks whether an idle connection has to give way."""
-
-
 class Caller(asyncio.BufferedProtocol):
     """A client's connection. One request is open at a time; the next ones wait their turn."""
 
@@ -102,6 +71,11 @@
         data = bytes(memoryview(self.owner.room.buffer)[:nbytes])
         self.rest = self.rest + data if self.rest else data
         self.parse()
+        if len(self.rest) > AHEAD and not self.stopped():
+            # Failure prevented: the client's end stands behind bytes that nobody reads, and what it has left
+            # goes to servers one request after the other.
+            self.rest = b""
+            self.reject(503)
 
     def parse(self) -> None:
         """Parses what has come, as far as it can be handed on, and reads on if it could all be."""
@@ -120,13 +94,15 @@
 
     def blocked(self) -> bool:
         """Whether what comes next must wait: for earlier requests, or for a server that takes the upload."""
-        if len(self.waiting) >= PIPELINED:
-            return True
+        return len(self.waiting) >= PIPELINED or self.stopped()
+
+    def stopped(self) -> bool:
+        """Whether the client is to send no more of a body for now."""
         return self.partial is not None and self.partial.upload is not None and self.partial.upload.full()
 
     def read_on(self) -> None:
         """Reads, or leaves it to the client to wait."""
-        stop = not self.deaf and (bool(self.rest) or self.blocked())
+        stop = not self.deaf and self.stopped()
         if stop == self.paused or self.transport is None or self.transport.is_closing():
             return
         self.paused = stop
--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -7,10 +7,11 @@
 from collections import Counter
 from collections.abc import Callable
 
-from brackenladder.net.caller import SLOW, Caller, Handler
+from brackenladder.net.caller import SLOW, Caller
 from brackenladder.net.descriptors import Descriptors
 from brackenladder.net.lifecycle import Lifecycle, Stage
 from brackenladder.net.listener import Listener
+from brackenladder.net.roles import Handler
 from brackenladder.net.room import Room
 
 REFUSING = (
--- /dev/null
+++ b/brackenladder/net/roles.py
@@ -0,0 +1,44 @@
+"""What a client's connection needs of those around it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from brackenladder.net.descriptors import Descriptors
+from brackenladder.net.lifecycle import Lifecycle
+from brackenladder.net.message import Message
+from brackenladder.net.room import Room
+
+if TYPE_CHECKING:
+    from brackenladder.net.caller import Caller
+
+
+class Handler(Protocol):
+    """What a connection hands its requests to."""
+
+    def message(self, caller: Caller, message: Message) -> None:
+        """A request, whole or with an upload; one `caller.answer` or `caller.begin` must follow."""
+
+    def beyond(self, caller: Caller, message: Message) -> None:
+        """A request for which there is no room; `caller.answer` must be called once for it."""
+
+    def spoilt(self, caller: Caller, status: int) -> None:
+        """The open request's upload will not go on; `caller.answer` must be called unless it has been."""
+
+    def left(self, caller: Caller) -> None:
+        """The client went away while its request was open."""
+
+
+class Crowd(Protocol):
+    """What a connection needs of the crowd that it is one of."""
+
+    loop: asyncio.AbstractEventLoop
+    room: Room
+    budget: Descriptors
+    life: Lifecycle
+    callers: set[Caller]
+    handler: Handler
+
+    def keep_few(self) -> None:
+        """Looks whether an idle connection has to give way."""
