--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,12 @@
 """What holds for all tests."""
 
 import pytest
+from known_red import pytest_collection_modifyitems, pytest_terminal_summary
 
 from brackenladder.net import discovery
 
+__all__ = ["pytest_collection_modifyitems", "pytest_terminal_summary"]
+
 
 @pytest.fixture(autouse=True)
 def patient_watch(monkeypatch) -> int:
