--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -11,6 +11,7 @@
 import pytest
 from loopback import OK, Bench, Late, Server, always, call, gated, play, until
 
+from brackenladder.balance import GradientController
 from brackenladder.interface import Outcome
 from brackenladder.net import caller as node_caller
 from brackenladder.net.passing import WHOLE
@@ -247,6 +248,32 @@
     play(scene)
 
 
+@HOW
+@pytest.mark.parametrize("order", ["seen", "room first"])
+def test_at_the_limit_of_a_later_tier(how, order, monkeypatch):
+    """There the module holds it until there is room under the limit."""
+
+    async def scene():
+        bench = await Bench(server := Server(), **LATER).start()
+        balancer = bench.node.balancer
+        assert (await bench.once(call()))[0] == 200
+        await until(lambda: not bench.node.callers.callers)
+        admits = GradientController.admits
+        monkeypatch.setattr(GradientController, "admits", lambda self, now, spare: False)
+        client = Leaver(bench)
+        client.socket.sendall(call())
+        await until(lambda: len(balancer.waiting) == 1)
+        caller = await only_caller(bench)
+        client.go(how)
+        if order == "seen":
+            await until(lambda: caller.lost)
+        monkeypatch.setattr(GradientController, "admits", admits)
+        balancer.serve_waiting(bench.node.turns.now())
+        await nothing_came(bench, (server, 1))
+
+    play(scene)
+
+
 @HOW
 def test_for_room_among_connections(how):
     """It waits in the listener's queue while there is no room, and its client leaves there."""
