--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,6 +13,7 @@
 import uvloop
 
 from brackenladder.net.config import read
+from brackenladder.net.connection import Connection
 from brackenladder.net.node import Node
 
 PATIENCE = 20.0  # seconds; only a failure waits so long
@@ -284,6 +285,28 @@
         return getattr(self.loop, name)
 
 
+def small_sends(monkeypatch: Any) -> None:
+    """Connections to servers from which the system takes no large request at once."""
+    made = Connection.connection_made
+
+    def small(self: Connection, transport: asyncio.Transport) -> None:
+        with socket.socket(fileno=os.dup(transport.get_extra_info("socket").fileno())) as s:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        made(self, transport)
+
+    monkeypatch.setattr(Connection, "connection_made", small)
+
+
+def small_listener() -> socket.socket:
+    """A server's listener whose connections take little before somebody reads."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    listener.setblocking(False)
+    return listener
+
+
 def always(*answers: bytes | None):
     """A handle that gives these answers in turn, the last one for good."""
     left = list(answers)
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -7,7 +7,21 @@
 
 import pytest
 import uvloop
-from loopback import MOMENT, OK, PATIENCE, Bench, Late, Server, always, call, play, record_outcomes, until
+from loopback import (
+    MOMENT,
+    OK,
+    PATIENCE,
+    Bench,
+    Late,
+    Server,
+    always,
+    call,
+    play,
+    record_outcomes,
+    small_listener,
+    small_sends,
+    until,
+)
 
 from brackenladder.interface import Outcome
 from brackenladder.net.connection import Connection
@@ -42,21 +56,10 @@
     Failure prevented: the last byte is with the system, the loop has not said so yet, and the request is sent
     again as one that never ran.
     """
-    made = Connection.connection_made
-
-    def small(self, transport):  # so that the system does not take a large request at once
-        with socket.socket(fileno=os.dup(transport.get_extra_info("socket").fileno())) as s:
-            s.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        made(self, transport)
-
-    monkeypatch.setattr(Connection, "connection_made", small)
+    small_sends(monkeypatch)
 
     async def scene():
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        listener.bind(("127.0.0.1", 0))
-        listener.listen()
-        listener.setblocking(False)
+        listener = small_listener()
         bench = await Bench(whole := Server(), config={"known": None}).start()
         bench.discovery.say(42, True, whole.entry("half", addr=f"127.0.0.1:{listener.getsockname()[1]}"))
         await until(lambda: bench.node.life.serving)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -22,6 +22,7 @@
 EVERYWHERE = pytest.mark.parametrize(
     "where", [{}, FORBIDDEN, LATER], ids=["usual", "no cancel", "later tier"]
 )
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (WHOLE, bytes(WHOLE))
 REJECTED = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -42,6 +43,17 @@
     return next(iter(bench.node.callers.callers))
 
 
+async def full_client(bench: Bench, server: Server):
+    """A client that reads nothing, and of whose answers no more can be written."""
+    client = Leaver(bench)
+    caller = await only_caller(bench)
+    while not caller.full:
+        client.socket.sendall(call())
+        sent = len(server.requests) + 1
+        await until(lambda sent=sent: len(server.requests) == sent and caller.open is None)
+    return client, caller
+
+
 async def nothing_came(bench: Bench, *sent: tuple[Server, int]) -> None:
     """So many requests came, one more of a client that stays does, and nothing is left over."""
     node = bench.node
@@ -127,15 +139,8 @@
     """The end comes while answers wait to be written: they are written, and the rest goes nowhere."""
 
     async def scene():
-        body = bytes(WHOLE)
-        long = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
-        bench = await Bench(server := Server(always(long))).start()
-        client = Leaver(bench)
-        caller = await only_caller(bench)
-        while not caller.full:
-            client.socket.sendall(call())
-            sent = len(server.requests) + 1
-            await until(lambda sent=sent: len(server.requests) == sent and (caller.open is None))
+        bench = await Bench(server := Server(always(ANSWER))).start()
+        client, caller = await full_client(bench, server)
         client.socket.sendall(call() * 3)
         await until(lambda: len(caller.waiting) == 3)
         client.socket.shutdown(socket.SHUT_WR)
@@ -145,7 +150,7 @@
         read = 0
         while data := await asyncio.get_running_loop().sock_recv(client.socket, 1 << 20):
             read += len(data)
-        assert read == count * len(long)
+        assert read == count * len(ANSWER)
         client.socket.close()
         await nothing_came(bench, (server, count))
 
@@ -158,15 +163,8 @@
     async def scene():
         monkeypatch.setattr(node_caller, "UNREAD", 0.0)
         monkeypatch.setattr(node_caller, "LINGER", 0.0)
-        body = bytes(WHOLE)
-        long = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
-        bench = await Bench(server := Server(always(long))).start()
-        client = Leaver(bench)
-        caller = await only_caller(bench)
-        while not caller.full:
-            client.socket.sendall(call())
-            sent = len(server.requests) + 1
-            await until(lambda sent=sent: len(server.requests) == sent and (caller.open is None))
+        bench = await Bench(server := Server(always(ANSWER))).start()
+        client, caller = await full_client(bench, server)
         client.socket.shutdown(socket.SHUT_WR)
         await until(lambda: not bench.node.callers.callers)
         assert bench.node.budget.clients == 0 and bench.node.room.held == 0
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -30,6 +30,8 @@
     play,
     record_outcomes,
     settings,
+    small_listener,
+    small_sends,
     spawn,
     until,
 )
@@ -294,21 +296,10 @@
 
 def test_a_connection_that_breaks_before_the_last_byte_never_ran(monkeypatch):
     """Failure prevented: a large request that the server never got whole is failed as if it had run."""
-    made = Connection.connection_made
-
-    def small(self, transport):  # so that the kernel does not take the whole request at once
-        with socket.socket(fileno=os.dup(transport.get_extra_info("socket").fileno())) as s:
-            s.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        made(self, transport)
-
-    monkeypatch.setattr(Connection, "connection_made", small)
+    small_sends(monkeypatch)
 
     async def scene():
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        listener.bind(("127.0.0.1", 0))
-        listener.listen()
-        listener.setblocking(False)
+        listener = small_listener()
         bench = await Bench(whole := Server(), config={"known": None}).start()
         entry = whole.entry("half", addr=f"127.0.0.1:{listener.getsockname()[1]}")
         bench.discovery.say(42, True, entry)
