A keyed repeat is not written once its window is over, however late its connection comes up

Cause: the module decides on a repeat while the class's window is open (`after_failure`), and the attempt is written up to a connect time-out later: `compose` asked for the client, the server and the time, but not for what may have run. A key that the servers have forgotten by then runs a second time. Ruled out in the same traces: two attempts out at once, sends to a drained server, sends after a client left.

The node now keeps when the first attempt that may have run was written, and asks at the same last moment as the rest whether class and window still let the request go out. Test: both orders, safe and keyed; fails without it (200 and two runs).

--- a/brackenladder/net/requests.py
+++ b/brackenladder/net/requests.py
@@ -37,7 +37,20 @@
 class Open:
     """A request that has been taken and not answered, or whose attempt is still out."""
 
-    __slots__ = ("id", "caller", "message", "klass", "left", "deadline", "attempts", "out", "guard", "flow")
+    __slots__ = (
+        "id",
+        "caller",
+        "message",
+        "klass",
+        "left",
+        "deadline",
+        "attempts",
+        "out",
+        "written_at",
+        "ran_at",
+        "guard",
+        "flow",
+    )
 
     def __init__(
         self, number: int, caller: Caller, message: Message, klass: int, now: int, left: int
@@ -50,6 +63,8 @@
         self.deadline = now + left
         self.attempts = 0
         self.out: Exchange | None = None
+        self.written_at: int | None = None  # when its attempt's first byte went
+        self.ran_at: int | None = None  # the same of the first attempt that may have run
         self.guard: asyncio.TimerHandle | None = None
         self.flow: Passage | None = None  # its answer, once it flows
 
@@ -281,8 +296,9 @@
         expires = now + min(timeout, r.left) if coming else min(now + timeout, r.deadline)
 
         def compose() -> bytes | None:
-            left = expires - self.turns.now()
-            if r.caller is None or not r.caller.stays() or left <= 0:
+            r.written_at = self.turns.now()
+            left = expires - r.written_at
+            if r.caller is None or not r.caller.stays() or left <= 0 or not self.may_go(r, r.written_at):
                 return None
             return head_of(r.message, left // 1000)
 
@@ -298,11 +314,22 @@
             self.ended(r, number, server, now, outcome, answer)
 
         exchange = Exchange(self.pool, endpoint, compose, done, sent, begin, r.message.upload)
-        r.out = exchange
+        r.out, r.written_at = exchange, None
         if coming:
             self.turns.post(self.module.upload, request, number, True)
         exchange.start(max(0, expires - now) / 1e6)
 
+    def may_go(self, r: Open, now: int) -> bool:
+        """Whether its class lets the request be written now, given what may have run.
+
+        Failure prevented: a repeat is decided on within its window, its connection takes time to come up, and
+        the servers that would have dropped it have forgotten the first by then.
+        """
+        c = self.settings.classes[r.klass]
+        if r.ran_at is None or c.effect == Effect.SAFE:
+            return True
+        return c.effect == Effect.KEYED and now < r.ran_at + c.window
+
     def uploaded(self, r: Open, number: int) -> None:
         """The last byte of a long body has gone to the server: only now the request's time begins."""
         if r.caller is not None:
@@ -333,6 +360,8 @@
         """An attempt's end: an answer goes to the client at once, then the module hears of it."""
         dial = r.out.dial if r.out is not None else 0.0
         r.out = None
+        if outcome not in NEVER_RAN and r.ran_at is None:
+            r.ran_at = r.written_at
         self.counts[f"attempts_{outcome.name.lower()}"] += 1
         report: tuple[float, ...] = ()
         if answer is not None:
