Discovery's move opens the watch at the new address also while a failed one waits

Cause: `Discovery.move` opened a watch anew only if one was out. Where the old discovery had just been given up and the watch waited out its back-off (lists asked for: up to three eighths of `ask_within`, 3.75 s at 10 s and more where the settings allow more), the new address was not asked until that was over, while a move counts as told 4 s after SIGHUP. Found by reading; the earlier test called `watch(True)` itself. Now the watch is known to be wanted, and a move opens it. Test: both orders, both modes, no timer fires; both "failure first" fail without it.

--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -149,12 +149,14 @@
         self.version = version
         self.told = told
         self.log = log
+        self.wanted = False  # the watch, also while one that has failed waits to be opened anew
         self.older = 0  # answers in a row that were older than the list in hand
         self.watching: Call | None = None
         self.fetching: Call | None = None
 
     def watch(self, on: bool) -> None:
         """Begins or ends the watch. One that is on already stays."""
+        self.wanted = on
         if on and self.watching is None:
             self.watching = Call(self.loop, self.address, self.watched)
             self.renew(self.watching)
@@ -184,9 +186,13 @@
             self.renew(call)
 
     def move(self, address: tuple[str, int]) -> None:
-        """Goes on at another address at once: the new one tells all that was missed."""
+        """Goes on at another address at once: the new one tells all that was missed.
+
+        Failure prevented: the old one was given up just before, and the watch waits out a back-off that was
+        meant for that one, longer than the time in which the move counts as told.
+        """
         self.address = address
-        if self.watching is not None:
+        if self.wanted:
             self.watch(False)
             self.watch(True)
         if self.fetching is not None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+from types import SimpleNamespace
 
 import pytest
 from loopback import OK, Bench, Discovery, Server, always, call, gated, play, record_outcomes, until
@@ -371,3 +372,36 @@
         assert await served(bench) == set()
 
     play(scene)
+
+
+@pytest.mark.parametrize("order", ["failure first", "move first"])
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_discovery_moves_as_the_watch_has_failed(mode, order):
+    """The new address is asked at once, and not when the wait is over that the old one's silence began."""
+
+    async def scene():
+        bench = await Bench(server := Server(), discovery=mode).start()
+        node, told, timers = bench.node, bench.discovery, []
+        node.set_timer = lambda delay, token: timers.append(token)
+        node.roster.loop = SimpleNamespace(call_later=lambda delay, *call: timers.append(call))
+        await (second := Discovery()).start()
+        await until(lambda: len(told.requests) == 1)
+        there = ("127.0.0.1", second.port)
+        if order == "move first":
+            node.discovery.move(there)
+            told.answers.put_nowait(None)
+            await until(lambda: told.closed == 1)
+        else:
+            told.answers.put_nowait(None)
+            await until(lambda: len(timers) == 1)
+            node.discovery.move(there)
+        await until(lambda: len(second.requests) == 1)
+        second.say(60, False, server.entry("s0", "draining"))
+        await until(lambda: node.discovery.version == 60 and len(second.requests) == 2)
+        assert await served(bench) == set() and second.connections == 1
+        node.discovery.watch(True)  # what the old one's failure had left for later
+        second.say(61, False)
+        await until(lambda: len(second.requests) == 3)
+        assert second.connections == 1 and len(timers) == (order == "failure first")
+
+    play(scene)
--- a/tests/test_crossings_repeats.py
+++ b/tests/test_crossings_repeats.py
@@ -1,4 +1,4 @@
-"""Events that cross between a request's attempts, in both orders: what may run twice, and where it must not."""
+"""Events that cross between a request's attempts, in both orders: what may run twice, and what must not."""
 
 import asyncio
 
