--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -19,6 +19,9 @@
 # The event loop's own (10), the listener, UDP, discovery, the standard streams, and some to spare.
 RESERVED_SOCKETS = 26
 LEAST_CONNECTIONS = 8
+# Microseconds of silence after which discovery's news counts as told on sockets, whatever the settings say of
+# lists that are asked for; a watch that has fallen silent is noticed within two seconds of these six.
+LONGEST_SILENCE = 4_000_000
 
 
 class ConfigError(Exception):
@@ -140,6 +143,7 @@
     report = settings.sub("report", optional=True)
     columns = [str(c) for c in report.items("columns")]
     known = table.get("known")
+    given_settings = settings_of(settings.table)
     return Config(
         name=name,
         listen=read_address(table.get("listen"), "listen"),
@@ -156,7 +160,11 @@
         peers_all=read_address(peers_all, "peers_all") if peers_all else None,
         known=read_listing(known, ListKind.CACHED) if known else None,
         # `retry_after` is about the simulator's clients: a 503 on a socket may always carry the header.
-        settings=replace(settings_of(settings.table), retry_after=True),
+        settings=replace(
+            given_settings,
+            retry_after=True,
+            list_ask_within=min(given_settings.list_ask_within, LONGEST_SILENCE),
+        ),
         classes=tuple(c.text("name") for c in settings.tables("classes")),
         tenants=tuple(t.text("name") for t in settings.tables("tenants", optional=True)),
         zones=tuple(str(z) for z in settings.items("dcs")),
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,7 +6,20 @@
 from types import SimpleNamespace
 
 import pytest
-from loopback import OK, Bench, Discovery, Server, always, call, gated, play, record_outcomes, until
+from loopback import (
+    MOMENT,
+    OK,
+    Bench,
+    Discovery,
+    Server,
+    always,
+    call,
+    gated,
+    play,
+    record_outcomes,
+    settings,
+    until,
+)
 
 from brackenladder.interface import Outcome
 from brackenladder.net import node as node_module
@@ -405,3 +418,21 @@
         assert second.connections == 1 and len(timers) == (order == "failure first")
 
     play(scene)
+
+
+def test_a_discovery_that_is_down_is_asked_often_enough_whatever_the_settings_allow():
+    """Failure prevented: it is back and a server drains, and the node still waits out its last failure."""
+
+    async def scene():
+        rules = settings()["rules"] | {"ask_within": 100 * MOMENT}
+        bench = await Bench(Server(), discovery="ask", rules=rules).start()
+        node, told, waits = bench.node, bench.discovery, []
+        node.set_timer = lambda delay, token: waits.append(delay)
+        for failures in range(1, 9):
+            told.answers.put_nowait(None)
+            await until(lambda count=failures: len(waits) == count)
+            node.discovery.watch(True)
+        # The page allows 6 s of silence, of which a silent watch takes two.
+        assert max(waits) <= 1.5 * MOMENT and waits[-1] > waits[0]
+
+    play(scene)
