An exchange takes a connection that has rested, where there is one

Cause: of the idle connections to a server the one just given back was taken first. A second answer that comes some milliseconds late cannot be told from the next request's answer, so each exchange that begins right after another is open to it.

Not taken: a connection of its own for these, which would be half as many again. Test: both orders; the one under the next exchange fails without it.

--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -15,6 +15,7 @@
 from brackenladder.net.room import Room
 
 IDLE_MARGIN = 0.3  # seconds before the server would close an idle connection
+REST = 0.02  # seconds that a connection better rests after an answer: a second one may be on its way
 UNUSED = 1.0  # seconds after which an idle connection gives way to a client that is writing
 SWEEP = 0.5  # seconds between two looks at idle connections
 SILENT = 10.0  # seconds in which a server that has begun to answer must go on
@@ -206,10 +207,16 @@
         self.sweeping = False
 
     def take(self, endpoint: Endpoint) -> Connection | None:
-        """The most recently used idle connection that is still good."""
+        """The most recently used idle connection that is still good and has rested, or the most rested.
+
+        Failure prevented: a server answers twice, the second time some milliseconds late, and the connection
+        that has just been given back carries another request by then, whose answer that seems to be.
+        """
         now = self.loop.time()
-        while endpoint.idle:
-            connection = endpoint.idle.pop()
+        idle = endpoint.idle
+        while idle:
+            rested = sum(now - c.idle_since >= REST for c in idle)  # the first ones: they came first
+            connection = idle.pop(max(0, rested - 1))
             if now - connection.idle_since < self.idle_time and not connection.spoken_to():
                 return connection
             connection.close()
--- a/tests/test_crossings_repeats.py
+++ b/tests/test_crossings_repeats.py
@@ -58,3 +58,42 @@
         assert not node.requests.open
 
     play(scene)
+
+
+@pytest.mark.parametrize("order", ["as the next request is out", "before it"])
+def test_a_second_answer_comes_late_on_the_connection_used_last(order):
+    """It seems to be the next request's answer on that connection: a rested one, if any, carries that."""
+
+    async def scene():
+        turns = [asyncio.Event() for _ in range(3)]
+
+        async def handle(request, writer):
+            number = len(server.requests)
+            await turns[number - 1].wait()
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d" % number
+
+        bench = await Bench(server := Server(handle)).start()
+        clients = [await bench.client() for _ in turns]
+        (endpoint,) = bench.node.pool.endpoints.values()
+        for number, client in enumerate(clients[:2]):
+            client.send(call())
+            await until(lambda count=number + 1: len(server.requests) == count)
+        for turn, client in zip(turns[:2], clients, strict=False):
+            turn.set()
+            await client.receive()
+            rested, *fresh = endpoint.idle
+            rested.idle_since -= 1
+        late = server.writers[1]
+        if order == "before it":
+            late.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2")
+            await until(lambda: endpoint.idle == [rested])
+        clients[2].send(call())
+        await until(lambda: len(server.requests) == 3)
+        if order != "before it":
+            assert endpoint.idle == fresh
+            late.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2")
+            await until(lambda: not endpoint.idle)
+        turns[2].set()
+        assert (await clients[2].receive())[2] == b"3"
+
+    play(scene)
