A release that overtakes its question ends the promise before it is made

Cause: a voter threw away a RELEASE from who was not its holder; the question that came after it was granted to an asker that had given up, and nobody held the duty until that promise lapsed by itself, a lease later. A higher number of the same asker, another life and the holder itself are untouched.

--- a/brackenladder/fleet/duties/voter.py
+++ b/brackenladder/fleet/duties/voter.py
@@ -32,6 +32,7 @@
     until: int = 0
     waiters: dict[str, int] = field(default_factory=dict)  # denied askers, and the seq of their question
     denied: int = 0  # since it was granted last
+    ahead: dict[Holder, int] = field(default_factory=dict)  # given back before their questions came
 
 
 class Voter:
@@ -126,12 +127,13 @@
             slot.denied += 1
             turn = slot.until - now + slot.denied * self.settings.spacing
             return self.deny(m, Reason.HELD, slot.number, turn)
-        if self.too_low(slot, m.number, holder):
+        if self.too_low(slot, m.number, holder) or m.number <= slot.ahead.get(holder, 0):
             return self.deny(m, Reason.OLD, max(slot.number, slot.released))
         if self.raised is not None and m.number > self.ceiling:
             self.ceiling = self.raised(m.number)
         slot.number, slot.holder, slot.until = m.number, holder, now + promised(m.wait)
         slot.denied = 0
+        slot.ahead = {h: n for h, n in slot.ahead.items() if n > m.number}  # the others are too low by now
         self.counts["granted"] += 1
         return [(m.sender, DutyMessage(DutyKind.GRANT, self.name, self.life, m.duty, m.seq, m.number))]
 
@@ -162,9 +164,22 @@
         return [(m.sender, answer)]
 
     def release(self, now: int, m: DutyMessage) -> Out:
-        """Whoever held it under this number does not: a question of its that comes late finds nothing."""
-        slot = self.slots.get(m.duty)
-        if slot is None or slot.holder != (m.sender, m.life):
+        """Whoever held it under this number does not: a question of its that comes late finds nothing.
+
+        Failure prevented: a release overtakes its question, the promise to who is no longer there lapses by
+        itself, and nobody holds the duty for a lease.
+        """
+        holder = (m.sender, m.life)
+        slot = self.slots.get(m.duty) or self.room(now, m.duty)
+        if slot is None:
+            return []
+        if slot.holder != holder:
+            if m.number > slot.number:
+                slot.ahead[holder] = max(m.number, slot.ahead.pop(holder, 0))
+                if (
+                    len(slot.ahead) > self.settings.waiters_most
+                ):  # the oldest is the least likely still on its way
+                    del slot.ahead[next(iter(slot.ahead))]
             return []
         slot.released = max(slot.released, m.number)
         if m.number < slot.number:
