Voter: one place tells which numbers are too low, releases that came ahead included

Read once more: the look at releases that overtook their questions stood beside `too_low`, which is that decision, and the bound on what is kept was a condition torn over three lines. Behaviour is the same: whoever holds the duty under the number it asks for has no such release left, since a grant drops those up to its number. test_duties.py and test_fleet.py pass unchanged (107).

--- a/brackenladder/fleet/duties/voter.py
+++ b/brackenladder/fleet/duties/voter.py
@@ -127,7 +127,7 @@
             slot.denied += 1
             turn = slot.until - now + slot.denied * self.settings.spacing
             return self.deny(m, Reason.HELD, slot.number, turn)
-        if self.too_low(slot, m.number, holder) or m.number <= slot.ahead.get(holder, 0):
+        if self.too_low(slot, m.number, holder):
             return self.deny(m, Reason.OLD, max(slot.number, slot.released))
         if self.raised is not None and m.number > self.ceiling:
             self.ceiling = self.raised(m.number)
@@ -141,7 +141,7 @@
         """A number is granted to one holder alone, and none is granted after a higher one or its own end."""
         if number == slot.number and holder == slot.holder and number > slot.released:
             return False
-        return number <= max(slot.number, slot.released, self.floor)
+        return number <= max(slot.number, slot.released, slot.ahead.get(holder, 0), self.floor)
 
     def room(self, now: int, duty: str) -> Slot | None:
         """A place for a duty not heard of. One that nobody holds gives way, and leaves its number as the
@@ -176,10 +176,8 @@
         if slot.holder != holder:
             if m.number > slot.number:
                 slot.ahead[holder] = max(m.number, slot.ahead.pop(holder, 0))
-                if (
-                    len(slot.ahead) > self.settings.waiters_most
-                ):  # the oldest is the least likely still on its way
-                    del slot.ahead[next(iter(slot.ahead))]
+                if len(slot.ahead) > self.settings.waiters_most:
+                    del slot.ahead[next(iter(slot.ahead))]  # the oldest: its question is the least likely to come
             return []
         slot.released = max(slot.released, m.number)
         if m.number < slot.number:
