--- a/brackenladder/fleet/duties/voter.py
+++ b/brackenladder/fleet/duties/voter.py
@@ -177,7 +177,7 @@
             if m.number > slot.number:
                 slot.ahead[holder] = max(m.number, slot.ahead.pop(holder, 0))
                 if len(slot.ahead) > self.settings.waiters_most:
-                    del slot.ahead[next(iter(slot.ahead))]  # the oldest: its question is the least likely to come
+                    del slot.ahead[next(iter(slot.ahead))]  # the oldest is the least likely to come
             return []
         slot.released = max(slot.released, m.number)
         if m.number < slot.number:
