Tests: a change is told within 6 s of discovery's return, whatever failed before

Change: tests/test_renewed_terms.py plays eleven ways in which a call fails on a loop whose clock is fed by hand, lists pushed and asked for, at the start with no list known, and after SIGHUP (4 s there).

--- /dev/null
+++ b/tests/test_renewed_terms.py
@@ -0,0 +1,231 @@
+"""The terms that the operators renewed: each holds, by hand-fed clocks or on loopback sockets.
+
+`docs/crossings.md` has the table of the terms and of the tests that show each of them.
+"""
+
+import asyncio
+import json
+import selectors
+from random import Random
+
+import pytest
+from loopback import MOMENT, node_table, settings
+
+from brackenladder.net import discovery as node_discovery
+from brackenladder.net.config import read
+from brackenladder.net.node import Node
+
+TOLD_WITHIN = 6.0  # seconds after discovery had a change and could be reached
+MOVED_WITHIN = 4.0  # seconds after SIGHUP
+
+
+# ---- a change counts as told, whatever has failed ---------------------------------------------------------
+
+
+class HandFedSelector(selectors.SelectSelector):
+    """Waits by moving the loop's clock on."""
+
+    loop: "HandFedLoop"
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise AssertionError("nothing is left that could ever happen")
+        self.loop.now += max(0.0, timeout)
+        return []
+
+
+class HandFedLoop(asyncio.SelectorEventLoop):
+    """An event loop without sockets: waiting moves its clock, connections go to an `Agent`."""
+
+    def __init__(self, agents):
+        selector = HandFedSelector()
+        selector.loop = self
+        self.now = 1000.0
+        self.agents = agents
+        super().__init__(selector)
+
+    def time(self):
+        return self.now
+
+    async def create_connection(self, factory, host, port):
+        return await self.agents[port].connect(self, factory())
+
+
+class Wire:
+    """The node's end of a connection to an agent."""
+
+    def __init__(self, agent, loop, protocol):
+        self.agent, self.loop, self.protocol = agent, loop, protocol
+        self.closed = False
+        self.asked_at = 0.0
+
+    def write(self, data):
+        if not self.closed:
+            self.asked_at = self.loop.time()
+            self.agent.asked(self, data)
+
+    def abort(self):
+        self.close()
+
+    def close(self):
+        if not self.closed:
+            self.closed = True
+            self.loop.call_soon(self.protocol.connection_lost, None)
+
+    def is_closing(self):
+        return self.closed
+
+    def give(self, data):
+        """Bytes for the node, after the callback that is running."""
+        self.loop.call_soon(lambda: None if self.closed else self.protocol.data_received(data))
+
+
+def answer(version, full=True, state="draining"):
+    server = {"id": "s0", "addr": "10.0.0.1:5000", "zone": "here", "kind": "std", "cell": 0, "weight": 1.0}
+    table = {"version": version, "full": full, "servers": [server | {"state": state, "started_ms": 0}]}
+    body = json.dumps(table, indent=1).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+class Agent:
+    """Discovery, out of order in one way until `back`; from then on it has version 42 and tells it at once.
+
+    Calls that were out at `back` stay silent, since what fell silent has to be asked anew.
+    """
+
+    version = 42
+
+    def __init__(self, fault, back):
+        self.fault = fault
+        self.back = back
+        self.calls = 0
+
+    def well(self, loop):
+        return loop.time() >= self.back
+
+    async def connect(self, loop, protocol):
+        if not self.well(loop):
+            if self.fault == "refused":
+                raise ConnectionRefusedError
+            if self.fault == "never comes up":
+                await asyncio.Event().wait()
+        wire = Wire(self, loop, protocol)
+        protocol.connection_made(wire)
+        return wire, protocol
+
+    def asked(self, wire, data):
+        self.calls += 1
+        loop = wire.loop
+        if self.well(loop):
+            if f"since={self.version}&".encode() not in data:
+                wire.give(answer(self.version))
+            return
+        whole = answer(41, full=False, state="ready")
+        wait = 0.5 * self.calls % 0.9  # some time into the watch
+        act = {
+            "silent": lambda: None,
+            "reset": wire.close,
+            "ends instead of telling": wire.close,
+            "cut, then silent": lambda: wire.give(whole[:-20]),
+            "cut, then ends": lambda: (wire.give(whole[:-20]), loop.call_soon(wire.close)),
+            "spoilt": lambda: wire.give(whole[:-1] + b"]"),
+            "no list": lambda: wire.give(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
+            "a failure": lambda: wire.give(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
+            "byte by byte": lambda: self.trickle(wire, whole),
+        }[self.fault]
+        loop.call_later(wait, act)
+
+    def trickle(self, wire, data):
+        """So slowly that the call's time runs out before the answer is whole."""
+        if data and not wire.closed:
+            wire.give(data[:1])
+            wire.loop.call_later(0.4, self.trickle, wire, data[1:])
+
+
+@pytest.fixture
+def served_watch(monkeypatch, patient_watch):
+    """Watches wait as long as they do in service, which `conftest.py` has made longer."""
+    monkeypatch.setattr(node_discovery, "WAIT_MS", patient_watch)
+
+
+FAULTS = [
+    "refused",
+    "never comes up",
+    "silent",
+    "reset",
+    "ends instead of telling",
+    "cut, then silent",
+    "cut, then ends",
+    "spoilt",
+    "no list",
+    "a failure",
+    "byte by byte",
+]
+
+
+def hand_fed_node(loop, mode, known=True):
+    """A node whose discovery is at port 1; it asks from now on."""
+    rules = settings()["rules"] | {"ask_within": 100 * MOMENT}
+    table = node_table(1, settings(discovery=mode, rules=rules))
+    table["known"] = table["known"] | {"version": 41} if known else None
+    node = Node(read(table | {"discovery": "10.0.0.9:1"}), loop)
+    node.turns.post(node.balancer.start)
+    if node.config.known is not None:
+        node.roster.told(node.config.known)
+    if mode == "push":
+        node.discovery.watch(True)
+    return node
+
+
+def told_at(loop, node, version, limit):
+    """When the node had this version, by the loop's clock."""
+
+    async def until_told():
+        while node.discovery.version != version or not node.life.serving:
+            assert loop.time() < limit, "still not told"
+            await asyncio.sleep(0.02)
+        return loop.time()
+
+    return loop.run_until_complete(until_told())
+
+
+@pytest.mark.parametrize("mode", ["push", "ask"])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_change_is_told_in_time_whatever_went_wrong_before(fault, mode, served_watch):
+    """At each moment at which discovery can be back, also long after the first failure."""
+    draw = Random(f"{fault} {mode}")
+    longest = 0.0
+    for _ in range(40):
+        back = 1000 + draw.choice([2, 8, 40]) * draw.random()
+        loop = HandFedLoop({1: Agent(fault, back)})
+        node = hand_fed_node(loop, mode)
+        longest = max(longest, told_at(loop, node, 42, back + 60) - back)
+        loop.close()
+    assert longest <= TOLD_WITHIN
+
+
+@pytest.mark.parametrize("mode", ["push", "ask"])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_node_that_knows_no_server_is_ready_soon_after_discovery_is_back(fault, mode, served_watch):
+    """A process that starts while discovery is down has six seconds, and nine in ten have ten seconds."""
+    for seed in range(20):
+        back = 1000 + 8 * Random(seed).random()
+        loop = HandFedLoop({1: Agent(fault, back)})
+        node = hand_fed_node(loop, mode, known=False)
+        assert not node.life.serving
+        assert told_at(loop, node, 42, back + 60) - back <= TOLD_WITHIN
+        loop.close()
+
+
+@pytest.mark.parametrize("mode", ["push", "ask"])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_the_new_address_tells_in_time_whatever_the_old_one_did(fault, mode, served_watch):
+    """After SIGHUP the time is shorter, and the wait after the old one's failure doesn't count."""
+    for seed in range(20):
+        loop = HandFedLoop({1: Agent(fault, 2000), 2: Agent("refused", 0)})
+        node = hand_fed_node(loop, mode)
+        loop.run_until_complete(asyncio.sleep(8 * Random(seed).random()))
+        moved = loop.time()
+        node.discovery.move(("10.0.0.9", 2))
+        assert told_at(loop, node, 42, moved + 60) - moved <= MOVED_WITHIN
+        loop.close()
