Discovery is heard in every form of HTTP: interim answers, lists without a length

Cause: a call to discovery took the first message that came for its answer, so an interim one (1xx) with its own segment counted as a failure each time; and it had no eof_received, so a list that ends with the connection did as well. A node whose discovery answers so never heard it: still not told after 60 s.

Change: an interim answer is passed over; a list with neither length nor chunks is whole at the connection's end, and a reset is no end.

--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -50,6 +50,8 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body = b""
         self.size = 0
+        self.headed = False  # the answer's head has come whole
+        self.framed = False  # the answer tells where it ends
         self.complete = False
         if self.transport is None:
             self.limit(CONNECT_TIMEOUT)
@@ -91,20 +93,44 @@
         if self.size > LARGEST_ANSWER:  # its head counts: the parser keeps a line of it until it ends
             self.fail()
         elif self.complete and not self.over:
-            if self.parser.get_status_code() != 200:
-                self.fail()
-                return
-            if not self.keep:
-                self.hang_up()
-            self.told(self, self.body)
+            self.answered()
+
+    def answered(self) -> None:
+        """The whole answer has come."""
+        if self.parser.get_status_code() != 200:
+            self.fail()
+            return
+        if not self.keep:
+            self.hang_up()
+        self.told(self, self.body)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.headed:  # or it is a trailer
+            self.framed = self.framed or name.lower() in (b"content-length", b"transfer-encoding")
+
+    def on_headers_complete(self) -> None:
+        self.headed = self.parser.get_status_code() >= 200
 
     def on_body(self, body: bytes) -> None:
         self.body += body
 
     def on_message_complete(self) -> None:
+        if self.parser.get_status_code() < 200:
+            # Failure prevented: an interim answer counts as a failed call, each time, and no list ever comes.
+            self.framed = False
+            return
         self.complete = True
         self.keep = self.parser.should_keep_alive()  # known here only: the parser then starts afresh
 
+    def eof_received(self) -> None:
+        """The connection's end is the end of an answer that does not tell where it ends.
+
+        Failure prevented: discovery that answers in this form is not heard at all. A reset is no end.
+        """
+        if self.headed and not self.framed and not self.complete and not self.over:
+            self.complete, self.keep = True, False
+            self.answered()
+
     def connection_lost(self, exc: Exception | None) -> None:
         if self.transport is not None:
             self.transport = None
--- a/tests/test_renewed_terms.py
+++ b/tests/test_renewed_terms.py
@@ -9,7 +9,7 @@
 from random import Random
 
 import pytest
-from loopback import MOMENT, node_table, settings
+from loopback import MOMENT, Bench, Server, node_table, play, settings, until
 
 from brackenladder.net import discovery as node_discovery
 from brackenladder.net.config import read
@@ -259,3 +259,97 @@
     began = loop.time()
     assert told_at(loop, node, 2, began + 60) - began <= TOLD_WITHIN
     loop.close()
+
+
+WHOLE_LIST = answer(42)
+LIST_BODY = WHOLE_LIST.partition(b"\r\n\r\n")[2]
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x;a=b\r\n%b\r\n0\r\nX-Sum: 1\r\n\r\n"
+FORMS = {
+    "a length": [WHOLE_LIST],
+    "chunks and a trailer": [CHUNKED % (len(LIST_BODY), LIST_BODY)],
+    "an interim answer": [INTERIM + WHOLE_LIST],
+    "an interim answer, then": [INTERIM, WHOLE_LIST],
+    "interim answers, then to the end": [INTERIM, INTERIM, b"HTTP/1.1 200 OK\r\n\r\n" + LIST_BODY, "end"],
+    "to the connection's end": [b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", LIST_BODY, "end"],
+    "HTTP/1.0, to the end": [b"HTTP/1.0 200 OK\r\n\r\n" + LIST_BODY, "end"],
+    "a length and the end": [
+        b"HTTP/1.0 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(LIST_BODY), LIST_BODY),
+        "end",
+    ],
+}
+
+
+class OfForm(Agent):
+    """Discovery that answers in one form; `pieces` may hold "end" and "reset"."""
+
+    def __init__(self, pieces):
+        super().__init__("none", 0)
+        self.pieces = pieces
+
+    def asked(self, wire, data):
+        if b"since=42&" in data:
+            return
+        for piece in self.pieces:
+            if isinstance(piece, bytes):
+                wire.give(piece)
+            else:
+                wire.loop.call_soon(self.shut, wire, piece)
+
+    def shut(self, wire, how):
+        if not wire.closed and how == "end":
+            wire.protocol.eof_received()
+        wire.close()
+
+
+@pytest.mark.parametrize("mode", ["push", "ask"])
+@pytest.mark.parametrize("at", ["once", "byte by byte"])
+@pytest.mark.parametrize("form", FORMS)
+def test_a_list_comes_in_every_form_that_http_allows(form, at, mode, served_watch):
+    pieces = FORMS[form]
+    if at == "byte by byte":
+        pieces = [
+            p[i : i + 1] if p != "end" else p for p in pieces for i in range(len(p) if p != "end" else 1)
+        ]
+    loop = HandFedLoop({1: OfForm(pieces)})
+    node = hand_fed_node(loop, mode)
+    began = loop.time()
+    assert told_at(loop, node, 42, began + 60) - began <= 1.0
+    loop.close()
+
+
+@pytest.mark.parametrize("body", [LIST_BODY, LIST_BODY[:-1]], ids=["whole", "cut"])
+@pytest.mark.parametrize("length", [b"", b"Content-Length: 4000\r\n"], ids=["no length", "more to come"])
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_what_is_no_whole_list_is_not_believed(how, length, body, served_watch):
+    """A reset is no end; nor is an end where more was to come, or in the middle of a list."""
+    loop = HandFedLoop({1: OfForm([b"HTTP/1.1 200 OK\r\n%b\r\n" % length, body, how])})
+    node = hand_fed_node(loop, "push")
+    loop.run_until_complete(asyncio.sleep(5))
+    whole = how == "end" and not length and body == LIST_BODY
+    assert (node.discovery.version == 42) == whole
+    loop.close()
+
+
+@pytest.mark.parametrize("mode", ["push", "ask"])
+def test_a_list_without_a_length_comes_over_a_socket(mode):
+    """As above with the event loop in service: the watch goes on, on a new connection each time."""
+
+    async def scene():
+        bench = Bench(server := Server(), discovery=mode)
+
+        async def to_the_end(request, writer):
+            version = 41 + len(bench.discovery.requests)
+            body = json.dumps({"version": version, "full": False, "servers": [server.entry("s0")]}).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + body)
+            raise ConnectionResetError  # the stand-in then ends the connection once that is written
+
+        bench.discovery.handle = to_the_end
+        await bench.start()
+        failed = []
+        bench.node.roster.log.line = lambda text: failed.append(text) if "failed" in text else None
+        await until(lambda: bench.node.discovery.version >= 60)
+        assert not failed
+        bench.node.discovery.close()
+
+    play(scene)
