Tests: a crowd that fills the descriptors leaves one for discovery's return

Need: the renewed term that idle clients may fill the descriptors while discovery is down.

Change: a node of 56 descriptors, held to them by the system (RLIMIT_NOFILE), with 150 clients that stand idle after an answer, have sent half a request, or wait for a server that hangs, while discovery refuses or is silent; it has to have the change that discovery tells at its return while the crowd stays.

--- a/tests/test_renewed_terms.py
+++ b/tests/test_renewed_terms.py
@@ -5,11 +5,28 @@
 
 import asyncio
 import json
+import os
+import resource
 import selectors
 from random import Random
 
 import pytest
-from loopback import MOMENT, Bench, Server, node_table, play, settings, until
+from loopback import (
+    MOMENT,
+    Bench,
+    Client,
+    Discovery,
+    Server,
+    call,
+    connected,
+    free_port,
+    gated,
+    node_table,
+    play,
+    settings,
+    spawn,
+    until,
+)
 
 from brackenladder.net import discovery as node_discovery
 from brackenladder.net.config import read
@@ -353,3 +370,90 @@
         bench.node.discovery.close()
 
     play(scene)
+
+
+# ---- idle clients fill the descriptors while discovery is down --------------------------------------------
+
+SOCKETS = 56  # descriptors that the process may have
+CROWD = 150
+READY = b"GET /ready HTTP/1.1\r\n\r\n"
+
+
+class ReturningDiscovery(Discovery):
+    """Answers nothing until it is back; then it tells that `s0` drains, and `s1` is there."""
+
+    def __init__(self, *servers):
+        super().__init__()
+        self.handle = self.tell
+        self.servers = servers
+        self.back = asyncio.Event()
+
+    async def listen(self, port):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+
+    async def tell(self, request, writer):
+        if not self.back.is_set():
+            await asyncio.Event().wait()
+        if "since=43&" in request.target:
+            await asyncio.sleep(0.05)
+            return self.listing([])
+        old, new = self.servers
+        return self.listing([old.entry("s0", "draining"), new.entry("s1")])
+
+    def listing(self, lines):
+        body = json.dumps({"version": 43, "full": False, "servers": lines}).encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+    def heard(self):
+        """Whether the node has what it was told."""
+        return any("since=43&" in request.target for request in self.requests)
+
+
+async def crowd_that(does, port):
+    """Clients that fill the descriptors: idle after an answer, with half a request, or waiting for one."""
+    crowd = []
+    for _ in range(CROWD):
+        client = await Client(port).open()
+        client.send({"stands idle": READY, "half a request": READY[:-2], "waits": call()}[does])
+        crowd.append(client)
+        await asyncio.sleep(0)
+    return crowd
+
+
+@pytest.mark.parametrize("does", ["stands idle", "half a request", "waits"])
+@pytest.mark.parametrize("down", ["refused", "silent"])
+def test_a_crowd_that_fills_the_descriptors_leaves_one_for_discovery(down, does, tmp_path):
+    """The system itself holds the process to its limit here. The crowd stays until the change is known."""
+
+    async def scene():
+        await (old := Server(gated(asyncio.Event()))).start()
+        await (new := Server()).start()
+        discovery = ReturningDiscovery(old, new)
+        port, its_port = free_port(), free_port()
+        if down == "silent":
+            await discovery.listen(its_port)
+        table = node_table(its_port, settings(discovery="push"), f"127.0.0.1:{port}", old.entry("s0"))
+        process = await spawn(tmp_path, table | {"limits": {"sockets": SOCKETS}})
+        await connected(first := Client(port))
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS))
+        held = f"/proc/{process.pid}/fd"
+        before = len(os.listdir(held))
+        crowd = await crowd_that(does, port)
+        await until(lambda: len(os.listdir(held)) >= before + 8)
+        discovery.back.set()
+        if down == "refused":
+            await discovery.listen(its_port)
+        await until(discovery.heard)
+        assert len(os.listdir(held)) <= SOCKETS
+        for client in (first, *crowd):
+            client.writer.close()
+        while not new.requests:  # once there is room
+            await (client := Client(port)).open()
+            client.send(call())
+            await client.reader.read(1)
+            client.writer.close()
+        assert new.requests and process.returncode is None
+        process.terminate()
+        assert await asyncio.wait_for(process.wait(), 20) == 0
+
+    play(scene)
