Experiments: a worker that begins after its parent was killed ends at once

Cause: a worker asks the kernel to be killed with its parent once it has imported the program; a parent that was killed before that is no parent any more, the signal never comes, and the worker waits for tasks for ever. Seen once in a run of the tests on busy cores: test_killed_at_any_moment timed out after 60 s, and one spawned worker, its parent id 1, was still there. Change: the worker is told its parent's process id and ends where it has another parent by then, as live/starter.py does.

--- a/laurelspindle/experiment/runner.py
+++ b/laurelspindle/experiment/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ctypes
+import os
 import signal
 import traceback
 from collections.abc import Callable, Iterator
@@ -22,6 +23,7 @@
 AHEAD = 2  # tasks handed out for each worker: none waits for the next, few are lost
 MOST_ROUNDS = 50
 PR_SET_PDEATHSIG = 1
+PARENT_GONE = 1  # exit status of a worker whose parent has died
 
 Report = Callable[[int, int], None]
 
@@ -37,13 +39,19 @@
     busy: float = 0.0  # processor seconds inside runs
 
 
-def begin_worker() -> None:
-    """A worker ends with its parent, however that ends; Ctrl-C is the parent's to handle."""
+def begin_worker(parent: int) -> None:
+    """A worker ends with its parent, however that ends; Ctrl-C is the parent's to handle.
+
+    `parent`: process id of the parent. Failure prevented: the parent is killed before the kernel has been
+    told to end the worker with it, and the worker waits for tasks for ever.
+    """
     signal.signal(signal.SIGINT, signal.SIG_IGN)
     try:
         ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
     except (OSError, AttributeError):
         return  # not Linux: a worker whose parent is killed ends with its run
+    if os.getppid() != parent:
+        os._exit(PARENT_GONE)
 
 
 def run_task(task: Task) -> tuple[dict[str, Any] | None, str | None]:
@@ -100,7 +108,7 @@
     )  # our own children: a fork server would outlive us, and its workers with it
     before = total - len(missing)
     made = 0
-    with ProcessPoolExecutor(jobs, context, begin_worker) as pool:
+    with ProcessPoolExecutor(jobs, context, begin_worker, (os.getpid(),)) as pool:
         todo: Iterator[Task] = iter(missing)
         open_: dict[Future[tuple[dict[str, Any] | None, str | None]], Task] = {}
         try:
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -14,7 +14,7 @@
 from laurelspindle.experiment import runner
 from laurelspindle.experiment.compare import compare, holm, interval, sign_p
 from laurelspindle.experiment.plan import PlanError, plan_of, tasks
-from laurelspindle.experiment.runner import run_plan, run_task
+from laurelspindle.experiment.runner import PARENT_GONE, run_plan, run_task
 from laurelspindle.experiment.store import MIGRATIONS, Row, Store, StoreError
 from laurelspindle.policies.revisions import RevisionError, policy_of
 
@@ -150,6 +150,17 @@
     assert count(path) == (12, 12)
 
 
+def test_a_worker_whose_parent_died_before_it_began_ends_at_once():
+    """Failure prevented: a signal asked for at the parent's death never comes where that is over already."""
+    no_parent = "0"  # the id of none of this machine's processes
+    begin = (
+        "import sys; from laurelspindle.experiment.runner import begin_worker; begin_worker(int(sys.argv[1]))"
+    )
+    wait_for_ever = "; import threading; threading.Event().wait()"
+    worker = subprocess.run([sys.executable, "-c", begin + wait_for_ever, no_parent], timeout=60)
+    assert worker.returncode == PARENT_GONE
+
+
 def has_rows(path):
     try:
         return count(path)[0] > 0
