Cold servers: what warm ones answer bounds their pace, not only what these are sent

Seen: 30 copies (and 20) before 12 servers of which 6 or 8 come back cold under a burst, on a hand-fed clock: some cold server gets up to 13.2 calls more than its budget of N and 2 x root of N + 2 in the time that the settings name, over two thirds of the calls from copies that had been told.

Cause: a copy gives a cold server its present share of warm_rate, which counts each attempt sent to a warm member, also those that it turns away or that run out of time (balance.py, attempt and fair_rate).

Change: the share is taken of what warm members are sent, or, if that is less, of what they answer or of an even part of the requests, whichever is more.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -528,6 +528,8 @@
         self.rank = [0] * classes
         self.warm_rate = 0.0  # sends a second to a warm member, smoothed
         self.warm_sent = 0
+        self.served_rate = 0.0  # answers a second from a warm member, smoothed
+        self.warm_served = 0
         self.asked = 0  # requests, without clients' repeats, since `asked_at`
         self.asked_at = 0
         self.ask_rate = 0.0  # of them a second, smoothed
@@ -899,6 +901,7 @@
         if not srv.ejected and outcome != Outcome.REJECTED:
             ctl.lost += SMOOTH_ALL * ((0.0 if ok else 1.0) - ctl.lost)
         if ok:
+            self.warm_served += srv.cold_until <= now
             srv.fails_in_row = 0
             if srv.ejected and (srv.trial_out or srv.silent):
                 self.readmit(srv, well=True)
@@ -959,9 +962,10 @@
         for m in self.members:
             warm += m.cold_until <= now and not m.ejected
         if warm:
-            rate = self.warm_sent * 1e6 / span / warm
-            self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
-        self.warm_sent = 0
+            part = min(1.0, span / 2e6)
+            self.warm_rate += part * (self.warm_sent * 1e6 / span / warm - self.warm_rate)
+            self.served_rate += part * (self.warm_served * 1e6 / span / warm - self.served_rate)
+        self.warm_sent = self.warm_served = 0
         self.rank_classes()
         # Calls leave the zone only as far as its own servers are slower than the others.
         if self.zoned and self.near:
@@ -1175,10 +1179,12 @@
         Failure prevented: a node that starts among servers that all are cold has seen no warm one, takes
         their share of nothing, and sends nothing until the first is warm.
         Failure prevented: the last warm members take all calls; what they got then pushes cold ones over.
+        Failure prevented: in a crowd they are sent several times what they can do, and what they turn away
+        sets the pace of cold ones. What they answer bounds it; an even part does where they hang.
         """
-        if any(m.cold_until <= now and not m.ejected for m in self.members):
-            return self.warm_rate
         even = self.ask_rate / max(1, len(self.members))
+        if any(m.cold_until <= now and not m.ejected for m in self.members):
+            return min(self.warm_rate, max(self.served_rate, even))
         return min(max(self.warm_rate, even), EVEN_MOST * even)
 
     def may_send(self, now: int, srv: Server) -> bool:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -542,7 +542,7 @@
 def test_the_bucket_of_a_cold_server_starts_empty():
     """A call saved up while nobody watched would come on top of every other node's."""
     node, rec = balancer(2)
-    node.warm_rate = 10.0
+    node.warm_rate = node.served_rate = 10.0
     node.server_list(SEC, ListKind.CHANGES, [ServerEntry(1, ready_at=SEC)])
     cold = node.servers[1]
     assert not node.may_send(SEC, cold)
--- a/tests/test_renewed_terms.py
+++ b/tests/test_renewed_terms.py
@@ -27,6 +27,7 @@
     spawn,
     until,
 )
+from ramp import Day, Fleet
 
 from brackenladder.net import discovery as node_discovery
 from brackenladder.net.config import read
@@ -457,3 +458,39 @@
         assert await asyncio.wait_for(process.wait(), 20) == 0
 
     play(scene)
+
+
+# ---- cold servers under the sum of what all processes send ------------------------------------------------
+
+DAYS = {
+    "thin": Day(copies=30, servers=8, back_cold=2, joining=0, rate=1, load=0.6, burst=1.5),
+    "three in ten back": Day(copies=30, servers=10, back_cold=3, joining=0, rate=10, load=0.9, burst=1.5),
+    "as many join": Day(copies=30, servers=8, back_cold=3, joining=3, rate=10, load=1.2, burst=1.6),
+    "half of them": Day(copies=30, servers=12, back_cold=6, joining=0, rate=10, load=1.2, burst=1.6),
+    "most of them": Day(copies=30, servers=12, back_cold=8, joining=0, rate=10, load=1.2, burst=1.6),
+    "most of them, thin": Day(copies=20, servers=12, back_cold=8, joining=0, rate=3, load=1.2, burst=1.6),
+    "all of them": Day(copies=30, servers=8, back_cold=8, joining=0, rate=10, load=0.9, burst=1.5),
+}
+
+
+@pytest.mark.parametrize("day", DAYS.values(), ids=list(DAYS))
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_fleet_keeps_cold_servers_within_their_budget(day, seed):
+    """Failure prevented: what warm servers are sent in a crowd, and turn away, sets the pace of the cold."""
+    fleet = Fleet(day, seed)
+    fleet.play()
+    assert fleet.most_beyond() <= 0
+    assert all(fleet.received.values())  # it ramps up all the same
+
+
+def test_cold_servers_get_their_share_while_the_warm_ones_hang():
+    """Failure prevented: warm servers that answer nothing keep the cold ones, which could, from any call.
+
+    A quarter of their share is enough: calls that hang fill the limits of the copies, which refuse meanwhile.
+    """
+    fleet = Fleet(
+        Day(copies=30, servers=10, back_cold=5, joining=0, rate=10, load=0.5, burst=1.0, hang=True), 1
+    )
+    fleet.play()
+    assert fleet.most_beyond() <= 0
+    assert sum(map(len, fleet.received.values())) >= fleet.due() / 4
