Tests: no process turns everything away, and a restarted one is ready at once

Change: the fleet of tests/ramp.py counts copies that got 15 requests or more over 4 s with no attempt in between; a process that is killed, or told to end, and started again with discovery refused or silent says ready and serves from the list it was told last.

--- a/tests/ramp.py
+++ b/tests/ramp.py
@@ -21,6 +21,7 @@
 TURN_AWAY = 2_000
 TRIP = 60_000
 UNEVEN = 3.0  # standard deviation of the copies' shares of the traffic, as a factor
+IDLE_REQUESTS, IDLE_TIME = 15, 4 * SEC  # with no attempt in between a copy counts as idle
 TOLD_APART = 400_000  # between the first copy that is told of a start and the last
 
 
@@ -82,6 +83,9 @@
         self.cold = {*names[: day.back_cold], *names[day.servers :]}
         self.received: dict[int, list[tuple[int, bool]]] = {server: [] for server in self.cold}
         self.told: set[int] = set()  # copies that know of the cold starts
+        self.last_sent = [BEGIN] * day.copies
+        self.refused = [0] * day.copies  # requests since then
+        self.idle: set[int] = set()  # copies that turned away all they got for a while
         shares = [exp(self.rng.gauss(0, log(UNEVEN) / 2)) for _ in range(day.copies)]
         self.rates = [day.copies * day.rate * share / sum(shares) for share in shares]
         self.copies = [
@@ -110,6 +114,9 @@
 
     def arrive(self, copy: int) -> None:
         self.number += 1
+        self.refused[copy] += 1
+        if self.refused[copy] >= IDLE_REQUESTS and self.now - self.last_sent[copy] >= IDLE_TIME:
+            self.idle.add(copy)
         self.copies[copy].request(self.now, self.number, 0, 0, 3 * SEC, False)
         self.at(self.now + self.wait(copy), self.arrive, copy)
 
@@ -127,6 +134,7 @@
 
     def send(self, copy: int, request: int, server: int, timeout: int) -> None:
         """An attempt: it waits for those before it, is turned away, or runs out of time."""
+        self.last_sent[copy], self.refused[copy] = self.now, 0
         attempt = self.attempts[request] = self.attempts.get(request, -1) + 1
         if server in self.cold and self.now >= COLD_AT:
             self.received[server].append((self.now, copy in self.told))
--- a/tests/test_renewed_terms.py
+++ b/tests/test_renewed_terms.py
@@ -481,6 +481,8 @@
     fleet.play()
     assert fleet.most_beyond() <= 0
     assert all(fleet.received.values())  # it ramps up all the same
+    if 2 * day.back_cold <= day.servers:  # as on the days on which idle processes count
+        assert not fleet.idle
 
 
 def test_cold_servers_get_their_share_while_the_warm_ones_hang():
@@ -494,3 +496,40 @@
     fleet.play()
     assert fleet.most_beyond() <= 0
     assert sum(map(len, fleet.received.values())) >= fleet.due() / 4
+
+
+@pytest.mark.parametrize("load", [0.3, 0.65])
+@pytest.mark.parametrize("servers", [3, 10])
+@pytest.mark.parametrize("rate", [1, 5])
+def test_no_process_of_a_quiet_fleet_turns_everything_away(rate, servers, load):
+    """Where traffic is thin and many processes share few servers, no limit falls so low that none passes."""
+    fleet = Fleet(Day(copies=30, servers=servers, back_cold=0, joining=0, rate=rate, load=load, burst=1.5), 1)
+    fleet.play()
+    assert not fleet.idle
+
+
+# ---- a process that starts is ready -----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("mode", ["push", "ask"])
+@pytest.mark.parametrize("down", ["refused", "silent"])
+def test_a_restarted_process_is_ready_while_discovery_is_down(down, mode, tmp_path):
+    """What it was told last is enough to begin with."""
+
+    async def scene():
+        await (server := Server()).start()
+        discovery, port, its_port = Discovery(), free_port(), free_port()
+        if down == "silent":
+            await discovery.start()
+            its_port = discovery.port
+        table = node_table(its_port, settings(discovery=mode), f"127.0.0.1:{port}", server.entry("s0"))
+        for end in ("kill", "terminate"):
+            process = await spawn(tmp_path, table)
+            await connected(client := Client(port))
+            assert (await client.ask(READY))[0] == 200
+            assert (await client.ask(call()))[0] == 200
+            client.writer.close()
+            getattr(process, end)()
+            await process.wait()
+
+    play(scene)
