Tests: virtual time and slow start in modules of their own, with the field's names

Change: tests/virtual_time.py has the loop and the discovery that fails in a chosen way; tests/ramp.py is tests/slow_start.py.

--- a/tests/test_renewed_terms.py
+++ b/tests/test_renewed_terms.py
@@ -1,4 +1,4 @@
-"""The terms that the operators renewed: each holds, by hand-fed clocks or on loopback sockets.
+"""The terms that the operators renewed: each holds, on virtual time or on loopback sockets.
 
 `docs/crossings.md` has the table of the terms and of the tests that show each of them.
 """
@@ -7,7 +7,6 @@
 import json
 import os
 import resource
-import selectors
 from random import Random
 
 import pytest
@@ -27,161 +26,27 @@
     spawn,
     until,
 )
-from ramp import Day, Fleet
+from slow_start import Fleet, Workload
+from virtual_time import FAULTS, FakeDiscovery, VirtualTimeLoop, list_response
 
 from brackenladder.net import discovery as node_discovery
 from brackenladder.net.config import read
 from brackenladder.net.node import Node
 
-TOLD_WITHIN = 6.0  # seconds after discovery had a change and could be reached
-MOVED_WITHIN = 4.0  # seconds after SIGHUP
+MAX_DELAY = 6.0  # seconds after discovery had a change and could be reached
+MAX_DELAY_AFTER_RELOAD = 4.0  # seconds after SIGHUP
 
 
 # ---- a change counts as told, whatever has failed ---------------------------------------------------------
 
 
-class HandFedSelector(selectors.SelectSelector):
-    """Waits by moving the loop's clock on."""
-
-    loop: "HandFedLoop"
-
-    def select(self, timeout=None):
-        if timeout is None:
-            raise AssertionError("nothing is left that could ever happen")
-        self.loop.now += max(0.0, timeout)
-        return []
-
-
-class HandFedLoop(asyncio.SelectorEventLoop):
-    """An event loop without sockets: waiting moves its clock, connections go to an `Agent`."""
-
-    def __init__(self, agents):
-        selector = HandFedSelector()
-        selector.loop = self
-        self.now = 1000.0
-        self.agents = agents
-        super().__init__(selector)
-
-    def time(self):
-        return self.now
-
-    async def create_connection(self, factory, host, port):
-        return await self.agents[port].connect(self, factory())
-
-
-class Wire:
-    """The node's end of a connection to an agent."""
-
-    def __init__(self, agent, loop, protocol):
-        self.agent, self.loop, self.protocol = agent, loop, protocol
-        self.closed = False
-        self.asked_at = 0.0
-
-    def write(self, data):
-        if not self.closed:
-            self.asked_at = self.loop.time()
-            self.agent.asked(self, data)
-
-    def abort(self):
-        self.close()
-
-    def close(self):
-        if not self.closed:
-            self.closed = True
-            self.loop.call_soon(self.protocol.connection_lost, None)
-
-    def is_closing(self):
-        return self.closed
-
-    def give(self, data):
-        """Bytes for the node, after the callback that is running."""
-        self.loop.call_soon(lambda: None if self.closed else self.protocol.data_received(data))
-
-
-def answer(version, full=True, state="draining"):
-    server = {"id": "s0", "addr": "10.0.0.1:5000", "zone": "here", "kind": "std", "cell": 0, "weight": 1.0}
-    table = {"version": version, "full": full, "servers": [server | {"state": state, "started_ms": 0}]}
-    body = json.dumps(table, indent=1).encode()
-    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
-
-
-class Agent:
-    """Discovery, out of order in one way until `back`; from then on it has version 42 and tells it at once.
-
-    Calls that were out at `back` stay silent, since what fell silent has to be asked anew.
-    """
-
-    version = 42
-
-    def __init__(self, fault, back):
-        self.fault = fault
-        self.back = back
-        self.calls = 0
-
-    def well(self, loop):
-        return loop.time() >= self.back
-
-    async def connect(self, loop, protocol):
-        if not self.well(loop):
-            if self.fault == "refused":
-                raise ConnectionRefusedError
-            if self.fault == "never comes up":
-                await asyncio.Event().wait()
-        wire = Wire(self, loop, protocol)
-        protocol.connection_made(wire)
-        return wire, protocol
-
-    def asked(self, wire, data):
-        self.calls += 1
-        loop = wire.loop
-        if self.well(loop):
-            if f"since={self.version}&".encode() not in data:
-                wire.give(answer(self.version))
-            return
-        whole = answer(41, full=False, state="ready")
-        wait = 0.5 * self.calls % 0.9  # some time into the watch
-        act = {
-            "silent": lambda: None,
-            "reset": wire.close,
-            "ends instead of telling": wire.close,
-            "cut, then silent": lambda: wire.give(whole[:-20]),
-            "cut, then ends": lambda: (wire.give(whole[:-20]), loop.call_soon(wire.close)),
-            "spoilt": lambda: wire.give(whole[:-1] + b"]"),
-            "no list": lambda: wire.give(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
-            "a failure": lambda: wire.give(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
-            "byte by byte": lambda: self.trickle(wire, whole),
-        }[self.fault]
-        loop.call_later(wait, act)
-
-    def trickle(self, wire, data):
-        """So slowly that the call's time runs out before the answer is whole."""
-        if data and not wire.closed:
-            wire.give(data[:1])
-            wire.loop.call_later(0.4, self.trickle, wire, data[1:])
-
-
 @pytest.fixture
-def served_watch(monkeypatch, patient_watch):
+def production_watch(monkeypatch, patient_watch):
     """Watches wait as long as they do in service, which `conftest.py` has made longer."""
     monkeypatch.setattr(node_discovery, "WAIT_MS", patient_watch)
 
 
-FAULTS = [
-    "refused",
-    "never comes up",
-    "silent",
-    "reset",
-    "ends instead of telling",
-    "cut, then silent",
-    "cut, then ends",
-    "spoilt",
-    "no list",
-    "a failure",
-    "byte by byte",
-]
-
-
-def hand_fed_node(loop, mode, known=True):
+def start_node(loop, mode, known=True):
     """A node whose discovery is at port 1; it asks from now on."""
     rules = settings()["rules"] | {"ask_within": 100 * MOMENT}
     table = node_table(1, settings(discovery=mode, rules=rules))
@@ -195,61 +60,61 @@
     return node
 
 
-def told_at(loop, node, version, limit):
+def time_of_version(loop, node, version, limit):
     """When the node had this version, by the loop's clock."""
 
-    async def until_told():
+    async def wait_for_version():
         while node.discovery.version != version or not node.life.serving:
             assert loop.time() < limit, "still not told"
             await asyncio.sleep(0.02)
         return loop.time()
 
-    return loop.run_until_complete(until_told())
+    return loop.run_until_complete(wait_for_version())
 
 
 @pytest.mark.parametrize("mode", ["push", "ask"])
 @pytest.mark.parametrize("fault", FAULTS)
-def test_a_change_is_told_in_time_whatever_went_wrong_before(fault, mode, served_watch):
+def test_a_change_is_told_in_time_whatever_went_wrong_before(fault, mode, production_watch):
     """At each moment at which discovery can be back, also long after the first failure."""
     draw = Random(f"{fault} {mode}")
     longest = 0.0
     for _ in range(40):
-        back = 1000 + draw.choice([2, 8, 40]) * draw.random()
-        loop = HandFedLoop({1: Agent(fault, back)})
-        node = hand_fed_node(loop, mode)
-        longest = max(longest, told_at(loop, node, 42, back + 60) - back)
+        recovers_at = 1000 + draw.choice([2, 8, 40]) * draw.random()
+        loop = VirtualTimeLoop({1: FakeDiscovery(fault, recovers_at)})
+        node = start_node(loop, mode)
+        longest = max(longest, time_of_version(loop, node, 42, recovers_at + 60) - recovers_at)
         loop.close()
-    assert longest <= TOLD_WITHIN
+    assert longest <= MAX_DELAY
 
 
 @pytest.mark.parametrize("mode", ["push", "ask"])
 @pytest.mark.parametrize("fault", FAULTS)
-def test_a_node_that_knows_no_server_is_ready_soon_after_discovery_is_back(fault, mode, served_watch):
+def test_a_node_that_knows_no_server_is_ready_soon_after_discovery_is_back(fault, mode, production_watch):
     """A process that starts while discovery is down has six seconds, and nine in ten have ten seconds."""
     for seed in range(20):
-        back = 1000 + 8 * Random(seed).random()
-        loop = HandFedLoop({1: Agent(fault, back)})
-        node = hand_fed_node(loop, mode, known=False)
+        recovers_at = 1000 + 8 * Random(seed).random()
+        loop = VirtualTimeLoop({1: FakeDiscovery(fault, recovers_at)})
+        node = start_node(loop, mode, known=False)
         assert not node.life.serving
-        assert told_at(loop, node, 42, back + 60) - back <= TOLD_WITHIN
+        assert time_of_version(loop, node, 42, recovers_at + 60) - recovers_at <= MAX_DELAY
         loop.close()
 
 
 @pytest.mark.parametrize("mode", ["push", "ask"])
 @pytest.mark.parametrize("fault", FAULTS)
-def test_the_new_address_tells_in_time_whatever_the_old_one_did(fault, mode, served_watch):
+def test_the_new_address_tells_in_time_whatever_the_old_one_did(fault, mode, production_watch):
     """After SIGHUP the time is shorter, and the wait after the old one's failure doesn't count."""
     for seed in range(20):
-        loop = HandFedLoop({1: Agent(fault, 2000), 2: Agent("refused", 0)})
-        node = hand_fed_node(loop, mode)
+        loop = VirtualTimeLoop({1: FakeDiscovery(fault, 2000), 2: FakeDiscovery("refused", 0)})
+        node = start_node(loop, mode)
         loop.run_until_complete(asyncio.sleep(8 * Random(seed).random()))
-        moved = loop.time()
+        reloaded_at = loop.time()
         node.discovery.move(("10.0.0.9", 2))
-        assert told_at(loop, node, 42, moved + 60) - moved <= MOVED_WITHIN
+        assert time_of_version(loop, node, 42, reloaded_at + 60) - reloaded_at <= MAX_DELAY_AFTER_RELOAD
         loop.close()
 
 
-class BegunAnew(Agent):
+class RestartedDiscovery(FakeDiscovery):
     """Discovery that has begun its versions anew; the first call for its whole list falls silent."""
 
     version = 2
@@ -258,28 +123,28 @@
         super().__init__("none", 0)
         self.fetches = 0
 
-    def asked(self, wire, data):
+    def request_received(self, connection, data):
         if b"since=2&" in data:
             return
         if b"since=" in data:
-            wire.loop.call_later(0.7, wire.give, answer(2, full=False, state="ready"))
+            connection.loop.call_later(0.7, connection.deliver, list_response(2, full=False, state="ready"))
             return
         self.fetches += 1
         if self.fetches > 1:
-            wire.give(answer(2))
+            connection.deliver(list_response(2))
 
 
 @pytest.mark.parametrize("mode", ["push", "ask"])
-def test_a_call_for_the_whole_list_that_falls_silent_is_made_anew_in_time(mode, served_watch):
+def test_a_call_for_the_whole_list_that_falls_silent_is_made_anew_in_time(mode, production_watch):
     """Failure prevented: it was waited for as long as the silence may last in all, beside the watch."""
-    loop = HandFedLoop({1: BegunAnew()})
-    node = hand_fed_node(loop, mode)
-    began = loop.time()
-    assert told_at(loop, node, 2, began + 60) - began <= TOLD_WITHIN
+    loop = VirtualTimeLoop({1: RestartedDiscovery()})
+    node = start_node(loop, mode)
+    started_at = loop.time()
+    assert time_of_version(loop, node, 2, started_at + 60) - started_at <= MAX_DELAY
     loop.close()
 
 
-WHOLE_LIST = answer(42)
+WHOLE_LIST = list_response(42)
 LIST_BODY = WHOLE_LIST.partition(b"\r\n\r\n")[2]
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x;a=b\r\n%b\r\n0\r\nX-Sum: 1\r\n\r\n"
@@ -298,51 +163,51 @@
 }
 
 
-class OfForm(Agent):
+class ScriptedDiscovery(FakeDiscovery):
     """Discovery that answers in one form; `pieces` may hold "end" and "reset"."""
 
     def __init__(self, pieces):
         super().__init__("none", 0)
         self.pieces = pieces
 
-    def asked(self, wire, data):
+    def request_received(self, connection, data):
         if b"since=42&" in data:
             return
         for piece in self.pieces:
             if isinstance(piece, bytes):
-                wire.give(piece)
+                connection.deliver(piece)
             else:
-                wire.loop.call_soon(self.shut, wire, piece)
+                connection.loop.call_soon(self.end_connection, connection, piece)
 
-    def shut(self, wire, how):
-        if not wire.closed and how == "end":
-            wire.protocol.eof_received()
-        wire.close()
+    def end_connection(self, connection, how):
+        if not connection.closed and how == "end":
+            connection.protocol.eof_received()
+        connection.close()
 
 
 @pytest.mark.parametrize("mode", ["push", "ask"])
 @pytest.mark.parametrize("at", ["once", "byte by byte"])
 @pytest.mark.parametrize("form", FORMS)
-def test_a_list_comes_in_every_form_that_http_allows(form, at, mode, served_watch):
+def test_a_list_comes_in_every_form_that_http_allows(form, at, mode, production_watch):
     pieces = FORMS[form]
     if at == "byte by byte":
         pieces = [
             p[i : i + 1] if p != "end" else p for p in pieces for i in range(len(p) if p != "end" else 1)
         ]
-    loop = HandFedLoop({1: OfForm(pieces)})
-    node = hand_fed_node(loop, mode)
-    began = loop.time()
-    assert told_at(loop, node, 42, began + 60) - began <= 1.0
+    loop = VirtualTimeLoop({1: ScriptedDiscovery(pieces)})
+    node = start_node(loop, mode)
+    started_at = loop.time()
+    assert time_of_version(loop, node, 42, started_at + 60) - started_at <= 1.0
     loop.close()
 
 
 @pytest.mark.parametrize("body", [LIST_BODY, LIST_BODY[:-1]], ids=["whole", "cut"])
 @pytest.mark.parametrize("length", [b"", b"Content-Length: 4000\r\n"], ids=["no length", "more to come"])
 @pytest.mark.parametrize("how", ["end", "reset"])
-def test_what_is_no_whole_list_is_not_believed(how, length, body, served_watch):
+def test_what_is_no_whole_list_is_not_believed(how, length, body, production_watch):
     """A reset is no end; nor is an end where more was to come, or in the middle of a list."""
-    loop = HandFedLoop({1: OfForm([b"HTTP/1.1 200 OK\r\n%b\r\n" % length, body, how])})
-    node = hand_fed_node(loop, "push")
+    loop = VirtualTimeLoop({1: ScriptedDiscovery([b"HTTP/1.1 200 OK\r\n%b\r\n" % length, body, how])})
+    node = start_node(loop, "push")
     loop.run_until_complete(asyncio.sleep(5))
     whole = how == "end" and not length and body == LIST_BODY
     assert (node.discovery.version == 42) == whole
@@ -462,27 +327,31 @@
 
 # ---- cold servers under the sum of what all processes send ------------------------------------------------
 
-DAYS = {
-    "thin": Day(copies=30, servers=8, back_cold=2, joining=0, rate=1, load=0.6, burst=1.5),
-    "three in ten back": Day(copies=30, servers=10, back_cold=3, joining=0, rate=10, load=0.9, burst=1.5),
-    "as many join": Day(copies=30, servers=8, back_cold=3, joining=3, rate=10, load=1.2, burst=1.6),
-    "half of them": Day(copies=30, servers=12, back_cold=6, joining=0, rate=10, load=1.2, burst=1.6),
-    "most of them": Day(copies=30, servers=12, back_cold=8, joining=0, rate=10, load=1.2, burst=1.6),
-    "most of them, thin": Day(copies=20, servers=12, back_cold=8, joining=0, rate=3, load=1.2, burst=1.6),
-    "all of them": Day(copies=30, servers=8, back_cold=8, joining=0, rate=10, load=0.9, burst=1.5),
+WORKLOADS = {
+    "thin": Workload(copies=30, servers=8, restarted=2, new=0, rate=1, load=0.6, burst_factor=1.5),
+    "three in ten back": Workload(
+        copies=30, servers=10, restarted=3, new=0, rate=10, load=0.9, burst_factor=1.5
+    ),
+    "as many join": Workload(copies=30, servers=8, restarted=3, new=3, rate=10, load=1.2, burst_factor=1.6),
+    "half of them": Workload(copies=30, servers=12, restarted=6, new=0, rate=10, load=1.2, burst_factor=1.6),
+    "most of them": Workload(copies=30, servers=12, restarted=8, new=0, rate=10, load=1.2, burst_factor=1.6),
+    "most of them, thin": Workload(
+        copies=20, servers=12, restarted=8, new=0, rate=3, load=1.2, burst_factor=1.6
+    ),
+    "all of them": Workload(copies=30, servers=8, restarted=8, new=0, rate=10, load=0.9, burst_factor=1.5),
 }
 
 
-@pytest.mark.parametrize("day", DAYS.values(), ids=list(DAYS))
+@pytest.mark.parametrize("workload", WORKLOADS.values(), ids=list(WORKLOADS))
 @pytest.mark.parametrize("seed", [1, 2])
-def test_a_fleet_keeps_cold_servers_within_their_budget(day, seed):
+def test_a_fleet_keeps_cold_servers_within_their_budget(workload, seed):
     """Failure prevented: what warm servers are sent in a crowd, and turn away, sets the pace of the cold."""
-    fleet = Fleet(day, seed)
-    fleet.play()
-    assert fleet.most_beyond() <= 0
-    assert all(fleet.received.values())  # it ramps up all the same
-    if 2 * day.back_cold <= day.servers:  # as on the days on which idle processes count
-        assert not fleet.idle
+    fleet = Fleet(workload, seed)
+    fleet.run()
+    assert fleet.largest_excess() <= 0
+    assert all(fleet.arrivals.values())  # it ramps up all the same
+    if 2 * workload.restarted <= workload.servers:  # as on the days on which idle processes count
+        assert not fleet.idle_copies
 
 
 def test_cold_servers_get_their_share_while_the_warm_ones_hang():
@@ -491,11 +360,21 @@
     A quarter of their share is enough: calls that hang fill the limits of the copies, which refuse meanwhile.
     """
     fleet = Fleet(
-        Day(copies=30, servers=10, back_cold=5, joining=0, rate=10, load=0.5, burst=1.0, hang=True), 1
+        Workload(
+            copies=30,
+            servers=10,
+            restarted=5,
+            new=0,
+            rate=10,
+            load=0.5,
+            burst_factor=1.0,
+            warm_servers_hang=True,
+        ),
+        1,
     )
-    fleet.play()
-    assert fleet.most_beyond() <= 0
-    assert sum(map(len, fleet.received.values())) >= fleet.due() / 4
+    fleet.run()
+    assert fleet.largest_excess() <= 0
+    assert sum(map(len, fleet.arrivals.values())) >= fleet.fair_share() / 4
 
 
 @pytest.mark.parametrize("load", [0.3, 0.65])
@@ -503,9 +382,11 @@
 @pytest.mark.parametrize("rate", [1, 5])
 def test_no_process_of_a_quiet_fleet_turns_everything_away(rate, servers, load):
     """Where traffic is thin and many processes share few servers, no limit falls so low that none passes."""
-    fleet = Fleet(Day(copies=30, servers=servers, back_cold=0, joining=0, rate=rate, load=load, burst=1.5), 1)
-    fleet.play()
-    assert not fleet.idle
+    fleet = Fleet(
+        Workload(copies=30, servers=servers, restarted=0, new=0, rate=rate, load=load, burst_factor=1.5), 1
+    )
+    fleet.run()
+    assert not fleet.idle_copies
 
 
 # ---- a process that starts is ready -----------------------------------------------------------------------
