--- a/tests/test_renewed_terms.py
+++ b/tests/test_renewed_terms.py
@@ -7,6 +7,8 @@
 import json
 import os
 import resource
+import socket
+import struct
 from random import Random
 
 import pytest
@@ -29,6 +31,7 @@
 from slow_start import Fleet, Workload
 from virtual_time import FAULTS, FakeDiscovery, VirtualTimeLoop, list_response
 
+from brackenladder.interface import Outcome
 from brackenladder.net import discovery as node_discovery
 from brackenladder.net.config import read
 from brackenladder.net.node import Node
@@ -238,6 +241,44 @@
     play(scene)
 
 
+# ---- a client that closes its connection has gone ---------------------------------------------------------
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER
+
+
+@pytest.mark.parametrize("mode", [{}, {"policy_limits": {"cancel": False}}], ids=["cancel", "no cancel"])
+@pytest.mark.parametrize("outcome", [Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.TIMEOUT])
+@pytest.mark.parametrize("how", ["fin", "rst"])
+def test_no_retry_goes_to_an_idle_connection_once_the_client_has_gone(how, outcome, mode):
+    """The retry needs no turn of the event loop, so the loop cannot have seen the client's end before it."""
+
+    async def scene():
+        release = asyncio.Event()
+        servers = [Server(), Server()]
+        bench = await Bench(*servers, **mode).start()
+        endpoints = bench.node.pool.endpoints.values()
+        while not all(endpoint.idle for endpoint in endpoints):
+            assert (await bench.once(call()))[0] == 200
+        await until(lambda: not bench.node.callers.callers)
+        for server in servers:
+            server.requests.clear()
+            server.handle = gated(release)
+        client = socket.create_connection(("127.0.0.1", bench.port))
+        client.sendall(call())
+        await until(lambda: sum(len(server.requests) for server in servers) == 1)
+        (request,) = bench.node.requests.open.values()
+        if how == "rst":
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        client.close()
+        request.out.stop(outcome)  # the module answers it with a further attempt
+        release.set()
+        await until(lambda: not bench.node.callers.callers and not bench.node.requests.open)
+        assert (await bench.once(call()))[0] == 200  # whatever was sent before has come by now
+        assert sum(len(server.requests) for server in servers) == 2
+
+    play(scene)
+
+
 # ---- idle clients fill the descriptors while discovery is down --------------------------------------------
 
 SOCKETS = 56  # descriptors that the process may have
