Tests: a change is told within 6 s after failures of discovery of all kinds in a row

Need: the renewed term holds whatever failed before; the tests played one kind of failure at a time.

Change: a discovery that fails in another of the eleven ways at each connection and each request until it is back, 100 seeds a mode.

--- a/tests/test_renewed_terms.py
+++ b/tests/test_renewed_terms.py
@@ -29,7 +29,7 @@
     until,
 )
 from slow_start import Fleet, Workload
-from virtual_time import FAULTS, FakeDiscovery, VirtualTimeLoop, list_response
+from virtual_time import FAULTS, REQUEST_FAULTS, FakeDiscovery, VirtualTimeLoop, list_response
 
 from brackenladder.interface import Outcome
 from brackenladder.net import discovery as node_discovery
@@ -90,6 +90,32 @@
     assert longest <= MAX_DELAY
 
 
+class MixedFaultsDiscovery(FakeDiscovery):
+    """Discovery that fails in another way at each connection and at each request."""
+
+    def __init__(self, seed, recovers_at):
+        super().__init__("none", recovers_at)
+        self.random = Random(seed)
+
+    async def connect(self, loop, protocol):
+        self.fault = self.random.choice(FAULTS)
+        return await super().connect(loop, protocol)
+
+    def request_received(self, connection, data):
+        self.fault = self.random.choice(REQUEST_FAULTS)
+        super().request_received(connection, data)
+
+
+@pytest.mark.parametrize("mode", ["push", "ask"])
+def test_a_change_is_told_in_time_after_failures_of_all_kinds(mode, production_watch):
+    for seed in range(100):
+        recovers_at = 1000 + 20 * Random(seed).random()
+        loop = VirtualTimeLoop({1: MixedFaultsDiscovery(seed, recovers_at)})
+        node = start_node(loop, mode)
+        assert time_of_version(loop, node, 42, recovers_at + 60) - recovers_at <= MAX_DELAY
+        loop.close()
+
+
 @pytest.mark.parametrize("mode", ["push", "ask"])
 @pytest.mark.parametrize("fault", FAULTS)
 def test_a_node_that_knows_no_server_is_ready_soon_after_discovery_is_back(fault, mode, production_watch):
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -4,9 +4,8 @@
 import json
 import selectors
 
-FAULTS = [
-    "refused",
-    "never comes up",
+CONNECT_FAULTS = ["refused", "never comes up"]
+REQUEST_FAULTS = [
     "silent",
     "reset",
     "ends instead of telling",
@@ -17,6 +16,7 @@
     "a failure",
     "byte by byte",
 ]
+FAULTS = CONNECT_FAULTS + REQUEST_FAULTS
 
 
 class VirtualTimeSelector(selectors.SelectSelector):
