Membership: claims, messages, settings and advice in modules of their own

Moved without a change of behaviour; swim still exports Swim, Claim, Kind, Message, Send, Status, Timing and Address. Renamed while moving: tell -> publish, Advice.tell -> report, Advice.aside -> ejected. test_membership and test_fleet pass.

--- a/brackenladder/fleet/membership/codec.py
+++ b/brackenladder/fleet/membership/codec.py
@@ -21,7 +21,8 @@
 
 import msgspec
 
-from brackenladder.fleet.membership.swim import Claim, Kind, Message, Status
+from brackenladder.fleet.membership.claims import Claim, Status
+from brackenladder.fleet.membership.messages import Kind, Message
 
 VERSION = 1
 HEAD = Struct("<B4sQ")
--- a/brackenladder/fleet/membership/swim.py
+++ b/brackenladder/fleet/membership/swim.py
@@ -15,68 +15,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
-from enum import IntEnum
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from math import ceil, log2
 from random import Random
 
-Address = tuple[str, int]
+from brackenladder.fleet.membership.claims import Address, Claim, Status, overrides
+from brackenladder.fleet.membership.messages import Kind, Message, Send
+from brackenladder.fleet.membership.timing import Timing
 
-
-class Status(IntEnum):
-    """A claim about a member; of one incarnation the greater holds."""
-
-    ALIVE = 0
-    SUSPECT = 1
-    DEAD = 2
-    LEFT = 3
-
-
-class Kind(IntEnum):
-    """What a message is."""
-
-    PING = 0
-    ACK = 1
-    PING_REQ = 2  # ping `target` for me
-    SYNC = 3  # all that I know; answer with all that you know
-    SYNC_ACK = 4
-
-
-@dataclass(frozen=True)
-class Claim:
-    """What somebody says of a member."""
-
-    name: str
-    address: Address
-    status: Status
-    incarnation: int
-
-
-@dataclass(frozen=True)
-class Message:
-    """What goes into one datagram. `seq` pairs an ack with its ping; `target` is whom a PING_REQ is about."""
-
-    kind: Kind
-    sender: str
-    seq: int = 0
-    target: str = ""
-    claims: tuple[Claim, ...] = ()
-
-
-@dataclass(frozen=True)
-class Timing:
-    """Figures of the protocol."""
-
-    period: int = 1_000_000
-    ack_within: int = 300_000  # of the period; then others are asked
-    helpers: int = 3  # members asked to ping for us
-    suspect_factor: float = 4.0  # periods of suspicion, times the logarithm of the group's size
-    spread_factor: float = 4.0  # times that news rides along, times that logarithm
-    sync_every: int = 15_000_000
-    forget_after: int = 60_000_000  # a dead member is kept so long, lest an old claim revive it
-    claims_a_message: int = 12
-    claims_a_sync: int = 24
+__all__ = ["Address", "Claim", "Counts", "Kind", "Member", "Message", "Send", "Status", "Swim", "Timing"]
 
 
 @dataclass
@@ -103,14 +51,6 @@
     acked: bool = False
 
 
-@dataclass(frozen=True)
-class Send:
-    """A datagram to be sent."""
-
-    to: Address
-    message: Message
-
-
 @dataclass
 class Counts:
     """What has happened, for an operator's figures."""
@@ -122,8 +62,8 @@
     died: int = 0
 
 
-def untold(what: str, claim: Claim) -> None:
-    """Where nobody wants to know."""
+def unpublished(what: str, claim: Claim) -> None:
+    """The default subscriber: ignores the change."""
 
 
 class Swim:
@@ -132,8 +72,8 @@
 
     `incarnation` must be higher than that of the instance's last life: its start in Unix seconds serves.
     `seeds` are the configured peers, asked for the whole state at the start and again as long as they are
-    not known alive. `tell` hears of each change of what is held true: what it is ("join", "alive", "suspect",
-    "dead", "left", "refuted", "forgotten") and the claim.
+    not known alive. `publish` is called at each change of what is held true: what it is ("join", "alive",
+    "suspect", "dead", "left", "refuted", "forgotten") and the claim.
     """
 
     def __init__(
@@ -145,9 +85,9 @@
         rng: Random,
         now: int,
         timing: Timing | None = None,
-        tell: Callable[[str, Claim], None] = untold,
+        publish: Callable[[str, Claim], None] = unpublished,
     ) -> None:
-        self.tell = tell
+        self.publish = publish
         self.me = Claim(name, address, Status.ALIVE, incarnation)
         self.seeds = [s for s in seeds if s != address]
         self.rng = rng
@@ -201,7 +141,7 @@
             elif m.gone and now >= m.since + self.timing.forget_after:
                 del self.members[name]
                 self.news.pop(name, None)
-                self.tell("forgotten", m.claim)
+                self.publish("forgotten", m.claim)
         probe = self.probe
         if probe is not None and not probe.asked and not probe.acked and now >= probe.ask_at:
             probe.asked = True
@@ -341,7 +281,7 @@
                 # Failure prevented: an earlier life's death is told of this one.
                 self.counts.refuted += 1
                 self.me = Claim(self.me.name, self.me.address, Status.ALIVE, claim.incarnation + 1)
-                self.tell("refuted", claim)
+                self.publish("refuted", claim)
             return
         held = self.members.get(claim.name)
         if held is not None and not overrides(claim, held.claim):
@@ -354,7 +294,7 @@
             self.counts.suspected += 1
         self.members[claim.name] = Member(claim, now, due)
         if held is None or held.claim.status != claim.status:
-            self.tell("join" if held is None else claim.status.name.lower(), claim)
+            self.publish("join" if held is None else claim.status.name.lower(), claim)
         self.news[claim.name] = 0
         if held is None and self.round:
             self.round.insert(int(self.rng.random() * (len(self.round) + 1)), claim.name)
@@ -371,57 +311,3 @@
         names = self.alive()
         chosen = self.rng.sample(names, min(self.timing.helpers + 2, len(names)))
         return [self.send(self.members[n].claim.address, Kind.PING, 0) for n in chosen]
-
-
-def overrides(new: Claim, held: Claim) -> bool:
-    """Whether a claim takes the place of the one held."""
-    return (new.incarnation, new.status) > (held.incarnation, held.status)
-
-
-@dataclass
-class Fact:
-    """What one member says of a server: advice, with its age."""
-
-    reporter: str
-    at: int
-
-
-@dataclass
-class Advice:
-    """Servers that members have set aside. Believed only from enough reporters, and never of too many
-    servers.
-
-    Failure prevented: one lying or mistaken peer takes a server away from everybody, or all peers together
-    take away all servers while everything is slow at once.
-    """
-
-    quorum: int = 2
-    share_most: float = 0.34
-    fresh: int = 10_000_000
-    facts: dict[int, dict[str, Fact]] = field(default_factory=dict)
-
-    def tell(self, now: int, reporter: str, server: int, aside: bool) -> None:
-        """A member's word on a server; its latest holds."""
-        said = self.facts.setdefault(server, {})
-        if aside:
-            said[reporter] = Fact(reporter, now)
-        else:
-            said.pop(reporter, None)
-
-    def drop(self, reporter: str) -> None:
-        """A member is gone, and its word with it."""
-        for said in self.facts.values():
-            said.pop(reporter, None)
-
-    def aside(self, now: int, listed: Iterable[int], alive: Iterable[str]) -> list[int]:
-        """Of the servers that the own list names, those that enough living members have set aside lately;
-        those with most reporters first, up to the share."""
-        servers = sorted(set(listed))
-        living = set(alive)
-        found = []
-        for server in servers:
-            said = self.facts.get(server, {})
-            count = sum(f.reporter in living and now < f.at + self.fresh for f in said.values())
-            if count >= self.quorum:
-                found.append((-count, server))
-        return [server for _, server in sorted(found)][: int(self.share_most * len(servers))]
--- /dev/null
+++ b/brackenladder/fleet/membership/timing.py
@@ -0,0 +1,20 @@
+"""The protocol's settings."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Timing:
+    """Figures of the protocol. Times are integer microseconds."""
+
+    period: int = 1_000_000
+    ack_within: int = 300_000  # of the period; then others are asked
+    helpers: int = 3  # members asked to ping for us
+    suspect_factor: float = 4.0  # periods of suspicion, times the logarithm of the group's size
+    spread_factor: float = 4.0  # times that news rides along, times that logarithm
+    sync_every: int = 15_000_000
+    forget_after: int = 60_000_000  # a dead member is kept so long, lest an old claim revive it
+    claims_a_message: int = 12
+    claims_a_sync: int = 24
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,8 +7,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from brackenladder.fleet.membership.advice import Advice
+from brackenladder.fleet.membership.claims import overrides
 from brackenladder.fleet.membership.codec import Codec, KeyFault, read_key
-from brackenladder.fleet.membership.swim import Advice, Claim, Kind, Message, Status, Swim, overrides
+from brackenladder.fleet.membership.swim import Claim, Kind, Message, Status, Swim
 from laurelspindle.explore.members import KEY, Net
 
 SEC = 1_000_000
@@ -216,14 +218,14 @@
 def test_advice_wants_a_quorum_of_the_living_and_leaves_most_servers():
     advice = Advice(quorum=2, share_most=0.34, fresh=10 * SEC)
     for reporter, server in (("a", 1), ("a", 1), ("b", 2), ("c", 2), ("b", 9), ("c", 9), ("a", 2)):
-        advice.tell(0, reporter, server, aside=True)
+        advice.report(0, reporter, server, ejected=True)
     listed, alive = range(1, 7), ["a", "b", "c"]
-    assert advice.aside(SEC, listed, alive) == [2]  # 1 has one reporter, 9 is not listed
-    assert advice.aside(SEC, listed, ["a"]) == [] and advice.aside(11 * SEC, listed, alive) == []
+    assert advice.ejected(SEC, listed, alive) == [2]  # 1 has one reporter, 9 is not listed
+    assert advice.ejected(SEC, listed, ["a"]) == [] and advice.ejected(11 * SEC, listed, alive) == []
     for server in listed:
         for reporter in alive:
-            advice.tell(SEC, reporter, server, aside=True)
-    assert advice.aside(SEC, listed, alive) == [1, 2]  # a third of six at most
+            advice.report(SEC, reporter, server, ejected=True)
+    assert advice.ejected(SEC, listed, alive) == [1, 2]  # a third of six at most
     advice.drop("a")
-    advice.tell(SEC, "b", 1, aside=False)
-    assert 1 not in advice.aside(SEC, listed, alive)
+    advice.report(SEC, "b", 1, ejected=False)
+    assert 1 not in advice.ejected(SEC, listed, alive)
