Membership: deadlines in a heap, updates in buckets, views compared by digests and paged

Cause: each tick and each look at the next deadline walked all members, each datagram sorted all updates, and an exchange carried 24 claims drawn at random, so that joining took 74 s at 200 members. Change: timers.py (heap, lazy deletion), dissemination.py (buckets by times sent), view.py (sorted lists of members, a digest in 32 buckets), anti_entropy.py: digests are compared, what differs is pulled page by page (new kinds DIGEST, DIGEST_ACK, PULL, PAGE); a SYNC is answered with up to four SYNC_ACK pages, a form that earlier versions read; pages are bounded at 50 a second and member; comparisons back off from a period to 15 s. A message carries as many updates as its datagram holds (24 at most) instead of 12.

--- a/brackenladder/fleet/membership/codec.py
+++ b/brackenladder/fleet/membership/codec.py
@@ -15,6 +15,7 @@
 import stat
 from collections import Counter
 from collections.abc import Sequence
+from dataclasses import replace
 from pathlib import Path
 from struct import Struct
 from typing import Any, Protocol
@@ -22,12 +23,20 @@
 import msgspec
 
 from brackenladder.fleet.membership.claims import Claim, Status
-from brackenladder.fleet.membership.messages import Kind, Message
+from brackenladder.fleet.membership.messages import (
+    MAX_DATAGRAM_BYTES,
+    AnyMessage,
+    DigestMessage,
+    Kind,
+    Message,
+    Page,
+    Pull,
+)
+from brackenladder.fleet.membership.view import ALL_BUCKETS, BUCKETS
 
 VERSION = 1
 HEAD = Struct("<B4sQ")
 TAG = 16
-MOST = 1200
 LEAST_KEY = 16
 NAME_MOST = 64
 CLOCK_SLACK = 30_000_000  # clocks of two machines differ by so much at most
@@ -60,27 +69,72 @@
     kinds = frozenset(int(k) for k in Kind)
 
     def __init__(self) -> None:
-        self.decoder = msgspec.msgpack.Decoder(tuple[str, list[WireClaim]])
-
-    def pack(self, m: Message) -> Any:
-        return m.target, [(c.name, *c.address, int(c.status), c.incarnation) for c in m.claims]
-
-    def shorter(self, m: Message) -> Message | None:
-        """Without the last claim."""
-        return Message(m.kind, m.sender, m.seq, m.target, m.claims[:-1]) if m.claims else None
-
-    def unpack(self, kind: int, sender: str, seq: int, body: msgspec.Raw) -> Message:
-        target, claims = self.decoder.decode(body)
-        if len(target) > NAME_MOST:
-            raise ValueError("target")
-        out = []
-        for name, host, port, status, incarnation in claims:
-            if not 0 < len(name) <= NAME_MOST or not 0 < len(host) <= NAME_MOST or not 0 < port < 65536:
-                raise ValueError("claim")
-            if not 0 <= incarnation < 1 << 62:
-                raise ValueError("incarnation")
-            out.append(Claim(name, (host, port), Status(status), incarnation))
-        return Message(Kind(kind), sender, seq, target, tuple(out))
+        self.claims = msgspec.msgpack.Decoder(tuple[str, list[WireClaim]])
+        self.digest = msgspec.msgpack.Decoder(tuple[list[int], list[WireClaim]])
+        self.pull = msgspec.msgpack.Decoder(tuple[int, str])
+        self.page = msgspec.msgpack.Decoder(tuple[bool, list[WireClaim]])
+
+    def pack(self, m: AnyMessage) -> Any:
+        match m:
+            case Message():
+                return m.target, packed(m.claims)
+            case DigestMessage():
+                return m.digest, packed(m.claims)
+            case Pull():
+                return m.buckets, m.after
+            case Page():
+                return m.last, packed(m.claims)
+
+    def shorter(self, m: AnyMessage) -> AnyMessage | None:
+        """Without the last claim or accusation."""
+        match m:
+            case Message() if m.claims:
+                return replace(m, claims=m.claims[:-1])
+            case Page() if m.claims:
+                return replace(m, claims=m.claims[:-1], last=False)
+        return None
+
+    def unpack(self, kind: int, sender: str, seq: int, body: msgspec.Raw) -> AnyMessage:
+        match kind:
+            case Kind.DIGEST | Kind.DIGEST_ACK:
+                digest, claims = self.digest.decode(body)
+                require(len(digest) == BUCKETS and all(0 <= n < 1 << 32 for n in digest), "digest")
+                return DigestMessage(Kind(kind), sender, tuple(digest), unpacked(claims), seq)
+            case Kind.PULL:
+                buckets, after = self.pull.decode(body)
+                require(0 <= buckets <= ALL_BUCKETS, "buckets")
+                require(len(after) <= NAME_MOST, "after")
+                return Pull(sender, seq, buckets, after)
+            case Kind.PAGE:
+                last, claims = self.page.decode(body)
+                return Page(sender, seq, last, unpacked(claims))
+        target, claims = self.claims.decode(body)
+        require(len(target) <= NAME_MOST, "target")
+        return Message(Kind(kind), sender, seq, target, unpacked(claims))
+
+
+def require(holds: bool, what: str) -> None:
+    """A ValueError where a part of a message is impossible."""
+    if not holds:
+        raise ValueError(what)
+
+
+def packed(claims: Sequence[Claim]) -> list[WireClaim]:
+    return [pack_claim(c) for c in claims]
+
+
+def pack_claim(claim: Claim) -> WireClaim:
+    return claim.name, *claim.address, int(claim.status), claim.incarnation
+
+
+def unpacked(claims: list[WireClaim]) -> tuple[Claim, ...]:
+    return tuple(unpack_claim(*c) for c in claims)
+
+
+def unpack_claim(name: str, host: str, port: int, status: int, incarnation: int) -> Claim:
+    require(0 < len(name) <= NAME_MOST and 0 < len(host) <= NAME_MOST and 0 < port < 65536, "claim")
+    require(0 <= incarnation < 1 << 62, "incarnation")
+    return Claim(name, (host, port), Status(status), incarnation)
 
 
 class KeyFault(Exception):
@@ -130,7 +184,7 @@
         while True:
             wire = (int(message.kind), message.sender, message.seq, part.pack(message))
             body = head + self.encoder.encode(wire)
-            less = part.shorter(message) if len(body) + TAG > MOST else None
+            less = part.shorter(message) if len(body) + TAG > MAX_DATAGRAM_BYTES else None
             if less is None:
                 return body + tag(self.signing, body)
             message = less
@@ -143,7 +197,7 @@
         return message
 
     def checked(self, data: bytes, clock: int) -> tuple[str, Any | None]:
-        if not HEAD.size + TAG < len(data) <= MOST:
+        if not HEAD.size + TAG < len(data) <= MAX_DATAGRAM_BYTES:
             return "length", None
         version, key_mark, stamp = HEAD.unpack_from(data)
         if version != VERSION:
--- a/brackenladder/fleet/membership/messages.py
+++ b/brackenladder/fleet/membership/messages.py
@@ -1,4 +1,8 @@
-"""Membership's messages, before a codec makes datagrams of them."""
+"""Membership's messages, before a codec makes datagrams of them.
+
+A member of an earlier version counts and drops the kinds that it doesn't know; kinds 0 to 4 and their form
+are the ones that every version reads.
+"""
 
 from __future__ import annotations
 
@@ -7,20 +11,27 @@
 
 from brackenladder.fleet.membership.claims import Address, Claim
 
+MAX_DATAGRAM_BYTES = 1200
+ENVELOPE_BYTES = 80  # at most, of a datagram beside its names and claims: header, tag, numbers, lengths
+
 
 class Kind(IntEnum):
-    """What a message is."""
+    """What a message is. Numbers from 16 on are other components'."""
 
     PING = 0
     ACK = 1
     PING_REQ = 2  # ping `target` for me
-    SYNC = 3  # all that I know; answer with all that you know
+    SYNC = 3  # some of what I know; answer with what you know
     SYNC_ACK = 4
+    DIGEST = 5  # my view's digest; answer with yours
+    DIGEST_ACK = 6
+    PULL = 7  # send me a page of claims
+    PAGE = 8
 
 
 @dataclass(frozen=True)
 class Message:
-    """What goes into one datagram. `seq` pairs an ack with its ping; `target` is whom a PING_REQ is about."""
+    """Kinds 0 to 4. `seq` pairs an ack with its ping; `target` is whom a PING_REQ is about."""
 
     kind: Kind
     sender: str
@@ -29,9 +40,55 @@
     claims: tuple[Claim, ...] = ()
 
 
+@dataclass(frozen=True)
+class DigestMessage:
+    """DIGEST and DIGEST_ACK: a number for each bucket of the sender's view, and its claim about itself."""
+
+    kind: Kind
+    sender: str
+    digest: tuple[int, ...]
+    claims: tuple[Claim, ...] = ()
+    seq: int = 0
+
+
+@dataclass(frozen=True)
+class Pull:
+    """Asks for the claims in some buckets (a bit mask) that follow the member named; `seq` comes back."""
+
+    sender: str
+    seq: int
+    buckets: int
+    after: str = ""
+    kind: Kind = Kind.PULL
+
+    @property
+    def claims(self) -> tuple[Claim, ...]:
+        """It carries none."""
+        return ()
+
+
+@dataclass(frozen=True)
+class Page:
+    """The sender's claim about itself, then those asked for; `last`: none follow."""
+
+    sender: str
+    seq: int
+    last: bool
+    claims: tuple[Claim, ...]
+    kind: Kind = Kind.PAGE
+
+
+AnyMessage = Message | DigestMessage | Pull | Page
+
+
 @dataclass(frozen=True)
 class Send:
     """A datagram to be sent."""
 
     to: Address
-    message: Message
+    message: AnyMessage
+
+
+def room_for_claims(sender: str, names: str = "") -> int:
+    """Bytes that a datagram has for claims, beside its sender and other names."""
+    return MAX_DATAGRAM_BYTES - ENVELOPE_BYTES - len(sender.encode()) - len(names.encode())
--- a/brackenladder/fleet/membership/timing.py
+++ b/brackenladder/fleet/membership/timing.py
@@ -12,9 +12,12 @@
     period: int = 1_000_000
     ack_within: int = 300_000  # of the period; then others are asked
     helpers: int = 3  # members asked to ping for us
-    suspect_factor: float = 4.0  # periods of suspicion, times the logarithm of the group's size
+    suspect_factor: float = 4.0  # periods of suspicion at most, times the logarithm of the group's size
     spread_factor: float = 4.0  # times that news rides along, times that logarithm
-    sync_every: int = 15_000_000
+    claims_a_message: int = 24  # at most; as many as go into a datagram
+    sync_every: int = 15_000_000  # in calm
+    sync_pages: int = 4  # that answer a SYNC at once
+    page_attempts: int = 4  # requests for one page before it is given up
+    pages_a_second: int = 50  # that an instance sends others, on the long run
+    page_burst: int = 50  # and at once
     forget_after: int = 60_000_000  # a dead member is kept so long, lest an old claim revive it
-    claims_a_message: int = 12
-    claims_a_sync: int = 24
