Membership: suspicion ends sooner as distinct members confirm it

Cause: a suspicion lasted four periods times the logarithm of the group whoever supported it: 24 s at 50 members, 36 s at 200. Change: suspicion.py after Lifeguard: the time falls with the logarithm of the confirmations from that maximum to 35% of it at three confirmations beside the first. A failed probe of a member that is suspect already counts as a confirmation.

--- a/brackenladder/fleet/membership/codec.py
+++ b/brackenladder/fleet/membership/codec.py
@@ -25,6 +25,8 @@
 from brackenladder.fleet.membership.claims import Claim, Status
 from brackenladder.fleet.membership.messages import (
     MAX_DATAGRAM_BYTES,
+    Accusation,
+    Accusations,
     AnyMessage,
     DigestMessage,
     Kind,
@@ -73,6 +75,7 @@
         self.digest = msgspec.msgpack.Decoder(tuple[list[int], list[WireClaim]])
         self.pull = msgspec.msgpack.Decoder(tuple[int, str])
         self.page = msgspec.msgpack.Decoder(tuple[bool, list[WireClaim]])
+        self.accusations = msgspec.msgpack.Decoder(list[tuple[WireClaim, list[str]]])
 
     def pack(self, m: AnyMessage) -> Any:
         match m:
@@ -84,6 +87,8 @@
                 return m.buckets, m.after
             case Page():
                 return m.last, packed(m.claims)
+            case Accusations():
+                return [(pack_claim(a.claim), a.accusers) for a in m.accusations]
 
     def shorter(self, m: AnyMessage) -> AnyMessage | None:
         """Without the last claim or accusation."""
@@ -92,6 +97,8 @@
                 return replace(m, claims=m.claims[:-1])
             case Page() if m.claims:
                 return replace(m, claims=m.claims[:-1], last=False)
+            case Accusations() if m.accusations:
+                return replace(m, accusations=m.accusations[:-1])
         return None
 
     def unpack(self, kind: int, sender: str, seq: int, body: msgspec.Raw) -> AnyMessage:
@@ -108,6 +115,9 @@
             case Kind.PAGE:
                 last, claims = self.page.decode(body)
                 return Page(sender, seq, last, unpacked(claims))
+            case Kind.ACCUSATIONS:
+                accusations = self.accusations.decode(body)
+                return Accusations(sender, tuple(unpack_accusation(*a) for a in accusations), seq)
         target, claims = self.claims.decode(body)
         require(len(target) <= NAME_MOST, "target")
         return Message(Kind(kind), sender, seq, target, unpacked(claims))
@@ -137,6 +147,13 @@
     return Claim(name, (host, port), Status(status), incarnation)
 
 
+def unpack_accusation(claim: WireClaim, accusers: list[str]) -> Accusation:
+    """The claim must be a suspicion."""
+    require(claim[3] == Status.SUSPECT, "accusation")
+    require(all(0 < len(name) <= NAME_MOST for name in accusers), "accuser")
+    return Accusation(unpack_claim(*claim), tuple(accusers))
+
+
 class KeyFault(Exception):
     """A key file that cannot be used: one line."""
 
--- a/brackenladder/fleet/membership/messages.py
+++ b/brackenladder/fleet/membership/messages.py
@@ -27,6 +27,7 @@
     DIGEST_ACK = 6
     PULL = 7  # send me a page of claims
     PAGE = 8
+    ACCUSATIONS = 9  # who suspects whom
 
 
 @dataclass(frozen=True)
@@ -78,7 +79,30 @@
     kind: Kind = Kind.PAGE
 
 
-AnyMessage = Message | DigestMessage | Pull | Page
+@dataclass(frozen=True)
+class Accusation:
+    """A suspicion, and the members whose own probes support it."""
+
+    claim: Claim
+    accusers: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Accusations:
+    """Goes beside a ping or an ack while suspicions are being passed on."""
+
+    sender: str
+    accusations: tuple[Accusation, ...]
+    seq: int = 0
+    kind: Kind = Kind.ACCUSATIONS
+
+    @property
+    def claims(self) -> tuple[Claim, ...]:
+        """The suspicions alone."""
+        return tuple(accusation.claim for accusation in self.accusations)
+
+
+AnyMessage = Message | DigestMessage | Pull | Page | Accusations
 
 
 @dataclass(frozen=True)
--- a/brackenladder/fleet/membership/swim.py
+++ b/brackenladder/fleet/membership/swim.py
@@ -24,12 +24,15 @@
 from brackenladder.fleet.membership.counts import Counts
 from brackenladder.fleet.membership.dissemination import Dissemination
 from brackenladder.fleet.membership.messages import (
+    Accusation,
+    Accusations,
     AnyMessage,
     Kind,
     Message,
     Send,
     room_for_claims,
 )
+from brackenladder.fleet.membership.suspicion import Suspicion
 from brackenladder.fleet.membership.timers import Deadlines
 from brackenladder.fleet.membership.timing import Timing
 from brackenladder.fleet.membership.view import Member, View, claim_size
@@ -93,6 +96,8 @@
         self.seq = rng.getrandbits(24)
         self.relays: dict[int, Relay] = {}  # by the seq of our ping
         self.updates = Dissemination()
+        self.accusations = Dissemination()
+        self.suspicions: dict[str, Suspicion] = {}
         self.deadlines = Deadlines()  # suspicions' ends, and when the gone are forgotten
         self.anti_entropy = AntiEntropy(self.view, seeds, rng, now, self.timing, self.counts)
 
@@ -180,7 +185,7 @@
         self.seq += 1
         self.probe = Probe(target, self.seq, now + self.timing.ack_within)
         to = self.members[target].claim.address
-        return [self.send(to, Kind.PING, self.seq, about=target)]
+        return [self.send(to, Kind.PING, self.seq, about=target), *self.accuse_to(to)]
 
     def next_target(self) -> str | None:
         """All members in a shuffled round, so that each is pinged within two rounds."""
@@ -213,15 +218,19 @@
         self.counts.received += 1
         for claim in message.claims:
             self.accept(now, claim)
-        if not isinstance(message, Message):
+        if isinstance(message, Accusations):
+            for accusation in message.accusations:
+                self.accuse(now, accusation.claim, accusation.accusers)
+        elif not isinstance(message, Message):
             return self.anti_entropy.receive(now, source, message)
-        if message.kind == Kind.PING:
-            return [self.send(source, Kind.ACK, message.seq, about=message.sender)]
-        if message.kind == Kind.PING_REQ:
+        elif message.kind == Kind.PING:
+            ack = self.send(source, Kind.ACK, message.seq, about=message.sender)
+            return [ack, *self.accuse_to(source)]
+        elif message.kind == Kind.PING_REQ:
             return self.relay(now, source, message)
-        if message.kind == Kind.ACK:
+        elif message.kind == Kind.ACK:
             return self.acked(message)
-        if message.kind == Kind.SYNC:
+        elif message.kind == Kind.SYNC:
             return self.anti_entropy.receive(now, source, message)
         return []
 
@@ -299,15 +308,24 @@
 
     def schedule(self, now: int, claim: Claim) -> None:
         """Sets the deadline that goes with a member's new status."""
+        self.suspicions.pop(claim.name, None)
+        self.accusations.remove(claim.name)
         if claim.status == Status.ALIVE:
             self.deadlines.cancel(claim.name)
         elif claim.status == Status.SUSPECT:
             self.counts.suspected += 1
-            duration = int(self.timing.suspect_factor * self.scale() * self.timing.period)
-            self.deadlines.set(claim.name, now + duration)
+            self.suspicions[claim.name] = suspicion = self.suspicion(now)
+            self.deadlines.set(claim.name, suspicion.deadline())
         else:
             self.deadlines.set(claim.name, now + self.timing.forget_after)
 
+    def suspicion(self, now: int) -> Suspicion:
+        """One that begins now, in a group of the present size."""
+        maximum = int(self.timing.suspect_factor * self.scale() * self.timing.period)
+        minimum = int(maximum * self.timing.suspect_minimum)
+        others = len(self.view.living) - 1  # who could confirm: all but the suspect and the first accuser
+        return Suspicion(now, maximum, minimum, min(self.timing.confirmations, others))
+
     def suspect(self, now: int, name: str) -> None:
         """This instance's own probe of a member has failed."""
         member = self.members.get(name)
@@ -316,6 +334,33 @@
         held = member.claim
         claim = Claim(name, held.address, Status.SUSPECT, held.incarnation)
         self.accept(now, claim)
+        self.accuse(now, claim, (self.me.name,))
+
+    def accuse(self, now: int, claim: Claim, accusers: Sequence[str]) -> None:
+        """Counts the members that support a suspicion, which ends sooner the more there are."""
+        suspicion = self.suspicions.get(claim.name)
+        if suspicion is None or self.members[claim.name].claim.incarnation != claim.incarnation:
+            return
+        if suspicion.accuse(accusers):
+            self.deadlines.set(claim.name, suspicion.deadline())
+            self.accusations.add(claim.name)
+
+    def accuse_to(self, to: Address) -> list[Send]:
+        """The suspicions whose accusers are still to be passed on; none in calm."""
+        accusations: list[Accusation] = []
+        room = room_for_claims(self.me.name)
+        maximum = ceil(self.timing.spread_factor * self.scale())
+        for name in self.accusations.choose(self.timing.claims_a_message):
+            claim, accusers = self.members[name].claim, tuple(self.suspicions[name].accusers)
+            room -= claim_size(claim) + sum(len(a.encode()) + 2 for a in accusers) + 2
+            if room < 0:
+                break
+            accusations.append(Accusation(claim, accusers))
+            self.accusations.sent(name, maximum)
+        if not accusations:
+            return []
+        self.counts.sent += 1
+        return [Send(to, Accusations(self.me.name, tuple(accusations)))]
 
     def leave(self) -> list[Send]:
         """SIGTERM: tells a few members, who tell the others. Nothing is sent or heard after this."""
