Membership: tests at scale; a storm of joins measured; a SYNC beyond the limit gets one page

Need: that cost doesn't grow was shown by nothing, nor what a storm of joins asks of a seed. Cause found by the storm: each of 250 SYNCs was answered with a page and a digest whatever the limit said, 543 datagrams of one seed in a second.

--- a/brackenladder/fleet/membership/anti_entropy.py
+++ b/brackenladder/fleet/membership/anti_entropy.py
@@ -147,21 +147,27 @@
     def answer_sync(self, now: int, source: Address) -> list[Send]:
         """A few pages in a form that every version reads, and the digest, by which this one pulls the rest.
 
-        The first page goes out whatever the limit says: an earlier version has no other answer.
+        Beyond the limit one page alone goes out, as an earlier version has no other answer; the asker's next
+        comparison brings the rest.
         """
+        if not self.limit.take(now):
+            return [self.sync_ack(source, self.some_claims())]
         out: list[Send] = []
         after = self.rng.choice(self.view.order)[1] if self.view.order else ""
         remaining = len(self.view.order)
-        while len(out) < self.timing.sync_pages and (self.limit.take(now) or not out):
+        while True:
             claims, last = self.page(ALL_BUCKETS, after)
-            out.append(self.send(source, Message(Kind.SYNC_ACK, self.view.me.name, 0, "", claims)))
+            out.append(self.sync_ack(source, claims))
             remaining -= len(claims) - 1
             after = "" if last else claims[-1].name
-            if remaining <= 0:
+            if remaining <= 0 or len(out) == self.timing.sync_pages or not self.limit.take(now):
                 break
         out.append(self.digest(source, Kind.DIGEST_ACK))
         return out
 
+    def sync_ack(self, to: Address, claims: tuple[Claim, ...]) -> Send:
+        return self.send(to, Message(Kind.SYNC_ACK, self.view.me.name, 0, "", claims))
+
     def digest(self, to: Address, kind: Kind) -> Send:
         me = self.view.me
         return self.send(to, DigestMessage(kind, me.name, self.view.digest(), (me,)))
--- a/brackenladder/fleet/membership/suspicion.py
+++ b/brackenladder/fleet/membership/suspicion.py
@@ -38,7 +38,7 @@
     def deadline(self) -> int:
         """When the member is held dead unless it has refuted."""
         confirmed = max(0, len(self.accusers) - 1)
-        if confirmed == 0 or self.confirmations <= 0:
+        if confirmed == 0:
             return self.since + self.maximum
         share = log(confirmed + 1) / log(self.confirmations + 1)
         return self.since + int(self.maximum - (self.maximum - self.minimum) * min(1.0, share))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -66,7 +66,7 @@
     net.until(net.complete, 30)
     leaver = net.members[("10.0.0.1", 6)]
     before = sum(s.counts.suspected for s in net.members.values())
-    net.carry(leaver.me.address, leaver.leave())
+    net.transmit(leaver.me.address, leaver.leave())
     net.kill(leaver.me.address)
     net.until(lambda: all(s.status("n6") == L for s in net.members.values()), 10)
     assert all(s.status("n6") == L for s in net.members.values())
--- /dev/null
+++ b/tests/test_membership_scale.py
@@ -0,0 +1,421 @@
+"""Membership in a large group: cost that doesn't grow with it, joins, comparisons, versions, suspicion."""
+
+import sys
+from dataclasses import replace
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brackenladder.fleet.membership.claims import Claim, Status
+from brackenladder.fleet.membership.codec import HEAD, Codec, mark, tag
+from brackenladder.fleet.membership.dissemination import Dissemination
+from brackenladder.fleet.membership.messages import (
+    Accusation,
+    Accusations,
+    DigestMessage,
+    Kind,
+    Message,
+    Page,
+    Pull,
+    Send,
+)
+from brackenladder.fleet.membership.rate_limit import RateLimit
+from brackenladder.fleet.membership.suspicion import Suspicion
+from brackenladder.fleet.membership.swim import Swim
+from brackenladder.fleet.membership.timers import Deadlines
+from brackenladder.fleet.membership.timing import Timing
+from brackenladder.fleet.membership.view import ALL_BUCKETS, BUCKETS
+from laurelspindle.explore.members import KEY, Net, storm
+
+SEC = 1_000_000
+A, S, D = Status.ALIVE, Status.SUSPECT, Status.DEAD
+OLD_KINDS = (Kind.PING, Kind.ACK, Kind.PING_REQ, Kind.SYNC, Kind.SYNC_ACK)
+
+
+def member(number: int, names: str = "n") -> Claim:
+    return Claim(f"{names}{number}", ("10.0.0.9", number + 1), A, 1)
+
+
+def group_of(count: int, name: str = "me", names: str = "n", first: int = 0) -> Swim:
+    """A member that holds `count` others alive, and has nothing more to pass on."""
+    swim = Swim(name, ("10.0.0.1", 1), 1, [], Random(1), SEC)
+    for number in range(first, first + count):
+        swim.accept(SEC, member(number, names))
+        swim.updates.remove(f"{names}{number}")
+    return swim
+
+
+def pump(swims: list[Swim], sends: list[tuple[Swim, Send]], now: int) -> list[Send]:
+    """Delivers datagrams and their answers until none is left; returns all."""
+    by_address = {s.me.address: s for s in swims}
+    delivered = []
+    while sends:
+        source, send = sends.pop(0)
+        delivered.append(send)
+        if (to := by_address.get(send.to)) is not None:
+            sends += [(to, answer) for answer in to.receive(now, source.me.address, send.message)]
+    return delivered
+
+
+# ---- cost --------------------------------------------------------------------------------------------
+
+
+def opcodes(work) -> int:
+    """Python instructions that a call executes."""
+    count = 0
+
+    def trace(frame, event, arg):
+        nonlocal count
+        frame.f_trace_opcodes = True
+        count += event == "opcode"
+        return trace
+
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        work()
+    finally:
+        sys.settrace(before)
+    return count
+
+
+def test_a_calm_period_and_a_comparison_cost_no_more_in_a_larger_group():
+    costs = []
+    for count in (50, 800):
+        swim = group_of(count)
+        swim.tick(10 * SEC)  # the first shuffles a round of all
+        swim.receive(10 * SEC, ("10.0.0.9", 1), Message(Kind.ACK, "n0", swim.probe.seq))
+        digest = swim.view.digest()
+        total = 0
+        for period in range(12, 30):
+            now = period * SEC
+            sends: list[Send] = []
+            total += opcodes(lambda s=swim, n=now, out=sends: out.extend(s.tick(n)))
+            for send in sends:
+                if send.message.kind == Kind.PING:
+                    ack = Message(Kind.ACK, "n0", send.message.seq)
+                    total += opcodes(lambda s=swim, n=now, m=ack: s.receive(n, ("10.0.0.9", 1), m))
+                if send.message.kind == Kind.DIGEST:
+                    ack = DigestMessage(Kind.DIGEST_ACK, "n0", digest)
+                    total += opcodes(lambda s=swim, n=now, m=ack, to=send.to: s.receive(n, to, m))
+            ping = Message(Kind.PING, "n0", 1, "", (member(0),))
+            total += opcodes(lambda s=swim, n=now, m=ping: s.receive(n, ("10.0.0.9", 1), m))
+            total += opcodes(swim.due)
+        costs.append(total)
+    assert costs[1] < 1.2 * costs[0]
+
+
+def test_a_datagram_costs_what_it_carries_however_many_updates_wait():
+    costs = []
+    for waiting in (50, 800):
+        swim = group_of(0)
+        for number in range(waiting):
+            swim.accept(SEC, member(number))
+        ping = Message(Kind.PING, "n0", 1)
+        costs.append(opcodes(lambda s=swim, m=ping: s.receive(SEC, ("10.0.0.9", 1), m)))
+    assert costs[1] < 1.2 * costs[0]
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.sampled_from("abcd"), st.integers(0, 20), st.booleans()), max_size=60))
+def test_deadlines_come_in_order_and_obsolete_ones_never(steps):
+    deadlines, expected = Deadlines(), {}
+    for name, at, set_it in steps:
+        if set_it:
+            deadlines.set(name, at)
+            expected[name] = at
+        else:
+            deadlines.cancel(name)
+            expected.pop(name, None)
+        assert deadlines.next() == min(expected.values(), default=None)
+    due = deadlines.pop_due(10)
+    assert due == sorted((n for n, at in expected.items() if at <= 10), key=lambda n: (expected[n], n))
+    assert deadlines.next() == min((at for at in expected.values() if at > 10), default=None)
+
+
+def test_obsolete_deadlines_are_bounded():
+    deadlines = Deadlines()
+    deadlines.set("first", 0)
+    for at in range(10_000):
+        deadlines.set("n", at)
+    assert len(deadlines.heap) < 100
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.sampled_from("abcdef"), st.integers(0, 3)), max_size=60))
+def test_updates_go_least_sent_first_and_end(steps):
+    updates, times = Dissemination(), {}
+    for name, count in steps:
+        updates.add(name)
+        times[name] = 0
+        chosen = updates.choose(count)
+        assert len(chosen) == min(count, len(times))
+        rest = [t for n, t in times.items() if n not in chosen]
+        assert max((times[n] for n in chosen), default=0) <= min(rest, default=99)
+        for sent in chosen:
+            updates.sent(sent, 3)
+            times[sent] += 1
+            if times[sent] == 3:
+                del times[sent]
+    assert updates.times == times
+
+
+# ---- joining and comparing ---------------------------------------------------------------------------
+
+
+def test_a_storm_of_joins_is_bounded_and_soon_over():
+    """The bound: a datagram for each SYNC that comes in, 50 pages a second, and the calm's few."""
+    found = storm(standing=20, joining=250)
+    assert found.joined_s <= 15
+    assert found.busiest_member <= 250 + 50 + 50
+
+
+def test_pages_beyond_the_limit_are_refused_and_others_are_asked():
+    limit = RateLimit(per_second=10, burst=3)
+    assert [limit.take(0) for _ in range(5)] == [True, True, True, False, False]
+    assert sum(limit.take(at) for at in range(0, 2 * SEC, 1000)) == pytest.approx(20, abs=1)
+
+    swim = group_of(100)
+    pull = Pull("n0", 5, ALL_BUCKETS)
+    pages = [swim.receive(SEC, ("10.0.0.9", 1), pull) for _ in range(80)]
+    assert sum(map(len, pages)) == Timing().page_burst
+    assert swim.counts.pages_refused == 80 - Timing().page_burst
+
+    other = group_of(10, name="other", names="x")
+    [request, _] = other.receive(SEC, ("10.0.0.8", 8), DigestMessage(Kind.DIGEST, "n0", (1,) * BUCKETS))[::-1]
+    assert request.to == ("10.0.0.8", 8) and request.message.kind == Kind.PULL
+    other.anti_entropy.next_sync = 99 * SEC
+    again = [s for s in other.anti_entropy.tick(2 * SEC) if s.message.kind == Kind.PULL]
+    assert len(again) == 1 and again[0].to[0] == "10.0.0.9"  # nothing came: one that it knows
+    for attempt in range(3, 9):
+        other.anti_entropy.tick(attempt * SEC)
+    assert other.anti_entropy.transfer is None
+
+
+def test_a_view_goes_over_whole_in_datagrams_of_bounded_size():
+    long = "m" * 59
+    full = group_of(300, name="f" * 64, names=long)
+    empty = Swim("e" * 64, ("10.0.0.2", 2), 1, [full.me.address], Random(2), SEC)
+    delivered = pump([full, empty], [(empty, s) for s in empty.tick(SEC)], SEC)
+    assert len(empty.alive()) == 301
+    codec, other = Codec([KEY]), Codec([KEY])
+    for send in delivered:  # nothing was left out for the datagram's sake
+        data = codec.encode(send.message, SEC)
+        assert len(data) <= 1200 and other.decode(data, SEC) == send.message
+    answers = [s for s in delivered if s.message.kind == Kind.SYNC_ACK]
+    assert 0 < len(answers) <= Timing().sync_pages
+
+
+def test_a_page_cut_short_is_not_the_last():
+    codec, other = Codec([KEY]), Codec([KEY])
+    claims = tuple(member(i, names="m" * 60) for i in range(30))
+    got = other.decode(codec.encode(Page("n1", 1, True, claims), SEC), SEC)
+    assert 0 < len(got.claims) < 30 and got.claims == claims[: len(got.claims)] and not got.last
+
+
+def test_views_that_differ_converge_both_ways_and_only_where_they_differ():
+    one = group_of(200, name="one")
+    two = group_of(200, name="two")
+    two.me = replace(two.me, address=("10.0.0.2", 2))
+    one.accept(SEC, two.me)
+    two.accept(SEC, one.me)
+    one.accept(SEC, Claim("only one knows", ("h", 1), A, 1))
+    two.accept(SEC, Claim("only two knows", ("h", 2), A, 1))
+    two.accept(SEC, replace(member(7), incarnation=5))
+    one.accept(SEC, replace(member(8), status=D))
+    digest = one.anti_entropy.digest(two.me.address, Kind.DIGEST)
+    delivered = pump([one, two], [(one, digest)], SEC)
+    assert one.view.digest() == two.view.digest() and one.alive() != []
+    assert one.status("only two knows") == two.status("only one knows") == A
+    assert one.members["n7"].claim.incarnation == 5 and two.status("n8") == D
+    pages = [s.message for s in delivered if s.message.kind == Kind.PAGE]
+    assert sum(len(page.claims) for page in pages) < 200  # of some 400, were all buckets sent
+    again = pump([one, two], [(one, one.anti_entropy.digest(two.me.address, Kind.DIGEST))], SEC)
+    assert [s.message.kind for s in again] == [Kind.DIGEST, Kind.DIGEST_ACK]
+
+
+def test_a_suspicion_or_a_forgotten_member_makes_no_difference_between_views():
+    swim = group_of(20)
+    before = swim.view.digest()
+    swim.accept(SEC, replace(member(3), status=S))
+    assert swim.view.digest() == before
+    swim.accept(SEC, replace(member(3), status=D))
+    assert swim.view.digest() != before
+    dead = swim.view.digest()
+    swim.anti_entropy.next_sync = 999 * SEC
+    swim.deadlines.set("n3", SEC)
+    swim.tick(SEC)
+    assert swim.status("n3") is None and swim.view.digest() == dead
+    assert (3, "n3") not in swim.view.order and len(swim.view.order) == 19
+
+
+def test_a_node_back_with_nothing_knows_all_and_is_known_by_its_new_life():
+    net = Net(60, 0.0, seed=4)
+    net.until(net.complete, 30)
+    net.kill(("10.0.0.1", 40))
+    net.run(3)
+    back = net.add(("10.0.0.1", 40), [("10.0.0.1", 1), ("10.0.0.1", 2)], incarnation=9)
+    assert net.until(net.complete, 20) <= 5
+    net.run(10)
+    assert all(s.members["n40"].claim.incarnation >= 9 for s in net.members.values() if s is not back)
+    net.run(40)
+    assert net.wrong() == 0
+
+
+# ---- faulty input ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("kind", "body"),
+    [
+        (Kind.DIGEST, ([1], [])),
+        (Kind.DIGEST, ([1 << 32] * BUCKETS, [])),
+        (Kind.DIGEST_ACK, "digest"),
+        (Kind.PULL, (-1, "")),
+        (Kind.PULL, (1 << BUCKETS, "")),
+        (Kind.PULL, (1, "n" * 65)),
+        (Kind.PAGE, (True, [["n", "h", 0, 0, 1]])),
+        (Kind.PAGE, (1, [])),
+        (Kind.ACCUSATIONS, [[["n", "h", 1, 0, 1], ["a"]]]),
+        (Kind.ACCUSATIONS, [[["n", "h", 1, 1, 1], ["a" * 65]]]),
+        (Kind.ACCUSATIONS, [[["n", "h", 1, 1, 1]]]),
+    ],
+)
+def test_an_impossible_body_is_counted_and_dropped(kind, body):
+    codec = Codec([KEY])
+    signed = HEAD.pack(1, mark(KEY), SEC) + codec.encoder.encode((int(kind), "n1", 1, body))
+    assert codec.decode(signed + tag(KEY, signed), SEC) is None and codec.dropped == {"form": 1}
+
+
+def test_unasked_and_endless_pages_end():
+    swim = group_of(10)
+    swim.anti_entropy.next_sync = 99 * SEC
+    liar = ("10.0.0.8", 8)
+    unasked = Page("liar", 7, False, (member(1), Claim("x", ("h", 1), A, 1)))
+    assert swim.receive(SEC, liar, unasked) == [] and swim.status("x") == A
+    sends = swim.receive(SEC, liar, DigestMessage(Kind.DIGEST_ACK, "liar", (1,) * BUCKETS))
+    for asked in range(50):
+        if not sends:
+            break
+        seq = sends[0].message.seq
+        sends = swim.receive(SEC, liar, Page("liar", seq, False, (member(1), member(asked % 2))))
+    assert asked < 4 and swim.anti_entropy.transfer is None
+
+
+# ---- versions side by side ---------------------------------------------------------------------------
+
+
+class OldMember:
+    """Speaks and hears the kinds of the earlier version alone, as far as joining and probes go."""
+
+    def __init__(self, address, seeds):
+        self.me = Claim(f"n{address[1]}", address, A, 1)
+        self.seeds, self.known, self.refused = seeds, {}, 0
+        self.rng = Random(address[1])
+
+    def join(self):
+        return [Send(seed, self.all(Kind.SYNC)) for seed in self.seeds]
+
+    def all(self, kind):
+        claims = list(self.known.values())
+        return Message(kind, self.me.name, 0, "", (self.me, *self.rng.sample(claims, min(23, len(claims)))))
+
+    def receive(self, now, source, message):
+        if message.kind not in OLD_KINDS:
+            self.refused += 1
+            return []
+        for claim in message.claims:
+            if claim.name != self.me.name:
+                self.known[claim.name] = claim
+        if message.kind == Kind.PING:
+            return [Send(source, Message(Kind.ACK, self.me.name, message.seq, "", (self.me,)))]
+        return [Send(source, self.all(Kind.SYNC_ACK))] if message.kind == Kind.SYNC else []
+
+
+def test_an_earlier_version_joins_through_this_one():
+    net = Net(60, 0.0, seed=6)
+    net.until(net.complete, 30)
+    old = OldMember(("10.0.0.1", 61), [("10.0.0.1", 1)])
+    net.members[old.me.address] = old
+    net.transmit(old.me.address, old.join())
+    net.run(1)
+    assert len(old.known) == 60  # from the pages that answer one SYNC
+    net.run(59)
+    assert old.refused > 0 and all(claim.status == A for claim in old.known.values())
+    new = [m for m in net.members.values() if m is not old]
+    assert all(m.status("n61") == A for m in new)
+
+
+def test_this_version_joins_through_an_earlier_one():
+    net = Net(0, 0.0, seed=6)
+    old = OldMember(("10.0.0.1", 61), [])
+    old.known = {f"x{i}": Claim(f"x{i}", ("10.0.0.9", i + 1), A, 1) for i in range(20)}
+    net.members[old.me.address] = old
+    one = net.add(("10.0.0.1", 1), [old.me.address])
+    net.run(0.5)
+    assert len(one.alive()) == 21 and "n1" in old.known
+    two = net.add(("10.0.0.1", 2), [old.me.address])
+    net.run(2)
+    assert two.status("n1") == one.status("n2") == A
+    old.known["late"] = Claim("late", ("10.0.0.9", 99), A, 1)
+    del one.anti_entropy.seeds[:], two.anti_entropy.seeds[:]
+    for swim in (one, two):
+        for i in range(20):  # those that never were leave; what remains to be compared with is the old one
+            swim.accept(net.clock.now, Claim(f"x{i}", ("10.0.0.9", i + 1), Status.LEFT, 1))
+    net.until(lambda: one.status("late") == two.status("late") == A, 60)
+    assert one.status("late") == two.status("late") == A
+
+
+# ---- suspicion ---------------------------------------------------------------------------------------
+
+
+def test_a_suspicion_shortens_with_distinct_members_and_not_below_the_minimum():
+    suspicion = Suspicion(since=100, maximum=1000, minimum=350, confirmations=3)
+    assert suspicion.deadline() == 1100
+    assert suspicion.accuse(["a"]) and suspicion.deadline() == 1100  # the first supports, confirms nothing
+    assert not suspicion.accuse(["a", "a"])
+    deadlines = []
+    for name in "bcd":
+        assert suspicion.accuse([name])
+        deadlines.append(suspicion.deadline())
+    assert deadlines == [775, 584, 450]
+    assert not suspicion.accuse(["e", "f"]) and suspicion.deadline() == 450
+    alone = Suspicion(since=0, maximum=1000, minimum=350, confirmations=0)
+    alone.accuse(["a", "b"])
+    assert alone.deadline() == 1000  # nobody could have confirmed it
+
+
+def test_only_suspicions_of_the_present_life_are_confirmed():
+    swim = group_of(30)
+    swim.receive(
+        SEC, ("h", 1), Message(Kind.ACK, "n1", 0, "", (replace(member(3), status=S, incarnation=2),))
+    )
+    unconfirmed = swim.suspicions["n3"].deadline()
+    past = Accusation(replace(member(3), status=S), ("a", "b", "c", "d"))
+    swim.receive(SEC, ("h", 1), Accusations("n1", (past,)))
+    assert swim.suspicions["n3"].deadline() == unconfirmed
+    present = replace(past, claim=replace(past.claim, incarnation=2))
+    swim.receive(SEC, ("h", 1), Accusations("n1", (present,)))
+    assert swim.deadlines.at["n3"] < unconfirmed
+    swim.accept(SEC, replace(member(3), incarnation=3))
+    assert "n3" not in swim.suspicions and "n3" not in swim.deadlines.at
+    assert swim.accusations.times == {}
+
+
+def test_a_death_is_known_in_half_the_time_that_an_unconfirmed_suspicion_lasts():
+    net = Net(40, 0.0, seed=8)
+    net.until(net.complete, 30)
+    net.run(5)
+    longest = Timing().suspect_factor * next(iter(net.members.values())).scale()
+    gone = net.kill(("10.0.0.1", 40))
+    assert net.until(lambda: net.knows_gone(gone), 60) < 0.6 * longest
+
+
+def test_thirty_percent_loss_kills_no_living_member():
+    """The version before (076cb15) held living members dead 3 times in this run."""
+    net = Net(80, 0.3, seed=3)
+    net.until(net.complete, 60)
+    net.run(30)
+    assert net.total("died") == 0
