Membership: a SYNC holds a small view whole; a digest's answer is known by its number

Change: the page goes on at the first member after the last; DIGEST_ACK gives back the digest's seq. A test for each in test_membership_scale.py.

--- a/brackenladder/fleet/membership/anti_entropy.py
+++ b/brackenladder/fleet/membership/anti_entropy.py
@@ -48,6 +48,7 @@
     """A digest that was sent and not answered yet."""
 
     to: Address
+    seq: int
     fall_back_at: int
 
 
@@ -105,9 +106,10 @@
             unknown = [self.rng.choice(unknown)]
         out = [self.sync(to) for to in unknown]
         if self.view.living:
+            self.seq += 1
             to = self.random_address()
-            self.comparison = Comparison(to, now + self.timing.ack_within)
-            out.append(self.digest(to, Kind.DIGEST))
+            self.comparison = Comparison(to, self.seq, now + self.timing.ack_within)
+            out.append(self.digest(to, Kind.DIGEST, self.seq))
         return out
 
     def jittered(self, duration: int) -> int:
@@ -135,14 +137,19 @@
         return self.send(to, Message(Kind.SYNC, self.view.me.name, 0, "", self.some_claims()))
 
     def some_claims(self) -> tuple[Claim, ...]:
+        me = self.view.me
         after = self.rng.choice(self.view.order)[1] if self.view.order else ""
-        return self.page(ALL_BUCKETS, after)[0]
+        return (me, *self.view.round_page(after, self.room()))
+
+    def room(self) -> int:
+        """Bytes of a page for claims about others."""
+        me = self.view.me
+        return room_for_claims(me.name, me.name + me.address[0])
 
     def page(self, buckets: int, after: str) -> tuple[tuple[Claim, ...], bool]:
         """This instance's claim about itself, then a page of the others."""
-        me = self.view.me
-        claims, last = self.view.page(buckets, after, room_for_claims(me.name, me.name + me.address[0]))
-        return (me, *claims), last
+        claims, last = self.view.page(buckets, after, self.room())
+        return (self.view.me, *claims), last
 
     def answer_sync(self, now: int, source: Address) -> list[Send]:
         """A few pages in a form that every version reads, and the digest, by which this one pulls the rest.
@@ -168,16 +175,16 @@
     def sync_ack(self, to: Address, claims: tuple[Claim, ...]) -> Send:
         return self.send(to, Message(Kind.SYNC_ACK, self.view.me.name, 0, "", claims))
 
-    def digest(self, to: Address, kind: Kind) -> Send:
+    def digest(self, to: Address, kind: Kind, seq: int = 0) -> Send:
         me = self.view.me
-        return self.send(to, DigestMessage(kind, me.name, self.view.digest(), (me,)))
+        return self.send(to, DigestMessage(kind, me.name, self.view.digest(), (me,), seq))
 
     def compare(self, now: int, source: Address, message: DigestMessage) -> list[Send]:
         """Answers a digest with this view's own, and pulls what differs."""
         out: list[Send] = []
         if message.kind == Kind.DIGEST:
-            out.append(self.digest(source, Kind.DIGEST_ACK))
-        elif self.comparison is not None and self.comparison.to == source:
+            out.append(self.digest(source, Kind.DIGEST_ACK, message.seq))
+        elif self.comparison is not None and self.comparison.seq == message.seq:
             self.comparison = None
         buckets = self.view.differing(message.digest)
         if not buckets:
--- a/brackenladder/fleet/membership/messages.py
+++ b/brackenladder/fleet/membership/messages.py
@@ -43,7 +43,8 @@
 
 @dataclass(frozen=True)
 class DigestMessage:
-    """DIGEST and DIGEST_ACK: a number for each bucket of the sender's view, and its claim about itself."""
+    """DIGEST and DIGEST_ACK: a number for each bucket of the sender's view, and its claim about itself. `seq`
+    comes back; 0 where a DIGEST_ACK goes with the answer to a SYNC."""
 
     kind: Kind
     sender: str
--- a/brackenladder/fleet/membership/view.py
+++ b/brackenladder/fleet/membership/view.py
@@ -109,6 +109,16 @@
             place += 1
         return claims, True
 
+    def round_page(self, after: str, room: int) -> list[Claim]:
+        """A page of all members that goes on at the first after the last: in a small group it holds all."""
+        claims, last = self.page(ALL_BUCKETS, after, room)
+        if last:
+            room -= sum(map(claim_size, claims))
+            end = place_of(after)
+            first, _ = self.page(ALL_BUCKETS, "", room)
+            claims += [claim for claim in first if place_of(claim.name) <= end]
+        return claims
+
 
 def bucket_of(name: str) -> int:
     """The bucket that a member lies in; the same everywhere."""
--- a/tests/test_membership_scale.py
+++ b/tests/test_membership_scale.py
@@ -236,6 +236,24 @@
     assert [s.message.kind for s in again] == [Kind.DIGEST, Kind.DIGEST_ACK]
 
 
+def test_one_datagram_holds_a_small_view_whole_wherever_it_begins():
+    swim = group_of(15)
+    for _ in range(10):
+        claims = swim.anti_entropy.sync(("h", 1)).message.claims
+        assert len(claims) == 16 and {c.name for c in claims} == {"me", *swim.alive()}
+
+
+def test_an_answer_by_way_of_a_relay_ends_a_comparison():
+    swim = group_of(15)
+    sends = swim.anti_entropy.begin(SEC)
+    relay = ("10.9.9.9", 9)
+    swim.receive(
+        SEC, relay, DigestMessage(Kind.DIGEST_ACK, "n1", swim.view.digest(), (), sends[0].message.seq)
+    )
+    swim.anti_entropy.next_sync = 9 * SEC
+    assert swim.anti_entropy.tick(2 * SEC) == []  # no SYNC: it did answer
+
+
 def test_a_suspicion_or_a_forgotten_member_makes_no_difference_between_views():
     swim = group_of(20)
     before = swim.view.digest()
