--- a/brackenladder/fleet/membership/timing.py
+++ b/brackenladder/fleet/membership/timing.py
@@ -13,7 +13,7 @@
     ack_within: int = 300_000  # of the period; then others are asked
     helpers: int = 3  # members asked to ping for us
     suspect_factor: float = 4.0  # periods of suspicion at most, times the logarithm of the group's size
-    suspect_minimum: float = 0.35  # share of that which remains once enough members have confirmed it
+    suspect_minimum: float = 0.25  # share of that which remains once enough members have confirmed it
     confirmations: int = 3  # that many, beside the first
     spread_factor: float = 4.0  # times that news rides along, times that logarithm
     claims_a_message: int = 24  # at most; as many as go into a datagram
--- a/tests/test_membership_scale.py
+++ b/tests/test_membership_scale.py
@@ -428,7 +428,7 @@
     net.run(5)
     longest = Timing().suspect_factor * next(iter(net.members.values())).scale()
     gone = net.kill(("10.0.0.1", 40))
-    assert net.until(lambda: net.knows_gone(gone), 60) < 0.6 * longest
+    assert net.until(lambda: net.knows_gone(gone), 60) < 0.5 * longest
 
 
 def test_thirty_percent_loss_kills_no_living_member():
