Membership: packing of its messages in wire.py; the codec keeps keys, stamps and tags

Need: codec.py had grown by the new kinds and held two jobs. Moved without a change of behaviour; constants renamed (MIN_KEY_BYTES, MAX_SENDERS, TAG_BYTES, MAX_NAME_CHARACTERS); NAME_MOST stays for config.py and host.py. test_membership, test_membership_scale and test_fleet pass.

--- a/brackenladder/fleet/membership/claims.py
+++ b/brackenladder/fleet/membership/claims.py
@@ -11,6 +11,8 @@
 
 Address = tuple[str, int]
 
+MAX_NAME_CHARACTERS = 64  # of a member or a host
+
 
 class Status(IntEnum):
     """A claim about a member; of one incarnation the greater holds."""
--- a/brackenladder/fleet/membership/codec.py
+++ b/brackenladder/fleet/membership/codec.py
@@ -15,38 +15,28 @@
 import stat
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import replace
 from pathlib import Path
 from struct import Struct
 from typing import Any, Protocol
 
 import msgspec
 
-from brackenladder.fleet.membership.claims import Claim, Status
-from brackenladder.fleet.membership.messages import (
-    MAX_DATAGRAM_BYTES,
-    Accusation,
-    Accusations,
-    AnyMessage,
-    DigestMessage,
-    Kind,
-    Message,
-    Page,
-    Pull,
-)
-from brackenladder.fleet.membership.view import ALL_BUCKETS, BUCKETS
+from brackenladder.fleet.membership.claims import MAX_NAME_CHARACTERS
+from brackenladder.fleet.membership.messages import MAX_DATAGRAM_BYTES
+from brackenladder.fleet.membership.wire import MembershipWire
+
+__all__ = ["NAME_MOST", "Codec", "KeyFault", "MembershipWire", "Part", "mark", "read_key", "tag"]
 
 VERSION = 1
 HEAD = Struct("<B4sQ")
-TAG = 16
-LEAST_KEY = 16
-NAME_MOST = 64
+TAG_BYTES = 16
+MIN_KEY_BYTES = 16
+NAME_MOST = MAX_NAME_CHARACTERS  # the name that other packages import
 CLOCK_SLACK = 30_000_000  # clocks of two machines differ by so much at most
 WINDOW = 64  # datagrams of one sender that may overtake one another
 
-SENDERS_MOST = 4096  # whose stamps are kept: over that, those of the one heard of first go
+MAX_SENDERS = 4096  # whose stamps are kept: over that, those of the one heard of first go
 
-WireClaim = tuple[str, str, int, int, int]
 Head = tuple[int, str, int, msgspec.Raw]
 
 
@@ -65,95 +55,6 @@
         """The message; a ValueError, or one of msgspec's, where it is impossible."""
 
 
-class MembershipWire:
-    """Membership's messages."""
-
-    kinds = frozenset(int(k) for k in Kind)
-
-    def __init__(self) -> None:
-        self.claims = msgspec.msgpack.Decoder(tuple[str, list[WireClaim]])
-        self.digest = msgspec.msgpack.Decoder(tuple[list[int], list[WireClaim]])
-        self.pull = msgspec.msgpack.Decoder(tuple[int, str])
-        self.page = msgspec.msgpack.Decoder(tuple[bool, list[WireClaim]])
-        self.accusations = msgspec.msgpack.Decoder(list[tuple[WireClaim, list[str]]])
-
-    def pack(self, m: AnyMessage) -> Any:
-        match m:
-            case Message():
-                return m.target, packed(m.claims)
-            case DigestMessage():
-                return m.digest, packed(m.claims)
-            case Pull():
-                return m.buckets, m.after
-            case Page():
-                return m.last, packed(m.claims)
-            case Accusations():
-                return [(pack_claim(a.claim), a.accusers) for a in m.accusations]
-
-    def shorter(self, m: AnyMessage) -> AnyMessage | None:
-        """Without the last claim or accusation."""
-        match m:
-            case Message() if m.claims:
-                return replace(m, claims=m.claims[:-1])
-            case Page() if m.claims:
-                return replace(m, claims=m.claims[:-1], last=False)
-            case Accusations() if m.accusations:
-                return replace(m, accusations=m.accusations[:-1])
-        return None
-
-    def unpack(self, kind: int, sender: str, seq: int, body: msgspec.Raw) -> AnyMessage:
-        match kind:
-            case Kind.DIGEST | Kind.DIGEST_ACK:
-                digest, claims = self.digest.decode(body)
-                require(len(digest) == BUCKETS and all(0 <= n < 1 << 32 for n in digest), "digest")
-                return DigestMessage(Kind(kind), sender, tuple(digest), unpacked(claims), seq)
-            case Kind.PULL:
-                buckets, after = self.pull.decode(body)
-                require(0 <= buckets <= ALL_BUCKETS, "buckets")
-                require(len(after) <= NAME_MOST, "after")
-                return Pull(sender, seq, buckets, after)
-            case Kind.PAGE:
-                last, claims = self.page.decode(body)
-                return Page(sender, seq, last, unpacked(claims))
-            case Kind.ACCUSATIONS:
-                accusations = self.accusations.decode(body)
-                return Accusations(sender, tuple(unpack_accusation(*a) for a in accusations), seq)
-        target, claims = self.claims.decode(body)
-        require(len(target) <= NAME_MOST, "target")
-        return Message(Kind(kind), sender, seq, target, unpacked(claims))
-
-
-def require(holds: bool, what: str) -> None:
-    """A ValueError where a part of a message is impossible."""
-    if not holds:
-        raise ValueError(what)
-
-
-def packed(claims: Sequence[Claim]) -> list[WireClaim]:
-    return [pack_claim(c) for c in claims]
-
-
-def pack_claim(claim: Claim) -> WireClaim:
-    return claim.name, *claim.address, int(claim.status), claim.incarnation
-
-
-def unpacked(claims: list[WireClaim]) -> tuple[Claim, ...]:
-    return tuple(unpack_claim(*c) for c in claims)
-
-
-def unpack_claim(name: str, host: str, port: int, status: int, incarnation: int) -> Claim:
-    require(0 < len(name) <= NAME_MOST and 0 < len(host) <= NAME_MOST and 0 < port < 65536, "claim")
-    require(0 <= incarnation < 1 << 62, "incarnation")
-    return Claim(name, (host, port), Status(status), incarnation)
-
-
-def unpack_accusation(claim: WireClaim, accusers: list[str]) -> Accusation:
-    """The claim must be a suspicion."""
-    require(claim[3] == Status.SUSPECT, "accusation")
-    require(all(0 < len(name) <= NAME_MOST for name in accusers), "accuser")
-    return Accusation(unpack_claim(*claim), tuple(accusers))
-
-
 class KeyFault(Exception):
     """A key file that cannot be used: one line."""
 
@@ -181,8 +82,8 @@
     whose messages go through it; membership's always do."""
 
     def __init__(self, keys: list[bytes], parts: Sequence[Part] = ()) -> None:
-        if not keys or any(len(k) < LEAST_KEY for k in keys):
-            raise KeyFault(f"a key of at least {LEAST_KEY} bytes is needed")
+        if not keys or any(len(k) < MIN_KEY_BYTES for k in keys):
+            raise KeyFault(f"a key of at least {MIN_KEY_BYTES} bytes is needed")
         self.keys = {mark(k): k for k in reversed(keys[:2])}
         self.signing = keys[0]
         self.encoder = msgspec.msgpack.Encoder()
@@ -201,7 +102,7 @@
         while True:
             wire = (int(message.kind), message.sender, message.seq, part.pack(message))
             body = head + self.encoder.encode(wire)
-            less = part.shorter(message) if len(body) + TAG > MAX_DATAGRAM_BYTES else None
+            less = part.shorter(message) if len(body) + TAG_BYTES > MAX_DATAGRAM_BYTES else None
             if less is None:
                 return body + tag(self.signing, body)
             message = less
@@ -214,7 +115,7 @@
         return message
 
     def checked(self, data: bytes, clock: int) -> tuple[str, Any | None]:
-        if not HEAD.size + TAG < len(data) <= MAX_DATAGRAM_BYTES:
+        if not HEAD.size + TAG_BYTES < len(data) <= MAX_DATAGRAM_BYTES:
             return "length", None
         version, key_mark, stamp = HEAD.unpack_from(data)
         if version != VERSION:
@@ -222,14 +123,14 @@
         key = self.keys.get(key_mark)
         if key is None:
             return "key", None
-        body = data[:-TAG]
-        if not hmac.compare_digest(tag(key, body), data[-TAG:]):
+        body = data[:-TAG_BYTES]
+        if not hmac.compare_digest(tag(key, body), data[-TAG_BYTES:]):
             return "tag", None
         if abs(stamp - clock) > CLOCK_SLACK:
             return "clock", None
         try:
             kind, sender, seq, rest = self.decoder.decode(body[HEAD.size :])
-            if not 0 < len(sender) <= NAME_MOST or not 0 <= seq < 1 << 62:
+            if not 0 < len(sender) <= MAX_NAME_CHARACTERS or not 0 <= seq < 1 << 62:
                 raise ValueError("head")
             if kind not in self.parts:
                 return "kind", None
@@ -239,7 +140,7 @@
         seen = self.replays.get(sender)
         if seen is None:
             # Failure prevented: whoever has the key makes names up until the memory is full.
-            while len(self.replays) >= SENDERS_MOST:
+            while len(self.replays) >= MAX_SENDERS:
                 del self.replays[next(iter(self.replays))]
             seen = self.replays[sender] = Replays()
         if not seen.fresh(stamp):
@@ -257,7 +158,7 @@
 
 
 def tag(key: bytes, body: bytes) -> bytes:
-    return hashlib.blake2b(body, digest_size=TAG, key=key[:64]).digest()
+    return hashlib.blake2b(body, digest_size=TAG_BYTES, key=key[:64]).digest()
 
 
 def read_key(path: Path) -> bytes:
@@ -269,6 +170,6 @@
         raise KeyFault(f"{path}: {e.strerror}") from None
     if stat.S_IMODE(found.st_mode) & 0o077:
         raise KeyFault(f"{path}: others may read it: chmod 600 it")
-    if not LEAST_KEY <= len(key) <= 64:
-        raise KeyFault(f"{path}: a key has {LEAST_KEY} to 64 bytes, this one {len(key)}")
+    if not MIN_KEY_BYTES <= len(key) <= 64:
+        raise KeyFault(f"{path}: a key has {MIN_KEY_BYTES} to 64 bytes, this one {len(key)}")
     return key
