Membership: members learned of from a page aren't passed on once more

Change: a claim from SYNC_ACK or PAGE about a member not known before isn't queued; what changes a known member still is, so that a partition heals as fast.

--- a/brackenladder/fleet/membership/swim.py
+++ b/brackenladder/fleet/membership/swim.py
@@ -40,6 +40,9 @@
 __all__ = ["Address", "Claim", "Counts", "Kind", "Member", "Message", "Send", "Status", "Swim", "Timing"]
 
 
+WHOLE_VIEW = (Kind.SYNC_ACK, Kind.PAGE)  # kinds that carry what the sender holds, new or not
+
+
 @dataclass
 class Probe:
     """The ping of this period."""
@@ -233,7 +236,12 @@
             return []
         self.counts.received += 1
         for claim in message.claims:
+            known = claim.name in self.members
             self.accept(now, claim)
+            if not known and message.kind in WHOLE_VIEW:
+                # Failure prevented: after a storm of joins each member passes all of them on for minutes,
+                # though the others have them from pages too.
+                self.updates.remove(claim.name)
         if isinstance(message, Accusations):
             for accusation in message.accusations:
                 self.accuse(now, accusation.claim, accusation.accusers)
