--- a/brackenladder/fleet/membership/swim.py
+++ b/brackenladder/fleet/membership/swim.py
@@ -346,7 +346,9 @@
     def suspicion(self, now: int) -> Suspicion:
         """One that begins now, in a group of the present size."""
         maximum = int(self.timing.suspect_factor * self.scale() * self.timing.period)
-        minimum = int(maximum * self.timing.suspect_minimum)
+        minimum = max(
+            int(maximum * self.timing.suspect_minimum), self.timing.suspect_periods * self.timing.period
+        )
         others = len(self.view.living) - 1  # who could confirm: all but the suspect and the first accuser
         return Suspicion(now, maximum, minimum, min(self.timing.confirmations, others))
 
--- a/brackenladder/fleet/membership/timing.py
+++ b/brackenladder/fleet/membership/timing.py
@@ -15,6 +15,7 @@
     helpers: int = 3  # members asked to ping for us
     suspect_factor: float = 4.0  # periods of suspicion at most, times the logarithm of the group's size
     suspect_minimum: float = 0.25  # share of that which remains once enough members have confirmed it
+    suspect_periods: int = 6  # but no less than so many, lest a small group take a short stall for a death
     confirmations: int = 3  # that many, beside the first
     spread_factor: float = 4.0  # times that news rides along, times that logarithm
     claims_a_message: int = 24  # at most; as many as go into a datagram
--- a/tests/test_membership_scale.py
+++ b/tests/test_membership_scale.py
@@ -413,6 +413,16 @@
     assert alone.deadline() == 1000  # nobody could have confirmed it
 
 
+def test_a_small_group_waits_some_periods_however_many_confirm():
+    ends = []
+    for count in (5, 250):
+        swim = group_of(count)
+        accusation = Accusation(replace(member(3), status=S), ("n0", "n1", "n2", "n4"))
+        swim.receive(SEC, ("h", 1), Accusations("n1", (accusation,)))
+        ends.append(swim.deadlines.at["n3"] - SEC)
+    assert ends == [6 * SEC, 8 * SEC]  # a quarter of 12 s would be 3
+
+
 def test_only_suspicions_of_the_present_life_are_confirmed():
     swim = group_of(30)
     swim.receive(
