Policy: load shedding and the retry budget are parts of their own

Cause: the Balancer held tenants, class ranks, shedding and retry tokens among forty other attributes.

Change: LoadShedder and RetryBudget take what they use (settings, random stream, mean round-trips); the Balancer owns one of each. Tests reach their state there, assertions unchanged.

--- a/brackenladder/policy/balancer.py
+++ b/brackenladder/policy/balancer.py
@@ -13,7 +13,7 @@
 
 from collections import deque
 from collections.abc import Mapping, Sequence
-from math import ceil, sqrt
+from math import ceil
 from random import Random
 
 from brackenladder.interface import (
@@ -31,19 +31,18 @@
 )
 from brackenladder.policy.gradient import (
     AIM_SHARE,
-    MIN_LIMIT,
     PASS_JITTER,
     WINDOW,
     WINDOW_STRETCH,
     GradientController,
 )
-from brackenladder.policy.load_shedding import EXCESS, EXCESS_NOISE, SHED_AT, SHED_GAIN, Tenant
+from brackenladder.policy.load_shedding import LoadShedder
 from brackenladder.policy.request import Request
+from brackenladder.policy.retry_budget import RetryBudget
 from brackenladder.policy.selection import PICK_TRIES, untried
 from brackenladder.policy.server import PRIOR, SMOOTH, SMOOTH_ALL, Average, Server
 from brackenladder.policy.subset import SMOOTH_FLIGHT, SUBSET_FLIGHT, SUBSET_LEAST, SUBSET_MOST, mix
 
-RETRY_RATIO = 0.1  # further attempts allowed for each first attempt
 RATIO_MOST = 8.0  # a round-trip counts as so many times the mean at most
 SILENT_FACTOR = 4  # a member is silent after this many mean round-trips without any outcome
 CUT_FACTOR = 8  # an attempt may take so many mean round-trips before it is cut in favour of another
@@ -84,7 +83,6 @@
         self.requests: dict[int, Request] = {}
         self.flowing: set[int] = set()  # requests whose answers flow: their attempts are booked
         self.waiting: deque[Request] = deque()
-        classes = len(s.classes)
         share = AIM_SHARE * (s.tiers - s.tier) / s.tiers
         allowance = [int(c.aim * share) for c in s.classes]
         self.controller = GradientController(allowance, s.max_open, self.rng, 0, self.fleet)
@@ -99,10 +97,8 @@
         self.spill = 0.0 if self.zoned else 1.0  # share of calls that may leave the zone
         self.spill_least = self.spill
         self.spill_at = 0
-        self.retry_tokens = float(MIN_LIMIT)
-        self.shed = 1.0
-        self.tenants = [Tenant(t.quota / s.instances) for t in s.tenants]
-        self.rank = [0] * classes
+        self.retry_budget = RetryBudget()
+        self.load_shedder = LoadShedder(s, self.rng, self.mean_rtt)
         self.warm_rate = 0.0  # sends a second to a warm member, smoothed
         self.warm_sent = 0
         self.asked = 0  # requests, without clients' repeats, since `asked_at`
@@ -110,15 +106,13 @@
         self.ask_rate = 0.0  # of them a second, smoothed
         self.list_failures = 0
         self.blocked = 0  # rq_blocked
-        self.rank_classes()
 
     # ---- events ---------------------------------------------------------------------------------------
 
     def start(self, now: int) -> None:
         self.controller.start_pass(now)
         self.spill_at = self.asked_at = now
-        for t in self.tenants:
-            t.at = now
+        self.load_shedder.start(now)
         if self.settings.list_on_request:
             self.actions.watch(True)
 
@@ -175,7 +169,7 @@
         if not repeat:
             self.count_asked(now)
         ctl = self.controller
-        self.retry_tokens = min(self.retry_tokens + RETRY_RATIO, max(float(MIN_LIMIT), sqrt(ctl.limit)))
+        self.retry_budget.refill(ctl.limit)
         self.flight += SMOOTH_FLIGHT * (ctl.in_flight - self.flight)
         if not self.size / 2 <= self.wanted_size() <= self.size * 1.25:
             # Failure prevented: a node that suddenly gets a large part of the traffic swamps a few servers.
@@ -183,9 +177,9 @@
         if s.tier == 0:
             # Trunk reservation: a class of lesser worth for its time leaves sqrt(limit) slots for
             # what is worth more, a tenant beyond its share twice that.
-            over, clear = self.over_share(now, tenant)
-            spare = self.rank[klass] + 2 * over
-            if clear and self.rng.random() < self.shed or not ctl.admits(now, spare):
+            over, clear = self.load_shedder.over_share(now, tenant)
+            spare = self.load_shedder.rank[klass] + 2 * over
+            if clear and self.load_shedder.drops() or not ctl.admits(now, spare):
                 self.blocked += 1
                 self.finish(r, refuse=True)
                 return
@@ -309,7 +303,7 @@
             "members": len(self.members),
             "ejected": len(self.ejected),
             "spill": self.spill,
-            "shed": self.shed,
+            "shed": self.load_shedder.shed,
             "lost": c.lost,
         }
 
@@ -349,7 +343,7 @@
         # Failure prevented: in a crowd every copy cuts calls that are half done, their work is lost at this
         # tier and all behind it, and the next attempts crowd the tier again.
         patience = max(self.settings.tick, int(CUT_FACTOR * mean))
-        if r.attempts + 1 < self.settings.max_attempts and self.retry_tokens >= 1:
+        if r.attempts + 1 < self.settings.max_attempts and self.retry_budget.allows():
             return min(left, max(left // 2, patience))
         return left
 
@@ -367,11 +361,10 @@
         if (
             allowed
             and r.attempts < s.max_attempts
-            and self.retry_tokens >= 1
+            and self.retry_budget.allows()
             and now + self.mean_rtt[r.klass] < r.useful_until
         ):
-            # Retries multiply through tiers and clients: each copy spends a share of its first attempts.
-            self.retry_tokens -= 1
+            self.retry_budget.spend()
             self.attempt(now, r)
             return
         self.finish(r, refuse=not ran or r.effect == Effect.SAFE)
@@ -410,31 +403,6 @@
                 r.held = False
                 self.attempt(now, r)
 
-    # ---- fairness -------------------------------------------------------------------------------------
-
-    def over_share(self, now: int, tenant: int) -> tuple[bool, bool]:
-        """Whether the request counts as beyond its tenant's quota, and whether that is beyond doubt.
-
-        What came of the tenant lately is set against this copy's equal part of the quota. A copy that gets
-        far more than its part of all traffic is told by its middle tenant.
-        """
-        if tenant >= len(self.tenants) or self.tenants[tenant].rate <= 0:
-            return False, False
-        mine = self.tenants[tenant]
-        for t in self.tenants:
-            t.fade(now)
-        mine.seen += 1
-        parts = sorted((t.seen - sqrt(t.seen)) / t.due for t in self.tenants if t.rate > 0)
-        due = mine.due * max(1.0, parts[(len(parts) - 1) // 2])
-        over = self.rng.random() * mine.seen > due
-        return over, over and mine.seen > EXCESS * due + EXCESS_NOISE * sqrt(due) + 1
-
-    def rank_classes(self) -> None:
-        """Rank 1 for classes whose worth for their time is under half the best class's."""
-        density = [c.worth / max(1.0, self.mean_rtt[i]) for i, c in enumerate(self.settings.classes)]
-        best = max(density)
-        self.rank = [int(d < best / 2) for d in density]
-
     # ---- server health --------------------------------------------------------------------------------
 
     def settle(self, now: int, srv: Server, r: Request | None, outcome: Outcome, latency: int) -> None:
@@ -460,8 +428,7 @@
                 self.near_ratio += SMOOTH_ALL * (latency / ctl.target[klass] - self.near_ratio)
             else:
                 self.far_ratio += SMOOTH_ALL * (latency / ctl.target[klass] - self.far_ratio)
-            self.shed += SHED_GAIN * (min(latency / ctl.target[klass], 3.0) - SHED_AT)
-            self.shed = min(1.0, max(0.0, self.shed))
+            self.load_shedder.record(latency / ctl.target[klass])
             self.rtt[klass].add(latency)
             self.mean_rtt[klass] = self.rtt[klass].value
             if now - self.spill_at >= WINDOW:
@@ -539,7 +506,7 @@
             rate = self.warm_sent * 1e6 / span / warm
             self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
         self.warm_sent = 0
-        self.rank_classes()
+        self.load_shedder.rank_classes()
         # Calls leave the zone only as far as its own servers are slower than the others.
         if self.zoned and self.near:
             # Failure prevented: one zone's servers drown while another's stand idle. Unvisited, the other
--- a/brackenladder/policy/load_shedding.py
+++ b/brackenladder/policy/load_shedding.py
@@ -1,7 +1,12 @@
-"""Tenants' traffic against their quotas."""
+"""Load shedding: what is refused first, by tenant and by class, while the fleet is pressed."""
 
 from __future__ import annotations
 
+from math import sqrt
+from random import Random
+
+from brackenladder.interface import Settings
+
 TENANT_TIME = 8_000_000  # a tenant's traffic is counted over so long
 EXCESS = 1.25  # it is clearly beyond its share at so many times its part...
 EXCESS_NOISE = 1.5  # ...and so many standard deviations of a count
@@ -25,3 +30,51 @@
         self.seen *= keep
         self.due = self.due * keep + self.rate * (now - self.at) / 1e6
         self.at = now
+
+
+class LoadShedder:
+    """Tells tenants' excess and classes of lesser worth; drops clear excess while latency is high."""
+
+    def __init__(self, settings: Settings, rng: Random, mean_rtt: list[float]) -> None:
+        self.classes = settings.classes
+        self.rng = rng
+        self.mean_rtt = mean_rtt  # by class; kept up to date by the balancer
+        self.shed = 1.0  # the share of clear excess that is dropped
+        self.tenants = [Tenant(t.quota / settings.instances) for t in settings.tenants]
+        self.rank_classes()
+
+    def start(self, now: int) -> None:
+        for t in self.tenants:
+            t.at = now
+
+    def record(self, latency_ratio: float) -> None:
+        """Takes in an answer's latency, relative to its class's target."""
+        self.shed += SHED_GAIN * (min(latency_ratio, 3.0) - SHED_AT)
+        self.shed = min(1.0, max(0.0, self.shed))
+
+    def drops(self) -> bool:
+        """Whether a request that is clear excess is refused."""
+        return self.rng.random() < self.shed
+
+    def over_share(self, now: int, tenant: int) -> tuple[bool, bool]:
+        """Whether the request counts as beyond its tenant's quota, and whether that is beyond doubt.
+
+        What came of the tenant lately is set against this copy's equal part of the quota. A copy that gets
+        far more than its part of all traffic is told by its middle tenant.
+        """
+        if tenant >= len(self.tenants) or self.tenants[tenant].rate <= 0:
+            return False, False
+        mine = self.tenants[tenant]
+        for t in self.tenants:
+            t.fade(now)
+        mine.seen += 1
+        parts = sorted((t.seen - sqrt(t.seen)) / t.due for t in self.tenants if t.rate > 0)
+        due = mine.due * max(1.0, parts[(len(parts) - 1) // 2])
+        over = self.rng.random() * mine.seen > due
+        return over, over and mine.seen > EXCESS * due + EXCESS_NOISE * sqrt(due) + 1
+
+    def rank_classes(self) -> None:
+        """Rank 1 for classes whose worth for their time is under half the best class's."""
+        density = [c.worth / max(1.0, self.mean_rtt[i]) for i, c in enumerate(self.classes)]
+        best = max(density)
+        self.rank = [int(d < best / 2) for d in density]
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -133,7 +133,7 @@
     """Failure prevented: all copies cut what is half done at a crowd's pace, and its work is done anew."""
     for seed in range(7):
         node, rec = balancer(seed=seed, instances=7)
-        node.mean_rtt = [SEC // 4] * 3
+        node.mean_rtt[:] = [SEC // 4] * 3
         for klass in (0, 1):
             _, _, _, timeout = ask(node, rec, 0, klass, klass)
             assert 1_900_000 < timeout < 3 * SEC  # an answer after seven mean round-trips is still taken
@@ -143,7 +143,7 @@
     """Answers that stall on an open connection cost a request its whole time, and then it is failed."""
     for klass in (0, 1):
         node, rec = balancer()
-        node.mean_rtt = [SEC // 10] * 3
+        node.mean_rtt[:] = [SEC // 10] * 3
         _, _, first, timeout = ask(node, rec, 0, 1, klass)
         assert timeout == 3 * SEC // 2
         ((_, _, second, rest),) = end(node, rec, timeout, 1, 0, first, Outcome.TIMEOUT, timeout)
@@ -153,9 +153,9 @@
 def test_an_attempt_has_the_whole_time_where_no_other_can_follow_or_calls_are_long():
     node, rec = balancer()
     assert ask(node, rec, 0, 1, 2)[3] == 3 * SEC  # unsafe: never sent again once it may have run
-    node.retry_tokens = 0.0
+    node.retry_budget.tokens = 0.0
     assert ask(node, rec, 0, 2)[3] == 3 * SEC  # the budget is spent
-    node.retry_tokens = 3.0
+    node.retry_budget.tokens = 3.0
     node.mean_rtt[0] = 350_000.0
     assert ask(node, rec, 0, 3)[3] == 2_800_000  # eight means: it may well be on its way
 
@@ -298,7 +298,7 @@
     node, rec = balancer(8, tenants=tenants, instances=50)
     served = [0] * len(sent)
     for i in range(600):
-        node.shed = shed
+        node.load_shedder.shed = shed
         for tenant, count in enumerate(sent):
             for j in range(count):
                 request = i * 1000 + tenant * 100 + j
