Policy: subset, slow start and zone spillover are parts of their own

Cause: the Balancer mixed who the members are, what cold ones get and what leaves the zone with the course of a request.

Change: Subset, SlowStart and ZoneSpillover; the Balancer tells them of new members and of each window's end. The tests and the faults on purpose reach them there, assertions unchanged.

--- a/brackenladder/policy/balancer.py
+++ b/brackenladder/policy/balancer.py
@@ -13,7 +13,6 @@
 
 from collections import deque
 from collections.abc import Mapping, Sequence
-from math import ceil
 from random import Random
 
 from brackenladder.interface import (
@@ -33,7 +32,6 @@
     AIM_SHARE,
     PASS_JITTER,
     WINDOW,
-    WINDOW_STRETCH,
     GradientController,
 )
 from brackenladder.policy.load_shedding import LoadShedder
@@ -41,7 +39,9 @@
 from brackenladder.policy.retry_budget import RetryBudget
 from brackenladder.policy.selection import PICK_TRIES, untried
 from brackenladder.policy.server import PRIOR, SMOOTH, SMOOTH_ALL, Average, Server
-from brackenladder.policy.subset import SMOOTH_FLIGHT, SUBSET_FLIGHT, SUBSET_LEAST, SUBSET_MOST, mix
+from brackenladder.policy.slow_start import SlowStart
+from brackenladder.policy.spillover import ZoneSpillover
+from brackenladder.policy.subset import Subset
 
 RATIO_MOST = 8.0  # a round-trip counts as so many times the mean at most
 SILENT_FACTOR = 4  # a member is silent after this many mean round-trips without any outcome
@@ -51,11 +51,6 @@
 EJECT_RATE = 0.3  # failure rate above the subset's own that ejects
 EJECT_TIME = 2_000_000  # first ejection; doubles up to 16 times
 OUTLIER = 2.0  # a member so many times slower than the subset does not speak for it
-EVEN_MOST = 2.5  # with no warm member, a cold one takes its share of so many even parts of the requests
-SPILL_GAIN = 0.1  # a window moves the share of calls that may leave the zone by this part of the imbalance
-SPILL_STEP = 0.04  # and by so much at most
-ZONE_PRICE = 0.01  # calls keep to their zone only where a crossing costs this share of a request's worth
-CROSSING = 10  # a call twice as slow is taken to lose a tenth of its worth, set against a crossing's price
 
 TIMER_LIST, TIMER_HELD = 1, 2  # in a token's top byte
 TOKEN_BITS = 56
@@ -70,15 +65,8 @@
         self.actions = actions
         self.rng = Random(seed)
         self.servers: dict[int, Server] = {}
-        self.members: list[Server] = []
-        self.size = SUBSET_LEAST  # wanted when the members were last taken
-        self.flight = 0.0  # calls in flight, smoothed
-        self.near: list[Server] = []  # members in this zone that may be drawn
-        self.able: list[Server] = []  # all members that may be drawn
         self.ejected: list[Server] = []
-        self.shares: Mapping[int, float] = {}  # of the calls, by zone, as the fleet has it
         self.trips: Mapping[int, int] = {}  # how much longer the way to a zone is
-        self.by_zone: dict[int, list[Server]] = {}  # those of `able`, where there are shares
         self.next_trial = 0
         self.requests: dict[int, Request] = {}
         self.flowing: set[int] = set()  # requests whose answers flow: their attempts are booked
@@ -90,20 +78,12 @@
         self.rtt = [Average(m, PRIOR, SMOOTH_ALL) for m in self.mean_rtt]
         self.kinds: dict[int, Average] = {}
         self.fail_rate = 0.0
-        self.near_ratio = 0.5  # mean latency over what the class can bear, for servers of this zone...
-        self.far_ratio = 0.5  # ...and of the others
-        self.best_ratio = 0.0
-        self.zoned = s.cross_zone_price >= ZONE_PRICE
-        self.spill = 0.0 if self.zoned else 1.0  # share of calls that may leave the zone
-        self.spill_least = self.spill
+        self.spillover = ZoneSpillover(s)
+        self.subset = Subset(s, self.servers, self.controller, self.spillover.zoned)
+        self.slow_start = SlowStart(s, self.subset)
         self.spill_at = 0
         self.retry_budget = RetryBudget()
         self.load_shedder = LoadShedder(s, self.rng, self.mean_rtt)
-        self.warm_rate = 0.0  # sends a second to a warm member, smoothed
-        self.warm_sent = 0
-        self.asked = 0  # requests, without clients' repeats, since `asked_at`
-        self.asked_at = 0
-        self.ask_rate = 0.0  # of them a second, smoothed
         self.list_failures = 0
         self.blocked = 0  # rq_blocked
 
@@ -111,7 +91,7 @@
 
     def start(self, now: int) -> None:
         self.controller.start_pass(now)
-        self.spill_at = self.asked_at = now
+        self.spill_at = self.slow_start.asked_at = now
         self.load_shedder.start(now)
         if self.settings.list_on_request:
             self.actions.watch(True)
@@ -152,7 +132,7 @@
                     known.tokens_at = now
                 known.cold_until = entry.ready_at + self.settings.cold_time
         self.forget_gone()
-        self.refill(now)
+        self.refill()
 
     def request(self, now: int, request: int, klass: int, tenant: int, time_left: int, repeat: bool) -> None:
         s = self.settings
@@ -167,13 +147,12 @@
         r = Request(request, klass, c.effect if known else Effect.UNSAFE, now + useful, useful)
         self.requests[request] = r
         if not repeat:
-            self.count_asked(now)
+            self.slow_start.count_asked(now)
         ctl = self.controller
         self.retry_budget.refill(ctl.limit)
-        self.flight += SMOOTH_FLIGHT * (ctl.in_flight - self.flight)
-        if not self.size / 2 <= self.wanted_size() <= self.size * 1.25:
+        if not self.subset.fits():
             # Failure prevented: a node that suddenly gets a large part of the traffic swamps a few servers.
-            self.refill(now)
+            self.refill()
         if s.tier == 0:
             # Trunk reservation: a class of lesser worth for its time leaves sqrt(limit) slots for
             # what is worth more, a tenant beyond its share twice that.
@@ -271,8 +250,8 @@
 
     def zones(self, now: int, shares: Mapping[int, float], trips: Mapping[int, int]) -> None:
         """How the calls go to the zones from now on: members are taken from each."""
-        self.shares, self.trips = shares, trips
-        self.refill(now)
+        self.subset.shares, self.trips = shares, trips
+        self.refill()
 
     def timer(self, now: int, token: int) -> None:
         kind, value = token >> TOKEN_BITS, token & ((1 << TOKEN_BITS) - 1)
@@ -300,9 +279,9 @@
             "rq_blocked": self.blocked,
             "min_rtt_calculation_active": float(c.in_pass),
             "in_flight": c.in_flight,
-            "members": len(self.members),
+            "members": len(self.subset.members),
             "ejected": len(self.ejected),
-            "spill": self.spill,
+            "spill": self.spillover.spill,
             "shed": self.load_shedder.shed,
             "lost": c.lost,
         }
@@ -322,7 +301,7 @@
         if not srv.aside:
             self.controller.note(now, 1)
         if srv.cold_until <= now:
-            self.warm_sent += 1
+            self.slow_start.warm_sent += 1
         r.out = srv
         r.tried.append(srv)
         r.sent_at = now
@@ -387,7 +366,7 @@
         Acts only where callers are servers, at the limit, for up to half the time left, for as many calls
         as the limit.
         """
-        if not self.able or len(self.waiting) >= self.controller.limit:
+        if not self.subset.able or len(self.waiting) >= self.controller.limit:
             self.blocked += 1
             self.finish(r, refuse=True)
             return
@@ -424,11 +403,9 @@
             ratio = min(latency / self.mean_rtt[klass], RATIO_MOST)
             srv.deviation.add(ratio / srv.kind.value)
             srv.kind.add(ratio)
-            if srv.zone == self.settings.zone:
-                self.near_ratio += SMOOTH_ALL * (latency / ctl.target[klass] - self.near_ratio)
-            else:
-                self.far_ratio += SMOOTH_ALL * (latency / ctl.target[klass] - self.far_ratio)
-            self.load_shedder.record(latency / ctl.target[klass])
+            latency_ratio = latency / ctl.target[klass]
+            self.spillover.record(srv.zone, latency_ratio)
+            self.load_shedder.record(latency_ratio)
             self.rtt[klass].add(latency)
             self.mean_rtt[klass] = self.rtt[klass].value
             if now - self.spill_at >= WINDOW:
@@ -468,7 +445,7 @@
         if not srv.member:
             return
         if not srv.ejected:
-            if len(self.ejected) + 1 > EJECT_SHARE * len(self.members):
+            if len(self.ejected) + 1 > EJECT_SHARE * len(self.subset.members):
                 return
             srv.ejected = True
             self.ejected.append(srv)
@@ -480,7 +457,7 @@
         srv.ejections += 1
         self.next_trial = min(e.trial_at for e in self.ejected)
         self.fleet.set_aside(srv.id, srv.trial_at - now)
-        self.sort_members()
+        self.subset.sort()
 
     def readmit(self, srv: Server, well: bool = False) -> None:
         srv.ejected = False
@@ -493,33 +470,16 @@
             self.next_trial = min(e.trial_at for e in self.ejected)
         self.actions.log(f"readmit server={srv.id}")
         self.fleet.back(srv.id, well)
-        self.sort_members()
+        self.subset.sort()
 
     def each_window(self, now: int) -> None:
         """Slow bookkeeping, at most once a window: warm rate, class ranks, spill between zones."""
         span = now - self.spill_at
         self.spill_at = now
-        warm = 0
-        for m in self.members:
-            warm += m.cold_until <= now and not m.ejected
-        if warm:
-            rate = self.warm_sent * 1e6 / span / warm
-            self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
-        self.warm_sent = 0
+        self.slow_start.measure_warm_rate(now, span)
         self.load_shedder.rank_classes()
-        # Calls leave the zone only as far as its own servers are slower than the others.
-        if self.zoned and self.near:
-            # Failure prevented: one zone's servers drown while another's stand idle. Unvisited, the other
-            # zones are taken to do as well as this one did at its best.
-            if self.near_ratio < self.best_ratio or self.best_ratio == 0:
-                self.best_ratio = self.near_ratio
-            if self.spill < 0.05:
-                self.far_ratio += SMOOTH * (self.best_ratio - self.far_ratio)
-            self.best_ratio *= 1.001
-            patience = 1 + CROSSING * self.settings.cross_zone_price
-            step = SPILL_GAIN * (self.near_ratio / max(self.far_ratio, 1e-9) - patience)
-            self.spill += min(SPILL_STEP, max(-SPILL_STEP, step))
-            self.spill = min(1.0, max(self.spill_least, self.spill))
+        if self.spillover.zoned and self.subset.near:
+            self.spillover.adjust()
 
     # ---- members and the draw -------------------------------------------------------------------------
 
@@ -530,79 +490,21 @@
             self.readmit(srv)
         srv.member = False
 
-    def stretch(self, servers: list[Server]) -> list[Server]:
-        """This copy's part of a shuffle in which the machines of each kind lie evenly spread.
-
-        Failure prevented: by chance a copy's few members are all of a slow kind, and it keeps them crowded
-        while others' fast ones stand idle.
-        """
-        n = len(servers)
-        parts = max(1, n // SUBSET_LEAST)
-        turn, part = divmod(self.settings.index, parts)
-        servers.sort(key=lambda srv: (mix(srv.id, turn), srv.id))
-        kinds: dict[int, list[Server]] = {}
-        for srv in servers:
-            kinds.setdefault(srv.kind_id, []).append(srv)
-        places = []
-        for kind, alike in sorted(kinds.items()):
-            shift = mix(kind, turn) / 2**64
-            places += [((i + shift) / len(alike), srv.id, srv) for i, srv in enumerate(alike)]
-        order = [srv for _, _, srv in sorted(places, key=lambda place: place[:2])]
-        start, end = part * n // parts, (part + 1) * n // parts
-        return [order[i % n] for i in range(start, min(max(end, start + self.size), start + n))]
-
-    def wanted_size(self) -> int:
-        return min(SUBSET_MOST, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
-
     def forget_gone(self) -> None:
         for key, srv in list(self.servers.items()):
             if not srv.in_list and srv.in_flight == 0 and srv.uploads == 0:
                 del self.servers[key]
 
-    def refill(self, now: int) -> None:
-        """Takes the members anew: this copy's stretch of an order of the servers that all copies share.
-
-        Copies whose numbers follow one another take stretches that follow one another; once round, the
-        next ones go by another shuffle. So each server belongs to equally many copies, without a message,
-        a new server gets its part as soon as it is listed, and a change of the list moves few members.
-        """
-        listed = [srv for srv in self.servers.values() if srv.in_list]
-        self.size = self.wanted_size()
-        for srv in self.members:
-            srv.member = False
-        self.members = []
-        if self.zoned or self.shares:
-            # Failure prevented: a subset over all zones has one member or none where calls should stay.
-            for zone in sorted({srv.zone for srv in listed}):
-                self.members += self.stretch([srv for srv in listed if srv.zone == zone])
-        else:
-            self.members = self.stretch(listed)
-        for srv in self.members:
-            srv.member = True
+    def refill(self) -> None:
+        """Takes the members anew, and tells those whose measure they are."""
+        self.subset.refill()
         for srv in [e for e in self.ejected if not e.member]:
             self.readmit(srv)
-        copies = self.settings.instances * len(self.members) / max(1, len(listed))
-        self.controller.resize(len(self.members), copies)
-        if self.zoned and self.members:
-            # Failure prevented: a zone with few servers takes all calls of the one node beside it. At least
-            # what exceeds the zone's part of all members leaves it, were all nodes alike.
-            near = sum(m.zone == self.settings.zone for m in self.members)
-            self.spill_least = max(0.0, 1 - near * self.settings.instances / len(self.members))
-            self.spill = max(self.spill, self.spill_least)
-        self.sort_members()
-
-    def sort_members(self) -> None:
-        self.able = []
-        for m in self.members:
-            aside = m.ejected
-            if not aside:
-                self.able.append(m)
-            if aside != m.aside:
-                # Failure prevented: calls stuck on a silent member fill the limit for all the others.
-                self.controller.in_flight += -m.in_flight if aside else m.in_flight
-                m.aside = aside
-        self.near = [m for m in self.able if m.zone == self.settings.zone]
-        self.by_zone = {zone: [m for m in self.able if m.zone == zone] for zone in self.shares}
+        members = self.subset.members
+        listed = sum(srv.in_list for srv in self.servers.values())
+        self.controller.resize(len(members), self.settings.instances * len(members) / max(1, listed))
+        self.spillover.resize(members)
+        self.subset.sort()
 
     def draw(self, now: int, r: Request) -> Server | None:
         """Two random members; the one with less in flight takes the call, a further attempt as well.
@@ -617,30 +519,30 @@
             for trial in self.ejected:
                 if trial.trial_at > now or trial.trial_out or not self.fleet.may_try(trial.id):
                     continue
-                if self.may_send(now, trial):
+                if self.slow_start.may_send(now, trial):
                     trial.trial_out = True
                     trial.trial_at = now + EJECT_TIME
                     return trial
-        if self.shares:
-            drawn = self.rng.choices([*self.shares], [*self.shares.values()])
+        if self.subset.shares:
+            drawn = self.rng.choices([*self.subset.shares], [*self.subset.shares.values()])
             failed = r.tried[-1].zone if r.tried else -1  # where a zone is lost, a repeat there is lost too
-            for zone in sorted([*drawn, *self.shares], key=lambda zone: zone == failed):
-                srv = self.draw_two(now, r.klass, untried(self.by_zone[zone], r))
+            for zone in sorted([*drawn, *self.subset.shares], key=lambda zone: zone == failed):
+                srv = self.draw_two(now, r.klass, untried(self.subset.by_zone[zone], r))
                 if srv is not None:
                     return srv
             return None
-        if self.zoned and self.near and self.rng.random() >= self.spill:
-            srv = self.draw_two(now, r.klass, untried(self.near, r))
+        if self.spillover.zoned and self.subset.near and self.rng.random() >= self.spillover.spill:
+            srv = self.draw_two(now, r.klass, untried(self.subset.near, r))
             if srv is not None:
                 return srv
-        return self.draw_two(now, r.klass, untried(self.able, r))
+        return self.draw_two(now, r.klass, untried(self.subset.able, r))
 
     def draw_two(self, now: int, klass: int, pool: list[Server]) -> Server | None:
         n = len(pool)
         if n == 0:
             return None
         if n == 1:
-            return pool[0] if self.may_send(now, pool[0]) else None
+            return pool[0] if self.slow_start.may_send(now, pool[0]) else None
         mean = min(self.mean_rtt)
         for _ in range(3):
             a = self.pick(now, klass, pool, mean)
@@ -648,12 +550,12 @@
             if b.load(now, klass, mean) < a.load(now, klass, mean):
                 a, b = b, a
             b_silent = self.is_silent(now, b)
-            if not self.is_silent(now, a) and self.may_send(now, a):
+            if not self.is_silent(now, a) and self.slow_start.may_send(now, a):
                 return a
-            if not b_silent and self.may_send(now, b):
+            if not b_silent and self.slow_start.may_send(now, b):
                 return b
         for a in pool:
-            if not a.ejected and self.may_send(now, a):
+            if not a.ejected and self.slow_start.may_send(now, a):
                 return a
         return None
 
@@ -703,41 +605,3 @@
         if srv.in_flight and now - srv.quiet_since > patience:
             self.eject(now, srv, silent=True)
         return srv.ejected
-
-    def count_asked(self, now: int) -> None:
-        """Keeps the rate of requests, the measure of a server's share while no member is warm."""
-        self.asked += 1
-        span = now - self.asked_at
-        if span >= WINDOW * WINDOW_STRETCH:
-            rate = self.asked * 1e6 / span
-            self.ask_rate += min(1.0, span / 2e6 if self.ask_rate else 1.0) * (rate - self.ask_rate)
-            self.asked, self.asked_at = 0, now
-
-    def fair_rate(self, now: int) -> float:
-        """What a warm member gets of this copy, in calls a second; or would get, where none is warm.
-
-        Failure prevented: a node that starts among servers that all are cold has seen no warm one, takes
-        their share of nothing, and sends nothing until the first is warm.
-        Failure prevented: the last warm members take all calls; what they got then pushes cold ones over.
-        """
-        if any(m.cold_until <= now and not m.ejected for m in self.members):
-            return self.warm_rate
-        even = self.ask_rate / max(1, len(self.members))
-        return min(max(self.warm_rate, even), EVEN_MOST * even)
-
-    def may_send(self, now: int, srv: Server) -> bool:
-        """Slow start: a cold server takes its present share of what a warm member gets from this copy.
-
-        Failure prevented: all nodes together push a cold server over. A bucket of one call that starts
-        empty keeps this copy's part within any window.
-        """
-        if srv.cold_until <= now:
-            return True
-        s = self.settings
-        warmth = s.cold_share + (1 - s.cold_share) * max(0.0, 1 - (srv.cold_until - now) / s.cold_time)
-        srv.tokens = min(1.0, srv.tokens + self.fair_rate(now) * warmth * (now - srv.tokens_at) / 1e6)
-        srv.tokens_at = now
-        if srv.tokens < 1:
-            return False
-        srv.tokens -= 1
-        return True
--- /dev/null
+++ b/brackenladder/policy/spillover.py
@@ -0,0 +1,61 @@
+"""Zone spillover: calls keep to this copy's zone, and leave it as far as its servers are slower."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from brackenladder.interface import Settings
+from brackenladder.policy.server import SMOOTH, SMOOTH_ALL, Server
+
+SPILL_GAIN = 0.1  # a window moves the share of calls that may leave the zone by this part of the imbalance
+SPILL_STEP = 0.04  # and by so much at most
+ZONE_PRICE = 0.01  # calls keep to their zone only where a crossing costs this share of a request's worth
+CROSSING = 10  # a call twice as slow is taken to lose a tenth of its worth, set against a crossing's price
+
+
+class ZoneSpillover:
+    """The share of calls that may leave the zone."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.zoned = settings.cross_zone_price >= ZONE_PRICE
+        self.near_ratio = 0.5  # mean latency over what the class can bear, for servers of this zone...
+        self.far_ratio = 0.5  # ...and of the others
+        self.best_ratio = 0.0
+        self.spill = 0.0 if self.zoned else 1.0  # share of calls that may leave the zone
+        self.spill_least = self.spill
+
+    def record(self, zone: int, latency_ratio: float) -> None:
+        """Takes in an answer's latency, relative to its class's target."""
+        if zone == self.settings.zone:
+            self.near_ratio += SMOOTH_ALL * (latency_ratio - self.near_ratio)
+        else:
+            self.far_ratio += SMOOTH_ALL * (latency_ratio - self.far_ratio)
+
+    def resize(self, members: Sequence[Server]) -> None:
+        """Takes note of new members.
+
+        Failure prevented: a zone with few servers takes all calls of the one node beside it. At least
+        what exceeds the zone's part of all members leaves it, were all nodes alike.
+        """
+        if not self.zoned or not members:
+            return
+        near = sum(m.zone == self.settings.zone for m in members)
+        self.spill_least = max(0.0, 1 - near * self.settings.instances / len(members))
+        self.spill = max(self.spill, self.spill_least)
+
+    def adjust(self) -> None:
+        """Moves the share by a step, once a window while the zone has servers that may be drawn.
+
+        Failure prevented: one zone's servers drown while another's stand idle. Unvisited, the other zones
+        are taken to do as well as this one did at its best.
+        """
+        if self.near_ratio < self.best_ratio or self.best_ratio == 0:
+            self.best_ratio = self.near_ratio
+        if self.spill < 0.05:
+            self.far_ratio += SMOOTH * (self.best_ratio - self.far_ratio)
+        self.best_ratio *= 1.001
+        patience = 1 + CROSSING * self.settings.cross_zone_price
+        step = SPILL_GAIN * (self.near_ratio / max(self.far_ratio, 1e-9) - patience)
+        self.spill += min(SPILL_STEP, max(-SPILL_STEP, step))
+        self.spill = min(1.0, max(self.spill_least, self.spill))
--- a/brackenladder/policy/subset.py
+++ b/brackenladder/policy/subset.py
@@ -1,7 +1,14 @@
-"""The shuffle of the servers from which each copy takes its subset."""
+"""The subset: the few servers that this copy sends to, out of all that are listed."""
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from math import ceil
+
+from brackenladder.interface import Settings
+from brackenladder.policy.gradient import GradientController
+from brackenladder.policy.server import Server
+
 SUBSET_LEAST = 4  # members of a copy that has hardly any call in flight
 SUBSET_MOST = 24  # and of any other
 SUBSET_FLIGHT = 2  # in between: so many for each call in flight
@@ -14,3 +21,89 @@
     x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
     x = (x ^ (x >> 27)) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
     return x ^ (x >> 31)
+
+
+class Subset:
+    """The members, their number, and those of them that may be drawn."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        servers: Mapping[int, Server],
+        controller: GradientController,
+        by_zone_always: bool,
+    ) -> None:
+        self.settings = settings
+        self.servers = servers
+        self.controller = controller
+        self.by_zone_always = by_zone_always  # members are taken from each zone, also without shares
+        self.members: list[Server] = []
+        self.size = SUBSET_LEAST  # wanted when the members were last taken
+        self.flight = 0.0  # calls in flight, smoothed
+        self.near: list[Server] = []  # members in this zone that may be drawn
+        self.able: list[Server] = []  # all members that may be drawn
+        self.shares: Mapping[int, float] = {}  # of the calls, by zone, as the fleet has it
+        self.by_zone: dict[int, list[Server]] = {}  # those of `able`, where there are shares
+
+    def fits(self) -> bool:
+        """Whether the size still suits the calls in flight, whose mean takes in a sample."""
+        self.flight += SMOOTH_FLIGHT * (self.controller.in_flight - self.flight)
+        return self.size / 2 <= self.wanted_size() <= self.size * 1.25
+
+    def wanted_size(self) -> int:
+        return min(SUBSET_MOST, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
+
+    def stretch(self, servers: list[Server]) -> list[Server]:
+        """This copy's part of a shuffle in which the machines of each kind lie evenly spread.
+
+        Failure prevented: by chance a copy's few members are all of a slow kind, and it keeps them crowded
+        while others' fast ones stand idle.
+        """
+        n = len(servers)
+        parts = max(1, n // SUBSET_LEAST)
+        turn, part = divmod(self.settings.index, parts)
+        servers.sort(key=lambda srv: (mix(srv.id, turn), srv.id))
+        kinds: dict[int, list[Server]] = {}
+        for srv in servers:
+            kinds.setdefault(srv.kind_id, []).append(srv)
+        places = []
+        for kind, alike in sorted(kinds.items()):
+            shift = mix(kind, turn) / 2**64
+            places += [((i + shift) / len(alike), srv.id, srv) for i, srv in enumerate(alike)]
+        order = [srv for _, _, srv in sorted(places, key=lambda place: place[:2])]
+        start, end = part * n // parts, (part + 1) * n // parts
+        return [order[i % n] for i in range(start, min(max(end, start + self.size), start + n))]
+
+    def refill(self) -> None:
+        """Takes the members anew: this copy's stretch of an order of the servers that all copies share.
+
+        Copies whose numbers follow one another take stretches that follow one another; once round, the
+        next ones go by another shuffle. So each server belongs to equally many copies, without a message,
+        a new server gets its part as soon as it is listed, and a change of the list moves few members.
+        """
+        listed = [srv for srv in self.servers.values() if srv.in_list]
+        self.size = self.wanted_size()
+        for srv in self.members:
+            srv.member = False
+        self.members = []
+        if self.by_zone_always or self.shares:
+            # Failure prevented: a subset over all zones has one member or none where calls should stay.
+            for zone in sorted({srv.zone for srv in listed}):
+                self.members += self.stretch([srv for srv in listed if srv.zone == zone])
+        else:
+            self.members = self.stretch(listed)
+        for srv in self.members:
+            srv.member = True
+
+    def sort(self) -> None:
+        self.able = []
+        for m in self.members:
+            aside = m.ejected
+            if not aside:
+                self.able.append(m)
+            if aside != m.aside:
+                # Failure prevented: calls stuck on a silent member fill the limit for all the others.
+                self.controller.in_flight += -m.in_flight if aside else m.in_flight
+                m.aside = aside
+        self.near = [m for m in self.able if m.zone == self.settings.zone]
+        self.by_zone = {zone: [m for m in self.able if m.zone == zone] for zone in self.shares}
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -18,7 +18,6 @@
     TenantSettings,
 )
 from brackenladder.policy import Balancer, subset
-from brackenladder.policy import balancer as balancer_module
 
 MAY_HAVE_RUN = [o for o in Outcome if o not in NEVER_RAN and o != Outcome.OK]
 
@@ -26,8 +25,7 @@
 @pytest.fixture
 def wide(monkeypatch):
     """All servers of a small list are members."""
-    for module in (subset, balancer_module):
-        monkeypatch.setattr(module, "SUBSET_LEAST", 24)
+    monkeypatch.setattr(subset, "SUBSET_LEAST", 24)
 
 
 def test_refused_at_the_limit_at_once_with_back_off():
@@ -191,10 +189,10 @@
 def test_a_full_list_removes_what_it_does_not_name():
     node, rec = balancer(4)
     node.server_list(10, ListKind.FULL, [ServerEntry(1), ServerEntry(1, zone=3), ServerEntry(4)])
-    assert sorted(m.id for m in node.members) == [1, 4]
+    assert sorted(m.id for m in node.subset.members) == [1, 4]
     assert node.servers[1].zone == 3
     node.server_list(10, ListKind.FAILED, [])
-    assert len(node.members) == 2
+    assert len(node.subset.members) == 2
 
 
 def test_a_drained_server_that_fails_gets_no_trial():
@@ -217,11 +215,11 @@
 
 def test_the_subset_is_bounded_and_refilled():
     node, rec = balancer(60)
-    size = len(node.members)
+    size = len(node.subset.members)
     assert size < 60
-    first = node.members[0].id
+    first = node.subset.members[0].id
     node.server_list(1, ListKind.CHANGES, [ServerEntry(first, State.GONE)])
-    assert len(node.members) == size and first not in {m.id for m in node.members}
+    assert len(node.subset.members) == size and first not in {m.id for m in node.subset.members}
 
 
 def test_a_member_that_fails_quickly_is_ejected_and_tried_again():
@@ -418,7 +416,7 @@
 def test_a_member_that_has_just_turned_slow_loses_draws_before_its_calls_return():
     """Its averages still look good: what tells is that its calls have been out for longer than the mean."""
     node, rec = balancer(2)
-    slow, quick = node.members
+    slow, quick = node.subset.members
     slow.in_flight, slow.quiet_since = 1, 0
     quick.in_flight, quick.quiet_since = 2, 900_000
     assert slow.load(300_000, 0, 250_000.0) < quick.load(1_000_000, 0, 250_000.0)
@@ -455,7 +453,7 @@
         far += i >= 1000 and server % 2 == 0
         crowded = i >= 500 and server % 2 == 1
         end(node, rec, now, i, 0, server, Outcome.OK, 800_000 if crowded else 200_000)
-    assert node.spill > 0.5 and far > 300
+    assert node.spillover.spill > 0.5 and far > 300
 
 
 @pytest.mark.parametrize(("nodes", "least"), [(1, 5 / 6), (3, 0.5), (6, 0.0)])
@@ -463,7 +461,7 @@
     """A zone's one server would take all calls of the one node beside it."""
     entries = [ServerEntry(i + 1, zone=min(i, 1)) for i in range(6)]
     node, rec = balancer(entries, cross_zone_price=0.04, instances=nodes)
-    assert node.spill == pytest.approx(least)
+    assert node.spillover.spill == pytest.approx(least)
     now = far = 0
     for i in range(600):
         now += 20_000
@@ -471,7 +469,7 @@
         far += server != 1
         end(node, rec, now, i, 0, server, Outcome.OK, 250_000)
     assert far / 600 >= least * 5 / 6 - 0.05
-    assert node.spill >= least
+    assert node.spillover.spill >= least
 
 
 def test_a_slow_member_is_drawn_less_often():
@@ -543,11 +541,11 @@
 def test_the_bucket_of_a_cold_server_starts_empty():
     """A call saved up while nobody watched would come on top of every other node's."""
     node, rec = balancer(2)
-    node.warm_rate = 10.0
+    node.slow_start.warm_rate = 10.0
     node.server_list(SEC, ListKind.CHANGES, [ServerEntry(1, ready_at=SEC)])
     cold = node.servers[1]
-    assert not node.may_send(SEC, cold)
-    assert [node.may_send(SEC + 500_000, cold) for _ in range(3)] == [True, False, False]
+    assert not node.slow_start.may_send(SEC, cold)
+    assert [node.slow_start.may_send(SEC + 500_000, cold) for _ in range(3)] == [True, False, False]
 
 
 def test_a_trial_costs_the_request_little_and_is_never_an_unsafe_one():
@@ -572,10 +570,10 @@
 def test_unvisited_zones_are_taken_to_do_as_well_as_this_one_at_its_best():
     entries = [ServerEntry(i + 1, zone=i % 2) for i in range(12)]
     node, rec = balancer(entries, cross_zone_price=0.04, instances=12)
-    node.far_ratio, node.best_ratio, node.near_ratio = 5.0, 0.2, 0.6
+    node.spillover.far_ratio, node.spillover.best_ratio, node.spillover.near_ratio = 5.0, 0.2, 0.6
     for i in range(1, 60):
         node.each_window(i * 100_000)
-    assert node.far_ratio < 3.0 and node.spill > 0
+    assert node.spillover.far_ratio < 3.0 and node.spillover.spill > 0
 
 
 @pytest.mark.usefixtures("wide")
@@ -591,17 +589,17 @@
 
 def test_each_server_belongs_to_equally_many_copies():
     """Subsets drawn apart leave some servers to many copies and some to few."""
-    belongs = Counter(m.id for node in copies(70, 60) for m in node.members)
+    belongs = Counter(m.id for node in copies(70, 60) for m in node.subset.members)
     assert len(belongs) == 60 and max(belongs.values()) - min(belongs.values()) <= 1
 
 
 def test_a_change_of_the_list_moves_few_members_and_new_servers_get_their_part():
     """A full subset that takes in nobody leaves the machines of a grown fleet idle."""
     nodes = copies(70, 60)
-    before = [{m.id for m in node.members} for node in nodes]
+    before = [{m.id for m in node.subset.members} for node in nodes]
     for node in nodes:
         node.server_list(1, ListKind.CHANGES, [ServerEntry(61)])
-    after = [{m.id for m in node.members} for node in nodes]
+    after = [{m.id for m in node.subset.members} for node in nodes]
     assert sum(61 in members for members in after) >= 4
     assert sum(len(a - b) for a, b in zip(after, before, strict=True)) < 2 * 70
 
@@ -609,12 +607,12 @@
 def test_the_subset_widens_with_the_calls_in_flight():
     """A node that suddenly gets a large part of all traffic would send it to a few servers."""
     node, rec = balancer(60, instances=300)
-    small = len(node.members)
+    small = len(node.subset.members)
     for i in range(60):
         ask(node, rec, i, i)
-    node.flight = 40.0
+    node.subset.flight = 40.0
     ask(node, rec, 100, 100)
-    assert small < 12 and len(node.members) == 24
+    assert small < 12 and len(node.subset.members) == 24
 
 
 @pytest.mark.usefixtures("wide")
@@ -655,7 +653,7 @@
     entries = [ServerEntry(i + 1, kind=i % 4 // 3) for i in range(64)]  # a quarter of kind 1
     for index in range(32):
         node, _ = balancer(entries, instances=32, index=index)
-        assert sum(node.servers[m.id].kind_id == 1 for m in node.members) in (1, 2)
+        assert sum(node.servers[m.id].kind_id == 1 for m in node.subset.members) in (1, 2)
 
 
 def test_an_unknown_class_gets_no_right_to_a_repeat():
@@ -684,7 +682,7 @@
     """
     cold = [ServerEntry(i, ready_at=1) for i in range(1, 5)]
     node, recorder = balancer(cold, cold_share=0.1, cold_time=40 * SEC)
-    node.warm_rate = seen
+    node.slow_start.warm_rate = seen
     sent = 0
     for i in range(80):
         now = i * SEC // 40
--- a/tests/test_counters.py
+++ b/tests/test_counters.py
@@ -96,7 +96,7 @@
         found = await figures(bench)
         assert (found["lb_cluster_size"], found["lb_cluster_unhealthy"]) == (5, 1)
         staying = number_of("s3")
-        server = next(s for s in bench.node.balancer.members if s.id != staying)
+        server = next(s for s in bench.node.balancer.subset.members if s.id != staying)
         bench.node.balancer.eject(0, server, silent=True)
         assert (await figures(bench))["lb_cluster_unhealthy"] == 2
         bench.discovery.say(44, True, servers[3].entry("s3"))
--- a/tests/test_fleet_hand.py
+++ b/tests/test_fleet_hand.py
@@ -339,7 +339,7 @@
 def test_the_module_asks_before_a_trial_and_takes_another_s_verdict():
     hook = Hook()
     node = module(hook)
-    bad = next(iter(node.members)).id
+    bad = next(iter(node.subset.members)).id
     outcome = lambda server: Outcome.RESET if server == bad else Outcome.OK  # noqa: E731
     now, number = 100_000, 0
     while ("aside", bad) not in [h[:2] for h in hook.heard]:
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -25,6 +25,7 @@
     TenantSettings,
 )
 from brackenladder.policy import Balancer
+from brackenladder.policy.slow_start import SlowStart
 
 ROOT = Path(__file__).parent.parent
 POLICY = sorted((ROOT / "brackenladder" / "policy").glob("*.py"))
@@ -165,7 +166,7 @@
             assert r["until"] + self.s.tick >= self.now, "rule 1: no answer in time"
 
     def check(self) -> None:
-        self.top_rate = max(self.top_rate, self.node.warm_rate)
+        self.top_rate = max(self.top_rate, self.node.slow_start.warm_rate)
         for action in self.rec.take():
             self.log.append((self.now, *action))
             name, *args = action
@@ -248,7 +249,9 @@
 
 
 def repeats_outside_the_group(monkeypatch):
-    monkeypatch.setattr(Balancer, "draw_in_group", lambda self, now, r: self.draw_two(now, 0, self.able))
+    monkeypatch.setattr(
+        Balancer, "draw_in_group", lambda self, now, r: self.draw_two(now, 0, self.subset.able)
+    )
 
 
 def ignores_drains(monkeypatch):
@@ -256,7 +259,7 @@
 
 
 def floods_cold_servers(monkeypatch):
-    monkeypatch.setattr(Balancer, "may_send", lambda self, now, srv: True)
+    monkeypatch.setattr(SlowStart, "may_send", lambda self, now, srv: True)
 
 
 @pytest.mark.parametrize(
@@ -360,4 +363,4 @@
         for action in rec.take("send"):
             node.outcome(now + 20_000, i, 0, action[2], Outcome.OK, 20_000, True, ())
     assert not node.requests and not node.waiting and len(node.servers) <= 12
-    assert node.controller.in_flight == 0 and len(node.ejected) <= len(node.members)
+    assert node.controller.in_flight == 0 and len(node.ejected) <= len(node.subset.members)
