Policy: attribute lists do not stand twice; the sampling window is an object

Change: plain classes without __slots__ for requests, servers and the gradient controller, whose samples and sums move into SampleWindow: with more than thirty attributes an instance would lose its inline values.

--- a/brackenladder/policy/balancer.py
+++ b/brackenladder/policy/balancer.py
@@ -144,7 +144,7 @@
         if c.late_worth <= 0 and c.aim - 2 * s.tick < useful:
             # Late work is waste: an answer after the aim is worth nothing here, so nothing waits for it.
             useful = max(s.tick, c.aim - 2 * s.tick)
-        r = Request(request, klass, c.effect if known else Effect.UNSAFE, now + useful, useful)
+        r = Request(request, klass, c.effect if known else Effect.UNSAFE, now, useful)
         self.requests[request] = r
         if not repeat:
             self.slow_start.count_asked(now)
--- a/brackenladder/policy/gradient.py
+++ b/brackenladder/policy/gradient.py
@@ -40,6 +40,19 @@
     return samples[ceil(len(samples) * share) - 1]
 
 
+class SampleWindow:
+    """The samples of the sampling window that is open."""
+
+    def __init__(self, now: int) -> None:
+        self.rtts: list[float] = []  # relative to min_rtt + B
+        self.restart(now)
+
+    def restart(self, now: int) -> None:
+        self.rtts.clear()
+        self.start = now
+        self.flight_sum = self.latency_sum = 0
+
+
 class GradientController:
     """The adaptive limit on this copy's calls in flight, over its whole subset.
 
@@ -50,40 +63,6 @@
     has its full worth.
     """
 
-    __slots__ = (
-        "allowance",
-        "min_rtt",
-        "target",
-        "limit",
-        "in_flight",
-        "level",
-        "level_at",
-        "flight_sum",
-        "usual",
-        "lost",
-        "samples",
-        "sample_rtt",
-        "gradient",
-        "at_min",
-        "in_pass",
-        "pass_samples",
-        "pass_count",
-        "pass_until",
-        "next_pass",
-        "floor",
-        "members",
-        "copies",
-        "shared",
-        "pass_limit",
-        "ceiling",
-        "rng",
-        "passes",
-        "window_start",
-        "ramping",
-        "latency_sum",
-        "fleet",
-    )
-
     def __init__(
         self, allowance: Sequence[int], ceiling: int, rng: Random, now: int, fleet: Fleet | None = None
     ) -> None:
@@ -101,13 +80,10 @@
         self.in_flight = 0
         self.level = 0.0  # what the limit is set against
         self.level_at = now
-        self.flight_sum = 0
-        self.latency_sum = 0
         self.ramping = True  # since the start the limit bound, and no window was above target
         self.lost = 0.0  # share of calls that ended without an answer, smoothed
         self.usual = 0.0  # calls in flight while latency was good, smoothed
-        self.samples: list[float] = []
-        self.window_start = now
+        self.window = SampleWindow(now)
         self.sample_rtt = 0.0  # relative to min_rtt + B
         self.gradient = 1.0
         self.at_min = 0
@@ -181,9 +157,7 @@
         self.fleet.passed()
         self.passes += 1
         self.next_pass = now + int(PASS_INTERVAL * (1 + PASS_JITTER * self.rng.random()))
-        self.samples.clear()
-        self.flight_sum = self.latency_sum = 0
-        self.window_start = now
+        self.window.restart(now)
 
     def sample(self, now: int, klass: int, latency: int) -> None:
         """A served call's latency, or the time-out of one that timed out."""
@@ -194,25 +168,26 @@
             if now >= self.pass_until + (0 if self.pass_count <= 0 else 2 * WINDOW * WINDOW_STRETCH):
                 self.end_pass(now)
             return
-        self.samples.append(latency / self.target[klass])
-        self.flight_sum += self.in_flight
-        self.latency_sum += latency
+        window = self.window
+        window.rtts.append(latency / self.target[klass])
+        window.flight_sum += self.in_flight
+        window.latency_sum += latency
         self.roll(now)
 
     def roll(self, now: int) -> None:
         """Closes the window when it has lasted and holds enough; an empty window changes nothing."""
-        age = now - self.window_start
-        count = len(self.samples)
+        window = self.window
+        age = now - window.start
+        count = len(window.rtts)
         if age < WINDOW or count == 0 or (count < WINDOW_SAMPLES and age < WINDOW * WINDOW_STRETCH):
             return
-        self.sample_rtt = percentile(self.samples, PERCENTILE)
-        self.samples.clear()
-        self.window_start = now
+        self.sample_rtt = percentile(window.rtts, PERCENTILE)
         self.gradient = min(GRADIENT_HIGH, max(GRADIENT_LOW, 1.0 / max(self.sample_rtt, 1e-9)))
         limit = self.gradient * self.limit + self.headroom()
         # Failure prevented: at thin traffic a window's percentile is one call's luck, and halves the limit.
         limit = self.limit + min(1.0, count / FULL_WINDOW) * (limit - self.limit)
         self.follow_usual(age, count)
+        window.restart(now)
         self.share()
         self.limit = max(min(limit, self.most(), self.ceiling), self.least(age))
         # Failure prevented: "usual" is met in any overload, and a pass each few seconds closes a busy copy.
@@ -227,14 +202,13 @@
         "usual" starts at nothing. It follows within RAMP_RTTS, up to the first window that is above target
         or in which the limit does not bind.
         """
-        carried = self.flight_sum / count
+        carried = self.window.flight_sum / count
         span = USUAL_TIME
         if self.sample_rtt > 1:
             self.ramping = False
         elif self.ramping:
-            span = min(span, int(RAMP_RTTS * self.latency_sum / count))
+            span = min(span, int(RAMP_RTTS * self.window.latency_sum / count))
             self.ramping = carried >= 0.5 * self.limit
-        self.flight_sum = self.latency_sum = 0
         if self.sample_rtt <= 1 and (carried > self.usual or carried < 0.8 * self.limit):
             self.usual += min(1.0, age / max(span, 1)) * (carried - self.usual)
 
--- a/brackenladder/policy/request.py
+++ b/brackenladder/policy/request.py
@@ -2,27 +2,25 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 from brackenladder.interface import Effect
 from brackenladder.policy.server import Server
 
 
-@dataclass(slots=True, eq=False)
 class Request:
     """An open request. At most one attempt is out at a time."""
 
-    id: int
-    klass: int
-    effect: Effect
-    useful_until: int
-    patience: int
-    uploading: bool = False
-    attempts: int = 0
-    out: Server | None = None
-    ran_on: Server | None = None  # the first server that may have run it
-    ran_at: int = 0
-    begun: bool = False
-    held: bool = False
-    sent_at: int = 0
-    tried: list[Server] = field(default_factory=list)
+    def __init__(self, request: int, klass: int, effect: Effect, now: int, patience: int) -> None:
+        self.id = request
+        self.klass = klass
+        self.effect = effect
+        self.patience = patience
+        self.useful_until = now + patience
+        self.uploading = False
+        self.attempts = 0
+        self.out: Server | None = None
+        self.ran_on: Server | None = None  # the first server that may have run it
+        self.ran_at = 0
+        self.begun = False
+        self.held = False
+        self.sent_at = 0
+        self.tried: list[Server] = []
--- a/brackenladder/policy/server.py
+++ b/brackenladder/policy/server.py
@@ -29,34 +29,6 @@
 class Server:
     """What this copy knows of one server."""
 
-    __slots__ = (
-        "id",
-        "cell",
-        "zone",
-        "ready_at",
-        "in_list",
-        "member",
-        "in_flight",
-        "uploads",
-        "kind_id",
-        "kind",
-        "deviation",
-        "fail_rate",
-        "turned_away",
-        "fails_in_row",
-        "calls",
-        "quiet_since",
-        "ejected",
-        "aside",
-        "silent",
-        "trial_at",
-        "trial_out",
-        "ejections",
-        "cold_until",
-        "tokens",
-        "tokens_at",
-    )
-
     def __init__(self, entry: ServerEntry, kind: Average) -> None:
         self.id = entry.server
         self.kind_id = entry.kind
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -517,7 +517,7 @@
         while ask(node, rec, 1000, 100 * server + i, 2)[2] != server:
             i += 1
         end(node, rec, 1000, 100 * server + i, 0, server, Outcome.OK, 100_000)
-        counts.append(len(node.controller.samples))
+        counts.append(len(node.controller.window.rtts))
     assert counts == [0, 1]
 
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -35,7 +35,7 @@
 def after_pass(rtt: int = 100_000, allowance: int = 100_000, **state) -> GradientController:
     c = controller(allowance)
     run_pass(c, rtt, 1000)
-    c.window_start = 1000
+    c.window.start = 1000
     for name, value in state.items():
         setattr(c, name, value)
     return c
@@ -235,7 +235,7 @@
     for i in range(c.pass_count + 1):
         c.sample(1000 if c.pass_count > 0 else c.pass_until, i % 2, 100_000 if i % 2 else 10_000)
     assert not c.in_pass
-    c.window_start = 1000
+    c.window.start = 1000
     c.limit, c.in_flight = 36.0, 30
     for i in range(WINDOW_SAMPLES):
         c.sample(1000 + WINDOW, i % 2, 125_000 if i % 2 else 12_500)
@@ -309,4 +309,4 @@
 def test_one_sample_does_not_make_a_window():
     c = after_pass(limit=20.0, in_flight=5, usual=15.0)
     c.sample(1000 + WINDOW, 0, 10_000_000)
-    assert c.limit == 20.0 and len(c.samples) == 1
+    assert c.limit == 20.0 and len(c.window.rtts) == 1
