Policy: outlier ejection and selection are parts of their own

Cause: what was left of the Balancer still mixed the course of a request with whom it goes to and who is ejected.

Change: OutlierEjection books outcomes, ejects and readmits and hands out trials; Selection picks, of the subset, slow start, spillover and ejection. The virtual fleet counts readmissions at the ejection's method.

--- a/brackenladder/policy/balancer.py
+++ b/brackenladder/policy/balancer.py
@@ -21,35 +21,25 @@
     Alone,
     Effect,
     Fleet,
-    Group,
     ListKind,
     Outcome,
     ServerEntry,
     Settings,
     State,
 )
-from brackenladder.policy.gradient import (
-    AIM_SHARE,
-    PASS_JITTER,
-    WINDOW,
-    GradientController,
-)
+from brackenladder.policy.ejection import SILENT_FACTOR, OutlierEjection
+from brackenladder.policy.gradient import AIM_SHARE, WINDOW, GradientController
 from brackenladder.policy.load_shedding import LoadShedder
 from brackenladder.policy.request import Request
 from brackenladder.policy.retry_budget import RetryBudget
-from brackenladder.policy.selection import PICK_TRIES, untried
+from brackenladder.policy.selection import Selection
 from brackenladder.policy.server import PRIOR, SMOOTH, SMOOTH_ALL, Average, Server
 from brackenladder.policy.slow_start import SlowStart
 from brackenladder.policy.spillover import ZoneSpillover
 from brackenladder.policy.subset import Subset
 
 RATIO_MOST = 8.0  # a round-trip counts as so many times the mean at most
-SILENT_FACTOR = 4  # a member is silent after this many mean round-trips without any outcome
 CUT_FACTOR = 8  # an attempt may take so many mean round-trips before it is cut in favour of another
-EJECT_SHARE = 0.34  # of the members, at most
-EJECT_FAILS = 3  # least failures in a row, or of recent calls, before ejection
-EJECT_RATE = 0.3  # failure rate above the subset's own that ejects
-EJECT_TIME = 2_000_000  # first ejection; doubles up to 16 times
 OUTLIER = 2.0  # a member so many times slower than the subset does not speak for it
 
 TIMER_LIST, TIMER_HELD = 1, 2  # in a token's top byte
@@ -65,9 +55,7 @@
         self.actions = actions
         self.rng = Random(seed)
         self.servers: dict[int, Server] = {}
-        self.ejected: list[Server] = []
         self.trips: Mapping[int, int] = {}  # how much longer the way to a zone is
-        self.next_trial = 0
         self.requests: dict[int, Request] = {}
         self.flowing: set[int] = set()  # requests whose answers flow: their attempts are booked
         self.waiting: deque[Request] = deque()
@@ -77,10 +65,13 @@
         self.mean_rtt = [c.aim * share / 2 for c in s.classes]  # until measured
         self.rtt = [Average(m, PRIOR, SMOOTH_ALL) for m in self.mean_rtt]
         self.kinds: dict[int, Average] = {}
-        self.fail_rate = 0.0
         self.spillover = ZoneSpillover(s)
         self.subset = Subset(s, self.servers, self.controller, self.spillover.zoned)
         self.slow_start = SlowStart(s, self.subset)
+        self.ejection = OutlierEjection(self.subset, self.mean_rtt, actions, self.fleet, self.rng)
+        self.selection = Selection(
+            s, self.mean_rtt, self.rng, self.subset, self.slow_start, self.spillover, self.ejection
+        )
         self.spill_at = 0
         self.retry_budget = RetryBudget()
         self.load_shedder = LoadShedder(s, self.rng, self.mean_rtt)
@@ -122,7 +113,7 @@
                 known = self.servers[entry.server] = Server(entry, average)
             elif known.ready_at != entry.ready_at:
                 if known.ejected:
-                    self.readmit(known)
+                    self.ejection.readmit(known)
                 known.renew(entry)
             known.in_list = True
             known.cell, known.zone = entry.cell, entry.zone
@@ -244,9 +235,9 @@
         srv = self.servers.get(server)
         if srv is not None and srv.ejected and not srv.trial_out:
             if well:
-                self.readmit(srv)
+                self.ejection.readmit(srv)
             else:
-                self.eject(now, srv, srv.silent)
+                self.ejection.eject(now, srv, srv.silent)
 
     def zones(self, now: int, shares: Mapping[int, float], trips: Mapping[int, int]) -> None:
         """How the calls go to the zones from now on: members are taken from each."""
@@ -280,7 +271,7 @@
             "min_rtt_calculation_active": float(c.in_pass),
             "in_flight": c.in_flight,
             "members": len(self.subset.members),
-            "ejected": len(self.ejected),
+            "ejected": len(self.ejection.ejected),
             "spill": self.spillover.spill,
             "shed": self.load_shedder.shed,
             "lost": c.lost,
@@ -290,7 +281,7 @@
 
     def attempt(self, now: int, r: Request) -> None:
         """Sends the request to the server drawn for it, or answers it when there is none."""
-        srv = self.draw(now, r)
+        srv = self.selection.draw(now, r)
         if srv is None:
             self.finish(r, refuse=r.ran_on is None)
             return
@@ -382,7 +373,14 @@
                 r.held = False
                 self.attempt(now, r)
 
-    # ---- server health --------------------------------------------------------------------------------
+    def each_window(self, now: int) -> None:
+        """Slow bookkeeping, at most once a window: warm rate, class ranks, spill between zones."""
+        span = now - self.spill_at
+        self.spill_at = now
+        self.slow_start.measure_warm_rate(now, span)
+        self.load_shedder.rank_classes()
+        if self.spillover.zoned and self.subset.near:
+            self.spillover.adjust()
 
     def settle(self, now: int, srv: Server, r: Request | None, outcome: Outcome, latency: int) -> None:
         """Books an attempt's end: in-flight, samples, the server's averages, ejection."""
@@ -413,81 +411,15 @@
         if r is not None:
             away = srv.turned_away.get(r.klass, 0.0)
             srv.turned_away[r.klass] = away + SMOOTH * (float(outcome == Outcome.REJECTED) - away)
-        srv.calls += 1
-        bad = 0.0 if ok or outcome in (Outcome.TIMEOUT, Outcome.REJECTED) else 1.0
-        srv.fail_rate += SMOOTH * (bad - srv.fail_rate)
-        self.fail_rate += SMOOTH_ALL * (bad - self.fail_rate)
         if not srv.ejected and outcome != Outcome.REJECTED:
             ctl.lost += SMOOTH_ALL * ((0.0 if ok else 1.0) - ctl.lost)
-        if ok:
-            srv.fails_in_row = 0
-            if srv.ejected and (srv.trial_out or srv.silent):
-                self.readmit(srv, well=True)
-        elif bad:
-            srv.fails_in_row += 1
-            if srv.ejected:
-                if srv.trial_out:
-                    self.eject(now, srv, silent=False)
-            elif (
-                srv.fails_in_row >= EJECT_FAILS
-                and srv.fail_rate > self.fail_rate * 2
-                or srv.calls >= EJECT_FAILS
-                and srv.fail_rate > EJECT_RATE + self.fail_rate
-            ):
-                # Failure prevented: a member that fails quickly holds few calls and wins the draws.
-                self.eject(now, srv, silent=False)
-        elif srv.trial_out:
-            self.eject(now, srv, silent=srv.silent)
-        srv.trial_out = False
-
-    def eject(self, now: int, srv: Server, silent: bool) -> None:
-        # Failure prevented: a drained server's last calls fail, it is ejected and later gets a trial call.
-        if not srv.member:
-            return
-        if not srv.ejected:
-            if len(self.ejected) + 1 > EJECT_SHARE * len(self.subset.members):
-                return
-            srv.ejected = True
-            self.ejected.append(srv)
-            self.actions.log(f"eject server={srv.id} silent={int(silent)} fail_rate={srv.fail_rate:.2f}")
-        srv.silent = silent
-        srv.trial_at = now + int(
-            (EJECT_TIME << min(srv.ejections, 4)) * (1 + PASS_JITTER * self.rng.random())
-        )
-        srv.ejections += 1
-        self.next_trial = min(e.trial_at for e in self.ejected)
-        self.fleet.set_aside(srv.id, srv.trial_at - now)
-        self.subset.sort()
-
-    def readmit(self, srv: Server, well: bool = False) -> None:
-        srv.ejected = False
-        srv.silent = False
-        srv.fail_rate = self.fail_rate
-        srv.fails_in_row = 0
-        srv.ejections = max(0, srv.ejections - 1)
-        self.ejected.remove(srv)
-        if self.ejected:
-            self.next_trial = min(e.trial_at for e in self.ejected)
-        self.actions.log(f"readmit server={srv.id}")
-        self.fleet.back(srv.id, well)
-        self.subset.sort()
-
-    def each_window(self, now: int) -> None:
-        """Slow bookkeeping, at most once a window: warm rate, class ranks, spill between zones."""
-        span = now - self.spill_at
-        self.spill_at = now
-        self.slow_start.measure_warm_rate(now, span)
-        self.load_shedder.rank_classes()
-        if self.spillover.zoned and self.subset.near:
-            self.spillover.adjust()
-
-    # ---- members and the draw -------------------------------------------------------------------------
+        self.ejection.record(now, srv, outcome)
 
     def drop(self, srv: Server) -> None:
         """The server drains or is gone: nothing new goes to it from now on."""
         srv.in_list = False
         if srv.ejected:
-            self.readmit(srv)
+            self.ejection.readmit(srv)
         srv.member = False
 
     def forget_gone(self) -> None:
@@ -498,110 +430,10 @@
     def refill(self) -> None:
         """Takes the members anew, and tells those whose measure they are."""
         self.subset.refill()
-        for srv in [e for e in self.ejected if not e.member]:
-            self.readmit(srv)
+        for srv in [e for e in self.ejection.ejected if not e.member]:
+            self.ejection.readmit(srv)
         members = self.subset.members
         listed = sum(srv.in_list for srv in self.servers.values())
         self.controller.resize(len(members), self.settings.instances * len(members) / max(1, listed))
         self.spillover.resize(members)
         self.subset.sort()
-
-    def draw(self, now: int, r: Request) -> Server | None:
-        """Two random members; the one with less in flight takes the call, a further attempt as well.
-
-        Failure prevented: a member that has just turned a call away holds few, wins the draw for its next
-        attempt too and turns it away again. The source, too, tries again on another host where it can.
-        """
-        effect = r.effect
-        if r.ran_on is not None and effect == Effect.KEYED:
-            return self.draw_in_group(now, r)
-        if self.ejected and now >= self.next_trial and effect != Effect.UNSAFE:
-            for trial in self.ejected:
-                if trial.trial_at > now or trial.trial_out or not self.fleet.may_try(trial.id):
-                    continue
-                if self.slow_start.may_send(now, trial):
-                    trial.trial_out = True
-                    trial.trial_at = now + EJECT_TIME
-                    return trial
-        if self.subset.shares:
-            drawn = self.rng.choices([*self.subset.shares], [*self.subset.shares.values()])
-            failed = r.tried[-1].zone if r.tried else -1  # where a zone is lost, a repeat there is lost too
-            for zone in sorted([*drawn, *self.subset.shares], key=lambda zone: zone == failed):
-                srv = self.draw_two(now, r.klass, untried(self.subset.by_zone[zone], r))
-                if srv is not None:
-                    return srv
-            return None
-        if self.spillover.zoned and self.subset.near and self.rng.random() >= self.spillover.spill:
-            srv = self.draw_two(now, r.klass, untried(self.subset.near, r))
-            if srv is not None:
-                return srv
-        return self.draw_two(now, r.klass, untried(self.subset.able, r))
-
-    def draw_two(self, now: int, klass: int, pool: list[Server]) -> Server | None:
-        n = len(pool)
-        if n == 0:
-            return None
-        if n == 1:
-            return pool[0] if self.slow_start.may_send(now, pool[0]) else None
-        mean = min(self.mean_rtt)
-        for _ in range(3):
-            a = self.pick(now, klass, pool, mean)
-            b = self.pick(now, klass, pool, mean, a)
-            if b.load(now, klass, mean) < a.load(now, klass, mean):
-                a, b = b, a
-            b_silent = self.is_silent(now, b)
-            if not self.is_silent(now, a) and self.slow_start.may_send(now, a):
-                return a
-            if not b_silent and self.slow_start.may_send(now, b):
-                return b
-        for a in pool:
-            if not a.ejected and self.slow_start.may_send(now, a):
-                return a
-        return None
-
-    def pick(
-        self, now: int, klass: int, pool: list[Server], mean: float, other: Server | None = None
-    ) -> Server:
-        """A random member but `other`. One slower than the mean is passed over as often as it is slower.
-
-        Failure prevented: of few members two slow ones are drawn together each few calls, and what one of
-        them gets keeps it crowded. After a few passes whoever comes is taken.
-        """
-        while True:
-            for _ in range(PICK_TRIES):
-                srv = pool[int(self.rng.random() * len(pool))]
-                if srv is not other and self.rng.random() * srv.slowness(now, klass, mean) < 1:
-                    return srv
-            if srv is not other:
-                return srv
-
-    def draw_in_group(self, now: int, r: Request) -> Server | None:
-        """A keyed request that may have run goes only to the servers that would discard its repeat."""
-        first = r.ran_on
-        group = self.settings.classes[r.klass].group
-        assert first is not None
-        pool = [
-            m
-            for _, m in sorted(self.servers.items())
-            if m is not first
-            and m.in_list
-            and not m.aside
-            and (
-                group == Group.ALL
-                or group == Group.ZONE
-                and m.zone == first.zone
-                or group == Group.CELL
-                and m.cell == first.cell
-            )
-        ]
-        return self.draw_two(now, r.klass, pool)
-
-    def is_silent(self, now: int, srv: Server) -> bool:
-        """Ejects a member that holds calls and has answered none for several mean round-trips.
-
-        One call alone may be a long one: it counts only after twice that time.
-        """
-        patience = SILENT_FACTOR * max(self.mean_rtt) * (2 if srv.in_flight == 1 else 1)
-        if srv.in_flight and now - srv.quiet_since > patience:
-            self.eject(now, srv, silent=True)
-        return srv.ejected
--- /dev/null
+++ b/brackenladder/policy/ejection.py
@@ -0,0 +1,116 @@
+"""Outlier ejection: members that fail or fall silent get no calls but single trials."""
+
+from __future__ import annotations
+
+from random import Random
+
+from brackenladder.interface import Actions, Fleet, Outcome
+from brackenladder.policy.server import SMOOTH, SMOOTH_ALL, Server
+from brackenladder.policy.slow_start import SlowStart
+from brackenladder.policy.subset import Subset
+
+SILENT_FACTOR = 4  # a member is silent after this many mean round-trips without any outcome
+EJECT_SHARE = 0.34  # of the members, at most
+EJECT_FAILS = 3  # least failures in a row, or of recent calls, before ejection
+EJECT_RATE = 0.3  # failure rate above the subset's own that ejects
+EJECT_TIME = 2_000_000  # first ejection; doubles up to 16 times
+EJECT_JITTER = 0.1  # of that time, at most, is added at random
+
+
+class OutlierEjection:
+    """The ejected members, and the failure rate that a member is measured against."""
+
+    def __init__(
+        self, subset: Subset, mean_rtt: list[float], actions: Actions, fleet: Fleet, rng: Random
+    ) -> None:
+        self.subset = subset
+        self.mean_rtt = mean_rtt  # by class; kept up to date by the balancer
+        self.actions = actions
+        self.fleet = fleet
+        self.rng = rng
+        self.ejected: list[Server] = []
+        self.next_trial = 0
+        self.fail_rate = 0.0  # of the whole subset, smoothed
+
+    def record(self, now: int, srv: Server, outcome: Outcome) -> None:
+        """Books an attempt's outcome, which may eject its server or end its ejection."""
+        ok = outcome == Outcome.OK
+        srv.calls += 1
+        bad = 0.0 if ok or outcome in (Outcome.TIMEOUT, Outcome.REJECTED) else 1.0
+        srv.fail_rate += SMOOTH * (bad - srv.fail_rate)
+        self.fail_rate += SMOOTH_ALL * (bad - self.fail_rate)
+        if ok:
+            srv.fails_in_row = 0
+            if srv.ejected and (srv.trial_out or srv.silent):
+                self.readmit(srv, well=True)
+        elif bad:
+            srv.fails_in_row += 1
+            if srv.ejected:
+                if srv.trial_out:
+                    self.eject(now, srv, silent=False)
+            elif (
+                srv.fails_in_row >= EJECT_FAILS
+                and srv.fail_rate > self.fail_rate * 2
+                or srv.calls >= EJECT_FAILS
+                and srv.fail_rate > EJECT_RATE + self.fail_rate
+            ):
+                # Failure prevented: a member that fails quickly holds few calls and wins the draws.
+                self.eject(now, srv, silent=False)
+        elif srv.trial_out:
+            self.eject(now, srv, silent=srv.silent)
+        srv.trial_out = False
+
+    def eject(self, now: int, srv: Server, silent: bool) -> None:
+        # Failure prevented: a drained server's last calls fail, it is ejected and later gets a trial call.
+        if not srv.member:
+            return
+        if not srv.ejected:
+            if len(self.ejected) + 1 > EJECT_SHARE * len(self.subset.members):
+                return
+            srv.ejected = True
+            self.ejected.append(srv)
+            self.actions.log(f"eject server={srv.id} silent={int(silent)} fail_rate={srv.fail_rate:.2f}")
+        srv.silent = silent
+        srv.trial_at = now + int(
+            (EJECT_TIME << min(srv.ejections, 4)) * (1 + EJECT_JITTER * self.rng.random())
+        )
+        srv.ejections += 1
+        self.next_trial = min(e.trial_at for e in self.ejected)
+        self.fleet.set_aside(srv.id, srv.trial_at - now)
+        self.subset.sort()
+
+    def readmit(self, srv: Server, well: bool = False) -> None:
+        srv.ejected = False
+        srv.silent = False
+        srv.fail_rate = self.fail_rate
+        srv.fails_in_row = 0
+        srv.ejections = max(0, srv.ejections - 1)
+        self.ejected.remove(srv)
+        if self.ejected:
+            self.next_trial = min(e.trial_at for e in self.ejected)
+        self.actions.log(f"readmit server={srv.id}")
+        self.fleet.back(srv.id, well)
+        self.subset.sort()
+
+    def is_silent(self, now: int, srv: Server) -> bool:
+        """Ejects a member that holds calls and has answered none for several mean round-trips.
+
+        One call alone may be a long one: it counts only after twice that time.
+        """
+        patience = SILENT_FACTOR * max(self.mean_rtt) * (2 if srv.in_flight == 1 else 1)
+        if srv.in_flight and now - srv.quiet_since > patience:
+            self.eject(now, srv, silent=True)
+        return srv.ejected
+
+    def take_trial(self, now: int, slow_start: SlowStart) -> Server | None:
+        """An ejected server whose trial is due, for one call. Some are ejected."""
+        if now < self.next_trial:
+            return None
+        for trial in self.ejected:
+            if trial.trial_at > now or trial.trial_out or not self.fleet.may_try(trial.id):
+                continue
+            if slow_start.may_send(now, trial):
+                trial.trial_out = True
+                trial.trial_at = now + EJECT_TIME
+                return trial
+        return None
--- a/brackenladder/policy/selection.py
+++ b/brackenladder/policy/selection.py
@@ -1,9 +1,16 @@
-"""Which of a pool of servers a further attempt may go to."""
+"""Selection: which server takes a call."""
 
 from __future__ import annotations
 
+from random import Random
+
+from brackenladder.interface import Effect, Group, Settings
+from brackenladder.policy.ejection import OutlierEjection
 from brackenladder.policy.request import Request
 from brackenladder.policy.server import Server
+from brackenladder.policy.slow_start import SlowStart
+from brackenladder.policy.spillover import ZoneSpillover
+from brackenladder.policy.subset import Subset
 
 PICK_TRIES = 10  # so many members may be passed over for being slow
 
@@ -11,3 +18,111 @@
 def untried(pool: list[Server], r: Request) -> list[Server]:
     """Those of the pool that the request has not been sent to; all of them if there is no other."""
     return [m for m in pool if m not in r.tried] or pool if r.tried else pool
+
+
+class Selection:
+    """Picks a server for an attempt, of all parts that have a say in it."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        mean_rtt: list[float],
+        rng: Random,
+        subset: Subset,
+        slow_start: SlowStart,
+        spillover: ZoneSpillover,
+        ejection: OutlierEjection,
+    ) -> None:
+        self.settings = settings
+        self.mean_rtt = mean_rtt  # by class; kept up to date by the balancer
+        self.rng = rng
+        self.subset = subset
+        self.slow_start = slow_start
+        self.spillover = spillover
+        self.ejection = ejection
+
+    def draw(self, now: int, r: Request) -> Server | None:
+        """Two random members; the one with less in flight takes the call, a further attempt as well.
+
+        Failure prevented: a member that has just turned a call away holds few, wins the draw for its next
+        attempt too and turns it away again. The source, too, tries again on another host where it can.
+        """
+        effect = r.effect
+        if r.ran_on is not None and effect == Effect.KEYED:
+            return self.draw_in_group(now, r)
+        if self.ejection.ejected and effect != Effect.UNSAFE:
+            trial = self.ejection.take_trial(now, self.slow_start)
+            if trial is not None:
+                return trial
+        if self.subset.shares:
+            drawn = self.rng.choices([*self.subset.shares], [*self.subset.shares.values()])
+            failed = r.tried[-1].zone if r.tried else -1  # where a zone is lost, a repeat there is lost too
+            for zone in sorted([*drawn, *self.subset.shares], key=lambda zone: zone == failed):
+                srv = self.draw_two(now, r.klass, untried(self.subset.by_zone[zone], r))
+                if srv is not None:
+                    return srv
+            return None
+        if self.spillover.zoned and self.subset.near and self.rng.random() >= self.spillover.spill:
+            srv = self.draw_two(now, r.klass, untried(self.subset.near, r))
+            if srv is not None:
+                return srv
+        return self.draw_two(now, r.klass, untried(self.subset.able, r))
+
+    def draw_two(self, now: int, klass: int, pool: list[Server]) -> Server | None:
+        n = len(pool)
+        if n == 0:
+            return None
+        if n == 1:
+            return pool[0] if self.slow_start.may_send(now, pool[0]) else None
+        mean = min(self.mean_rtt)
+        for _ in range(3):
+            a = self.pick(now, klass, pool, mean)
+            b = self.pick(now, klass, pool, mean, a)
+            if b.load(now, klass, mean) < a.load(now, klass, mean):
+                a, b = b, a
+            b_silent = self.ejection.is_silent(now, b)
+            if not self.ejection.is_silent(now, a) and self.slow_start.may_send(now, a):
+                return a
+            if not b_silent and self.slow_start.may_send(now, b):
+                return b
+        for a in pool:
+            if not a.ejected and self.slow_start.may_send(now, a):
+                return a
+        return None
+
+    def pick(
+        self, now: int, klass: int, pool: list[Server], mean: float, other: Server | None = None
+    ) -> Server:
+        """A random member but `other`. One slower than the mean is passed over as often as it is slower.
+
+        Failure prevented: of few members two slow ones are drawn together each few calls, and what one of
+        them gets keeps it crowded. After a few passes whoever comes is taken.
+        """
+        while True:
+            for _ in range(PICK_TRIES):
+                srv = pool[int(self.rng.random() * len(pool))]
+                if srv is not other and self.rng.random() * srv.slowness(now, klass, mean) < 1:
+                    return srv
+            if srv is not other:
+                return srv
+
+    def draw_in_group(self, now: int, r: Request) -> Server | None:
+        """A keyed request that may have run goes only to the servers that would discard its repeat."""
+        first = r.ran_on
+        group = self.settings.classes[r.klass].group
+        assert first is not None
+        pool = [
+            m
+            for _, m in sorted(self.subset.servers.items())
+            if m is not first
+            and m.in_list
+            and not m.aside
+            and (
+                group == Group.ALL
+                or group == Group.ZONE
+                and m.zone == first.zone
+                or group == Group.CELL
+                and m.cell == first.cell
+            )
+        ]
+        return self.draw_two(now, r.klass, pool)
--- a/brackenladder/policy/subset.py
+++ b/brackenladder/policy/subset.py
@@ -27,16 +27,12 @@
     """The members, their number, and those of them that may be drawn."""
 
     def __init__(
-        self,
-        settings: Settings,
-        servers: Mapping[int, Server],
-        controller: GradientController,
-        by_zone_always: bool,
+        self, settings: Settings, servers: Mapping[int, Server], controller: GradientController, zoned: bool
     ) -> None:
         self.settings = settings
         self.servers = servers
         self.controller = controller
-        self.by_zone_always = by_zone_always  # members are taken from each zone, also without shares
+        self.zoned = zoned  # members are taken from each zone, also without shares
         self.members: list[Server] = []
         self.size = SUBSET_LEAST  # wanted when the members were last taken
         self.flight = 0.0  # calls in flight, smoothed
@@ -86,7 +82,7 @@
         for srv in self.members:
             srv.member = False
         self.members = []
-        if self.by_zone_always or self.shares:
+        if self.zoned or self.shares:
             # Failure prevented: a subset over all zones has one member or none where calls should stay.
             for zone in sorted({srv.zone for srv in listed}):
                 self.members += self.stretch([srv for srv in listed if srv.zone == zone])
--- a/laurelspindle/explore/uses.py
+++ b/laurelspindle/explore/uses.py
@@ -129,7 +129,7 @@
         row |= zone_figures(run, fleet)
     elif use == "probe":
         row["trials of servers set aside"] = float(sum(fleet.notes.trials.values()))
-        row["still aside at the end"] = float(sum(len(m.ejected) for m in modules))
+        row["still aside at the end"] = float(sum(len(m.ejection.ejected) for m in modules))
         assert fleet.world is not None
         well = fleet.world.begin + int((SILENT["at_s"] + SILENT["for_s"]) * 1e6)
         back = [(at - well) / 1e6 for at in fleet.notes.readmitted if at > well]
--- a/laurelspindle/lab/mischief.py
+++ b/laurelspindle/lab/mischief.py
@@ -29,7 +29,7 @@
 from brackenladder.net.requests import Requests, head_of
 from brackenladder.net.roster import Roster
 from brackenladder.net.servers import Exchange
-from brackenladder.policy import balancer, gradient
+from brackenladder.policy import ejection, gradient
 
 EVERY = 15  # requests between two that are treated badly
 SOON = 3.0  # seconds until what happens once
@@ -218,7 +218,7 @@
 
 def pushy() -> None:
     """Tries servers that are set aside, and often, whoever else does."""
-    balancer.EJECT_TIME = 200_000
+    ejection.EJECT_TIME = 200_000
     wrap(Probe, "may_try", lambda go, self, now, server: True)
 
 
--- a/laurelspindle/virtual/fleet.py
+++ b/laurelspindle/virtual/fleet.py
@@ -75,6 +75,12 @@
         self.hook = hook if isinstance(hook, Hand) and fleet.uses.zones is not None else None
         self.world = fleet.world
         self.home = settings.zone
+        self.readmit = self.ejection.readmit
+        self.ejection.readmit = self.count_readmitted  # type: ignore[method-assign]
+
+    def count_readmitted(self, srv: Server, well: bool = False) -> None:
+        self.notes.readmitted.append(self.clock.now)
+        self.readmit(srv, well)
 
     def server_list(self, now: int, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
         super().server_list(now, kind, entries)
@@ -98,10 +104,6 @@
             way = self.world.network.between(self.home, self.world.by_id[server].zone, request)
             self.hook.ended(server, outcome, latency, 2 * way / 1e6 if request % DIALS == 0 else 0.0)
 
-    def readmit(self, srv: Server, well: bool = False) -> None:
-        self.notes.readmitted.append(self.clock.now)
-        super().readmit(srv, well)
-
     def time_out(self, now: int, r: Request, srv: Server) -> int:
         if srv.aside:
             self.notes.trials[srv.id] += 1
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -206,7 +206,7 @@
     node.server_list(1, ListKind.CHANGES, [ServerEntry(drained, State.DRAINING)])
     for request, server in held:
         end(node, rec, 2, request, 0, server, Outcome.ERROR if server == drained else Outcome.OK)
-    assert sum(server == drained for _, server in held) >= 3 and node.ejected == []
+    assert sum(server == drained for _, server in held) >= 3 and node.ejection.ejected == []
     for i in range(100, 200):
         _, _, server, _ = ask(node, rec, i * SEC, i)
         assert server != drained
@@ -525,13 +525,13 @@
 def test_no_more_than_a_third_of_the_members_is_ejected():
     node, rec = balancer(9)
     for server in range(1, 10):
-        node.eject(0, node.servers[server], silent=False)
-    assert len(node.ejected) == 3
+        node.ejection.eject(0, node.servers[server], silent=False)
+    assert len(node.ejection.ejected) == 3
 
 
 def test_a_restarted_server_is_judged_anew():
     node, rec = balancer(4)
-    node.eject(0, node.servers[1], silent=False)
+    node.ejection.eject(0, node.servers[1], silent=False)
     node.servers[1].deviation.value = 5.0
     node.server_list(SEC, ListKind.CHANGES, [ServerEntry(1, ready_at=SEC - 1)])
     assert not node.servers[1].ejected and node.servers[1].deviation.value == 1.0
@@ -550,7 +550,7 @@
 
 def test_a_trial_costs_the_request_little_and_is_never_an_unsafe_one():
     node, rec = balancer(4)
-    node.eject(0, node.servers[1], silent=True)
+    node.ejection.eject(0, node.servers[1], silent=True)
     assert ask(node, rec, 5 * SEC, 1, klass=2)[2] != 1
     action = ask(node, rec, 5 * SEC, 2, klass=0, left=3 * SEC)
     assert action[2] == 1 and action[3] < 3 * SEC
@@ -560,7 +560,7 @@
 def test_a_trial_that_came_to_nothing_is_followed_by_another(outcome):
     """Failure prevented: a client leaves during a trial, and the server stays ejected for good."""
     node, rec = balancer(4)
-    node.eject(0, node.servers[1], silent=True)
+    node.ejection.eject(0, node.servers[1], silent=True)
     assert ask(node, rec, 5 * SEC, 1)[2] == 1
     node.client_left(5 * SEC, 1)
     end(node, rec, 5 * SEC, 1, 0, 1, outcome)
--- a/tests/test_counters.py
+++ b/tests/test_counters.py
@@ -97,7 +97,7 @@
         assert (found["lb_cluster_size"], found["lb_cluster_unhealthy"]) == (5, 1)
         staying = number_of("s3")
         server = next(s for s in bench.node.balancer.subset.members if s.id != staying)
-        bench.node.balancer.eject(0, server, silent=True)
+        bench.node.balancer.ejection.eject(0, server, silent=True)
         assert (await figures(bench))["lb_cluster_unhealthy"] == 2
         bench.discovery.say(44, True, servers[3].entry("s3"))
         await until(lambda: bench.node.discovery.version == 44)
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -25,6 +25,7 @@
     TenantSettings,
 )
 from brackenladder.policy import Balancer
+from brackenladder.policy.selection import Selection
 from brackenladder.policy.slow_start import SlowStart
 
 ROOT = Path(__file__).parent.parent
@@ -250,7 +251,7 @@
 
 def repeats_outside_the_group(monkeypatch):
     monkeypatch.setattr(
-        Balancer, "draw_in_group", lambda self, now, r: self.draw_two(now, 0, self.subset.able)
+        Selection, "draw_in_group", lambda self, now, r: self.draw_two(now, 0, self.subset.able)
     )
 
 
@@ -363,4 +364,4 @@
         for action in rec.take("send"):
             node.outcome(now + 20_000, i, 0, action[2], Outcome.OK, 20_000, True, ())
     assert not node.requests and not node.waiting and len(node.servers) <= 12
-    assert node.controller.in_flight == 0 and len(node.ejected) <= len(node.subset.members)
+    assert node.controller.in_flight == 0 and len(node.ejection.ejected) <= len(node.subset.members)
