Policy: the gradient controller by the names of its field

Change: a minRTT pass is a recalculation; note, roll, share, most and least are record_in_flight, close_window, update_bounds, max_limit and min_limit; constants say what they bound. The words of the fleet's interface (may_pass, passed) and of its log lines stay until its package is renamed.

--- a/brackenladder/policy/balancer.py
+++ b/brackenladder/policy/balancer.py
@@ -81,7 +81,7 @@
     # ---- events ---------------------------------------------------------------------------------------
 
     def start(self, now: int) -> None:
-        self.controller.start_pass(now)
+        self.controller.start_recalculation(now)
         self.spill_at = self.slow_start.asked_at = now
         self.load_shedder.start(now)
         if self.settings.list_on_request:
@@ -217,7 +217,7 @@
         r.useful_until = now + r.patience
         srv.in_flight += -1 if on else 1
         if not srv.aside:
-            self.controller.note(now, -1 if on else 1)
+            self.controller.record_in_flight(now, -1 if on else 1)
 
     def client_left(self, now: int, request: int) -> None:
         r = self.requests.get(request)
@@ -268,7 +268,7 @@
             "min_rtt_msecs": max(c.min_rtt) / 1000,
             "sample_rtt_ratio": c.sample_rtt,
             "rq_blocked": self.blocked,
-            "min_rtt_calculation_active": float(c.in_pass),
+            "min_rtt_calculation_active": float(c.recalculating),
             "in_flight": c.in_flight,
             "members": len(self.subset.members),
             "ejected": len(self.ejection.ejected),
@@ -290,7 +290,7 @@
             srv.quiet_since = now
         srv.in_flight += 1
         if not srv.aside:
-            self.controller.note(now, 1)
+            self.controller.record_in_flight(now, 1)
         if srv.cold_until <= now:
             self.slow_start.warm_sent += 1
         r.out = srv
@@ -387,7 +387,7 @@
         srv.in_flight -= 1
         ctl = self.controller
         if not srv.aside:
-            ctl.note(now, -1)
+            ctl.record_in_flight(now, -1)
         srv.quiet_since = now
         if outcome in (Outcome.CANCELLED, Outcome.NOT_SENT):
             # Failure prevented: a client leaves during a trial, and no other trial ever follows.
--- a/brackenladder/policy/gradient.py
+++ b/brackenladder/policy/gradient.py
@@ -10,28 +10,28 @@
 
 # The source's figures, kept as they are.
 WINDOW = 100_000  # least length of a sampling window
-PERCENTILE = 0.9  # of a window's samples, and of a pass's
-MIN_LIMIT = 3  # the least limit, in a pass as well; and, in calls a member, the floor over all nodes
-PASS_INTERVAL = 60_000_000
-PASS_JITTER = 0.1
-WINDOWS_AT_MIN = 5  # so many windows at the floor start a pass
-PASS_CALLS = 50  # at most so many calls make a pass
+PERCENTILE = 0.9  # of a window's samples, and of a recalculation's
+MIN_LIMIT = 3  # the least limit, in a recalculation too; in calls a member, the floor over all nodes
+MIN_RTT_INTERVAL = 60_000_000
+MIN_RTT_JITTER = 0.1
+WINDOWS_AT_MIN = 5  # so many windows at the floor start a minRTT recalculation
+MIN_RTT_CALLS = 50  # so many calls make a recalculation
 GRADIENT_LOW, GRADIENT_HIGH = 0.5, 2.0  # one window moves the limit by this much at most
 
 # What the design leaves open.
-PASS_MEMBER = 6  # calls a member during a pass: an idle box holds some that wait for the tiers behind it
+CALLS_PER_MEMBER = 6  # in a recalculation: an idle box holds some that wait for the tiers behind it
 WINDOW_SAMPLES = 80  # a window stays open until it holds so many samples...
 WINDOW_STRETCH = 10  # ...or has lasted so many times its least length
 FULL_WINDOW = 8  # fewer samples move the limit by their part of this only
 LEVEL_TIME = 1_000_000  # over so long at most, calls in flight are averaged where many copies share servers
 BUFFER = 0.25  # least buffer_pct
 AIM_SHARE = 0.5  # the buffer reaches up to this share of a class's aim
-AIM_MOST = 0.75  # min_rtt + B stays within this share of it
-LOST_MOST = 0.05  # when more of the whole subset's calls fail, failures count as overload
+MAX_TARGET_SHARE = 0.75  # min_rtt + B stays within this share of it
+MAX_LOST_SHARE = 0.05  # when more of the whole subset's calls fail, failures count as overload
 USUAL_TIME = 3_000_000  # over so long the usual number of calls in flight is smoothed
 RAMP_RTTS = 2  # ...and, after a start, over so many mean round-trips
 USUAL_FADE = 12_000_000  # over so long it is given up while calls are lost
-USUAL_MOST = 2.0  # the limit stays within so many times that number
+MAX_LIMIT_OVER_USUAL = 2.0  # the limit stays within so many times that number
 
 
 def percentile(samples: list[float], share: float) -> float:
@@ -74,7 +74,7 @@
         self.members = 1
         self.copies = 1.0
         self.shared = 1.0
-        self.pass_limit = float(MIN_LIMIT)
+        self.min_rtt_limit = float(MIN_LIMIT)
         self.ceiling = ceiling
         self.limit = float(MIN_LIMIT)
         self.in_flight = 0
@@ -86,35 +86,35 @@
         self.window = SampleWindow(now)
         self.sample_rtt = 0.0  # relative to min_rtt + B
         self.gradient = 1.0
-        self.at_min = 0
+        self.windows_at_floor = 0
         self.rng = rng
-        self.passes = 0
-        self.start_pass(now)
+        self.recalculations = 0
+        self.start_recalculation(now)
 
     def resize(self, members: int, copies: float) -> None:
         """Takes note of the subset's size and of the number of copies that share each member."""
         self.members = members
         self.copies = copies
-        self.share()
-        self.limit = max(self.limit, 2 * self.pass_limit if self.passes == 0 else self.floor)
+        self.update_bounds()
+        self.limit = max(self.limit, 2 * self.min_rtt_limit if self.recalculations == 0 else self.floor)
 
-    def share(self) -> None:
+    def update_bounds(self) -> None:
         """How many copies share what this one may do: fewer, the more calls it carries itself.
 
         The floor is that of all copies together. A copy that carries many calls feels the crowding it
         makes, as the source has it. Where each carries hardly one, the headroom is that of all copies
-        together too, and so, by the root of their number, is the pass's limit: an idle member adds a
+        together too, and so, by the root of their number, is a recalculation's: an idle member adds a
         call without queueing.
         """
         self.shared = max(1.0, self.copies / (1 + self.usual))
         self.floor = MIN_LIMIT * self.members / max(1.0, self.copies)
-        self.pass_limit = max(float(MIN_LIMIT), PASS_MEMBER * self.members / sqrt(self.shared))
+        self.min_rtt_limit = max(float(MIN_LIMIT), CALLS_PER_MEMBER * self.members / sqrt(self.shared))
 
     def headroom(self) -> float:
         """The square root of the limit, for all copies that share the servers: each adds its part."""
         return sqrt(self.limit / self.shared)
 
-    def note(self, now: int, change: int = 0) -> None:
+    def record_in_flight(self, now: int, change: int = 0) -> None:
         """Brings the level up to date and books calls that start (or end).
 
         The level is what the limit is set against. For a copy that has its servers to itself it is its
@@ -132,49 +132,50 @@
 
     def admits(self, now: int, spare: float) -> bool:
         """Whether a call may start, `spare` headrooms below the limit."""
-        self.note(now)
+        self.record_in_flight(now)
         return self.level + spare * self.headroom() < self.allowed()
 
     def allowed(self) -> float:
-        """The limit in force: the gradient's, or the pass's while one is on."""
-        return min(self.limit, self.pass_limit) if self.in_pass else self.limit
-
-    def start_pass(self, now: int) -> None:
-        self.in_pass = True
-        self.pass_samples: list[list[float]] = [[] for _ in self.allowance]
-        self.pass_count = PASS_CALLS
-        self.pass_until = now + WINDOW * WINDOW_STRETCH
-        self.at_min = 0
-
-    def end_pass(self, now: int) -> None:
-        for klass, samples in enumerate(self.pass_samples):
+        """The limit in force: the gradient's, or the recalculation's while one is on."""
+        return min(self.limit, self.min_rtt_limit) if self.recalculating else self.limit
+
+    def start_recalculation(self, now: int) -> None:
+        self.recalculating = True
+        self.min_rtt_samples: list[list[float]] = [[] for _ in self.allowance]
+        self.min_rtt_calls = MIN_RTT_CALLS
+        self.min_rtt_until = now + WINDOW * WINDOW_STRETCH
+        self.windows_at_floor = 0
+
+    def end_recalculation(self, now: int) -> None:
+        for klass, samples in enumerate(self.min_rtt_samples):
             if len(samples) >= MIN_LIMIT:
                 self.min_rtt[klass] = percentile(samples, PERCENTILE)
                 # Failure prevented: a min_rtt measured under load lets queues grow past the aim.
-                most = AIM_MOST / AIM_SHARE * self.allowance[klass]
-                self.target[klass] = min(max(self.min_rtt[klass] * (1 + BUFFER), self.allowance[klass]), most)
-        self.in_pass = False
+                max_target = MAX_TARGET_SHARE / AIM_SHARE * self.allowance[klass]
+                target = max(self.min_rtt[klass] * (1 + BUFFER), self.allowance[klass])
+                self.target[klass] = min(target, max_target)
+        self.recalculating = False
         self.fleet.passed()
-        self.passes += 1
-        self.next_pass = now + int(PASS_INTERVAL * (1 + PASS_JITTER * self.rng.random()))
+        self.recalculations += 1
+        self.next_recalculation = now + int(MIN_RTT_INTERVAL * (1 + MIN_RTT_JITTER * self.rng.random()))
         self.window.restart(now)
 
     def sample(self, now: int, klass: int, latency: int) -> None:
         """A served call's latency, or the time-out of one that timed out."""
-        if self.in_pass:
-            self.pass_samples[klass].append(latency)
-            self.pass_count -= 1
-            # Failure prevented: a pass that ends at its last answer has seen only the short calls.
-            if now >= self.pass_until + (0 if self.pass_count <= 0 else 2 * WINDOW * WINDOW_STRETCH):
-                self.end_pass(now)
+        if self.recalculating:
+            self.min_rtt_samples[klass].append(latency)
+            self.min_rtt_calls -= 1
+            # Failure prevented: a recalculation that ends at its last answer has seen only the short calls.
+            if now >= self.min_rtt_until + (0 if self.min_rtt_calls <= 0 else 2 * WINDOW * WINDOW_STRETCH):
+                self.end_recalculation(now)
             return
         window = self.window
         window.rtts.append(latency / self.target[klass])
         window.flight_sum += self.in_flight
         window.latency_sum += latency
-        self.roll(now)
+        self.close_window(now)
 
-    def roll(self, now: int) -> None:
+    def close_window(self, now: int) -> None:
         """Closes the window when it has lasted and holds enough; an empty window changes nothing."""
         window = self.window
         age = now - window.start
@@ -188,12 +189,13 @@
         limit = self.limit + min(1.0, count / FULL_WINDOW) * (limit - self.limit)
         self.follow_usual(age, count)
         window.restart(now)
-        self.share()
-        self.limit = max(min(limit, self.most(), self.ceiling), self.least(age))
-        # Failure prevented: "usual" is met in any overload, and a pass each few seconds closes a busy copy.
-        self.at_min = self.at_min + 1 if self.limit <= self.floor else 0
-        if (self.at_min >= WINDOWS_AT_MIN or now >= self.next_pass) and self.fleet.may_pass():
-            self.start_pass(now)
+        self.update_bounds()
+        self.limit = max(min(limit, self.max_limit(), self.ceiling), self.min_limit(age))
+        # Failure prevented: "usual" is met in any overload, and a new start each few seconds closes a copy.
+        self.windows_at_floor = self.windows_at_floor + 1 if self.limit <= self.floor else 0
+        due = self.windows_at_floor >= WINDOWS_AT_MIN or now >= self.next_recalculation
+        if due and self.fleet.may_pass():
+            self.start_recalculation(now)
 
     def follow_usual(self, age: int, count: int) -> None:
         """Smooths the calls this copy carries while latency is good.
@@ -212,7 +214,7 @@
         if self.sample_rtt <= 1 and (carried > self.usual or carried < 0.8 * self.limit):
             self.usual += min(1.0, age / max(span, 1)) * (carried - self.usual)
 
-    def most(self) -> float:
+    def max_limit(self) -> float:
         """How far the limit may grow.
 
         Failure prevented: a limit that calls never reach is not measured by their latency; it grows without
@@ -220,17 +222,17 @@
         Failure prevented: what one copy alone could do with idle members, each of many does, and together
         they crowd every server. They burst by chance, so the sum grows with the root of their number.
         """
-        part = PASS_MEMBER * self.members / sqrt(max(1.0, self.copies))
-        return max(part, USUAL_MOST * self.usual + MIN_LIMIT)
+        part = CALLS_PER_MEMBER * self.members / sqrt(max(1.0, self.copies))
+        return max(part, MAX_LIMIT_OVER_USUAL * self.usual + MIN_LIMIT)
 
-    def least(self, age: int) -> float:
+    def min_limit(self, age: int) -> float:
         """How far the limit may fall: to what this copy carried while latency was good.
 
         Failure prevented: when everything is slow at once no lower limit makes it faster, and the gradient
         would close the fleet.
         """
-        kept = (1 - self.lost) ** 2 if self.lost > LOST_MOST else 1.0
-        if self.sample_rtt > 1 and self.lost > LOST_MOST:
+        kept = (1 - self.lost) ** 2 if self.lost > MAX_LOST_SHARE else 1.0
+        if self.sample_rtt > 1 and self.lost > MAX_LOST_SHARE:
             # Failure prevented: servers that slow down when crowded stay crowded, and slow, at what they
             # carried before. Where calls are not only late but lost, less in flight gives them rest.
             self.usual -= min(1.0, age / USUAL_FADE) * self.usual
--- a/laurelspindle/lab/mischief.py
+++ b/laurelspindle/lab/mischief.py
@@ -201,7 +201,7 @@
 
 def brisk() -> None:
     """Passes each few seconds, so that a short run sees some."""
-    gradient.PASS_INTERVAL = 2_000_000
+    gradient.MIN_RTT_INTERVAL = 2_000_000
 
 
 def unruly() -> None:
--- a/laurelspindle/virtual/fleet.py
+++ b/laurelspindle/virtual/fleet.py
@@ -110,9 +110,9 @@
         return super().time_out(now, r, srv)
 
     def finish(self, r: Request, refuse: bool) -> None:
-        if refuse and not r.attempts and self.controller.in_pass and self.controller.passes:
+        if refuse and not r.attempts and self.controller.recalculating and self.controller.recalculations:
             self.notes.refused_in_pass += 1
-            on = sum(m.controller.in_pass and m.controller.passes > 0 for m in self.all)
+            on = sum(m.controller.recalculating and m.controller.recalculations > 0 for m in self.all)
             self.notes.most_in_pass = max(self.notes.most_in_pass, on)
         super().finish(r, refuse)
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -395,7 +395,7 @@
 def test_failed_attempts_add_no_sample(outcome):
     """One member in four fails quickly while the others answer well: the limit must not close for all."""
     node, rec = balancer(4)
-    node.controller.end_pass(0)
+    node.controller.end_recalculation(0)
     node.controller.limit = node.controller.usual = 40.0
     now = 0
     for i in range(400):
@@ -407,7 +407,7 @@
 
 def test_a_time_out_adds_a_sample_at_its_time_out_value():
     node, rec = balancer(4)
-    node.controller.end_pass(0)
+    node.controller.end_recalculation(0)
     _, _, server, timeout = ask(node, rec, 0, 1, 2)
     end(node, rec, timeout, 1, 0, server, Outcome.TIMEOUT, timeout)
     assert node.controller.sample_rtt == pytest.approx(timeout / node.controller.target[2])
@@ -510,7 +510,7 @@
 
 def test_a_slow_member_does_not_speak_for_the_subset():
     node, rec = balancer(4)
-    node.controller.end_pass(0)
+    node.controller.end_recalculation(0)
     node.servers[1].deviation.value = 3.0
     counts = []
     for i, server in enumerate((1, 2)):
--- a/tests/test_fleet_hand.py
+++ b/tests/test_fleet_hand.py
@@ -372,10 +372,10 @@
             call(node, now, number, lambda server: Outcome.OK)
 
     go(5)
-    assert ctl.passes == 1 and hook.heard == ["passed"]
+    assert ctl.recalculations == 1 and hook.heard == ["passed"]
     hook.yes = False
     go(70)
-    assert ctl.passes == 1 and not ctl.in_pass
+    assert ctl.recalculations == 1 and not ctl.recalculating
     hook.yes = True
     go(5)
-    assert ctl.passes == 2
+    assert ctl.recalculations == 2
