--- a/brackenladder/policy/balancer.py
+++ b/brackenladder/policy/balancer.py
@@ -1,9 +1,9 @@
 """Every decision of brackenladder. The interface (types, events, actions) is in brackenladder/interface.py.
 
-How a server is picked. All copies of a tier share a shuffle of the servers; this copy's stretch of it is
+How a server is picked. All copies of a tier share a shuffle of the servers; this copy's slice of it is
 its small subset, wider the more calls it has in flight. A call first passes the gradient controller: at
-the limit it is refused, or waits for a slot where the caller is a server. Then two members are drawn at
-random, slow ones passed over as often as they are slower, and the one with fewer of this copy's calls in
+the limit it is refused, or waits for a slot where the caller is a server. Then two members are picked at
+random, slow ones skipped as often as they are slower, and the one with fewer of this copy's calls in
 flight, in expected time, takes the call. A call is refused beyond the limit, beyond its tenant's share
 while the fleet is pressed, or when no attempt can be made; it is retried only where class, group, time
 and budget allow. Times are integer microseconds.
@@ -38,11 +38,11 @@
 from brackenladder.policy.spillover import ZoneSpillover
 from brackenladder.policy.subset import Subset
 
-RATIO_MOST = 8.0  # a round-trip counts as so many times the mean at most
-CUT_FACTOR = 8  # an attempt may take so many mean round-trips before it is cut in favour of another
+MAX_RTT_RATIO = 8.0  # a round-trip counts as so many times the mean at most
+ATTEMPT_TIMEOUT_FACTOR = 8  # an attempt may take so many mean round-trips while another can follow
 OUTLIER = 2.0  # a member so many times slower than the subset does not speak for it
 
-TIMER_LIST, TIMER_HELD = 1, 2  # in a token's top byte
+TIMER_LIST, TIMER_QUEUED = 1, 2  # in a token's top byte
 TOKEN_BITS = 56
 
 
@@ -57,7 +57,7 @@
         self.servers: dict[int, Server] = {}
         self.trips: Mapping[int, int] = {}  # how much longer the way to a zone is
         self.requests: dict[int, Request] = {}
-        self.flowing: set[int] = set()  # requests whose answers flow: their attempts are booked
+        self.streaming: set[int] = set()  # requests whose answers flow: their attempts are booked
         self.waiting: deque[Request] = deque()
         share = AIM_SHARE * (s.tiers - s.tier) / s.tiers
         allowance = [int(c.aim * share) for c in s.classes]
@@ -72,7 +72,7 @@
         self.selection = Selection(
             s, self.mean_rtt, self.rng, self.subset, self.slow_start, self.spillover, self.ejection
         )
-        self.spill_at = 0
+        self.window_start = 0
         self.retry_budget = RetryBudget()
         self.load_shedder = LoadShedder(s, self.rng, self.mean_rtt)
         self.list_failures = 0
@@ -82,7 +82,7 @@
 
     def start(self, now: int) -> None:
         self.controller.start_recalculation(now)
-        self.spill_at = self.slow_start.asked_at = now
+        self.window_start = self.slow_start.counted_since = now
         self.load_shedder.start(now)
         if self.settings.list_on_request:
             self.actions.watch(True)
@@ -138,7 +138,7 @@
         r = Request(request, klass, c.effect if known else Effect.UNSAFE, now, useful)
         self.requests[request] = r
         if not repeat:
-            self.slow_start.count_asked(now)
+            self.slow_start.count_request(now)
         ctl = self.controller
         self.retry_budget.refill(ctl.limit)
         if not self.subset.fits():
@@ -154,7 +154,7 @@
                 self.finish(r, refuse=True)
                 return
         elif not ctl.admits(now, 0):
-            self.hold(now, r)
+            self.enqueue(now, r)
             return
         self.attempt(now, r)
 
@@ -173,17 +173,17 @@
         r = self.requests.get(request)
         if r is not None and r.uploading:
             self.upload(now, request, attempt, False)
-        if request in self.flowing:
-            self.flowing.discard(request)
+        if request in self.streaming:
+            self.streaming.discard(request)
             if srv is not None and outcome not in (Outcome.OK, Outcome.CANCELLED):
                 srv.fail_rate += SMOOTH * (1 - srv.fail_rate)
         elif srv is not None and srv.in_flight > 0:
-            self.settle(now, srv, r, outcome, latency)
-        if r is not None and r.out is not None and attempt == r.attempts - 1:
-            r.out = None
+            self.end_attempt(now, srv, r, outcome, latency)
+        if r is not None and r.server is not None and attempt == r.attempts - 1:
+            r.server = None
             if final or outcome == Outcome.OK:
                 del self.requests[request]
-            elif r.begun:
+            elif r.responding:
                 self.finish(r, refuse=False)
             else:
                 self.after_failure(now, r, srv, outcome)
@@ -192,23 +192,23 @@
 
     def response_started(self, now: int, request: int, attempt: int, server: int, latency: int) -> None:
         r = self.requests.get(request)
-        if r is not None and r.out is not None and not r.begun:
-            r.begun = True
+        if r is not None and r.server is not None and not r.responding:
+            r.responding = True
             if r.uploading:
                 self.upload(now, request, attempt, False)
             # Failure prevented: clients that read slowly fill the limit, and the time that they take counts
             # as the server's.
-            self.flowing.add(request)
-            if r.out.in_flight > 0:
-                self.settle(now, r.out, r, Outcome.OK, latency)
+            self.streaming.add(request)
+            if r.server.in_flight > 0:
+                self.end_attempt(now, r.server, r, Outcome.OK, latency)
 
     def upload(self, now: int, request: int, attempt: int, on: bool) -> None:
-        """Failure prevented: clients that write slowly fill the limit, and the server they write to is set
-        aside as silent."""
+        """Failure prevented: clients that write slowly fill the limit, and the server they write to is
+        ejected as silent."""
         r = self.requests.get(request)
-        if r is None or r.out is None or r.uploading == on or attempt != r.attempts - 1:
+        if r is None or r.server is None or r.uploading == on or attempt != r.attempts - 1:
             return
-        srv = r.out
+        srv = r.server
         if not on and srv.in_flight == 0:
             srv.quiet_since = now
         srv.uploads += 1 if on else -1
@@ -216,7 +216,7 @@
         r.sent_at = now
         r.useful_until = now + r.patience
         srv.in_flight += -1 if on else 1
-        if not srv.aside:
+        if not srv.uncounted:
             self.controller.record_in_flight(now, -1 if on else 1)
 
     def client_left(self, now: int, request: int) -> None:
@@ -224,16 +224,16 @@
         if r is not None and r.uploading:
             self.upload(now, request, r.attempts - 1, False)
         r = self.requests.pop(request, None)
-        if r is not None and r.out is not None and self.settings.cancel and not r.begun:
+        if r is not None and r.server is not None and self.settings.cancel and not r.responding:
             self.actions.cancel(request, r.attempts - 1)
 
     def probed(self, now: int, server: int, ok: bool, latency: int, report: Sequence[float]) -> None:
         """Not used: half-open trials are real calls."""
 
     def tried(self, now: int, server: int, well: bool) -> None:
-        """Another node has tried a server, which counts for one that is set aside here."""
+        """Another node has tried a server, which counts for one that is ejected here."""
         srv = self.servers.get(server)
-        if srv is not None and srv.ejected and not srv.trial_out:
+        if srv is not None and srv.ejected and not srv.trial_in_flight:
             if well:
                 self.ejection.readmit(srv)
             else:
@@ -248,10 +248,10 @@
         kind, value = token >> TOKEN_BITS, token & ((1 << TOKEN_BITS) - 1)
         if kind == TIMER_LIST:
             self.actions.watch(True)
-        elif kind == TIMER_HELD:
+        elif kind == TIMER_QUEUED:
             r = self.requests.get(value)
-            if r is not None and r.held:
-                r.held = False
+            if r is not None and r.queued:
+                r.queued = False
                 self.blocked += 1
                 self.finish(r, refuse=True)
 
@@ -280,26 +280,26 @@
     # ---- a request's life -----------------------------------------------------------------------------
 
     def attempt(self, now: int, r: Request) -> None:
-        """Sends the request to the server drawn for it, or answers it when there is none."""
-        srv = self.selection.draw(now, r)
+        """Sends the request to the server picked for it, or answers it when there is none."""
+        srv = self.selection.pick_server(now, r)
         if srv is None:
             self.finish(r, refuse=r.ran_on is None)
             return
-        timeout = self.time_out(now, r, srv)
+        timeout = self.attempt_timeout(now, r, srv)
         if srv.in_flight == 0:
             srv.quiet_since = now
         srv.in_flight += 1
-        if not srv.aside:
+        if not srv.uncounted:
             self.controller.record_in_flight(now, 1)
         if srv.cold_until <= now:
             self.slow_start.warm_sent += 1
-        r.out = srv
-        r.tried.append(srv)
+        r.server = srv
+        r.tried_servers.append(srv)
         r.sent_at = now
         r.attempts += 1
         self.actions.send(r.id, srv.id, timeout)
 
-    def time_out(self, now: int, r: Request, srv: Server) -> int:
+    def attempt_timeout(self, now: int, r: Request, srv: Server) -> int:
         """How long this attempt may take: the time left, or less where that leaves room for another.
 
         Failure prevented: an answer that never comes costs the request its whole time.
@@ -308,11 +308,11 @@
         if r.effect == Effect.UNSAFE:
             return left
         mean = self.mean_rtt[r.klass]
-        if srv.aside:  # a trial of an ejected server
+        if srv.uncounted:  # a trial of an ejected server
             return min(left, max(self.settings.tick, int(SILENT_FACTOR * mean)))
-        # Failure prevented: in a crowd every copy cuts calls that are half done, their work is lost at this
+        # Failure prevented: in a crowd every copy aborts calls that are half done, their work is lost at this
         # tier and all behind it, and the next attempts crowd the tier again.
-        patience = max(self.settings.tick, int(CUT_FACTOR * mean))
+        patience = max(self.settings.tick, int(ATTEMPT_TIMEOUT_FACTOR * mean))
         if r.attempts + 1 < self.settings.max_attempts and self.retry_budget.allows():
             return min(left, max(left // 2, patience))
         return left
@@ -351,54 +351,54 @@
             after = min(s.max_retry_after, int(s.classes[r.klass].aim / 8))
         self.actions.refuse(r.id, after)
 
-    def hold(self, now: int, r: Request) -> None:
+    def enqueue(self, now: int, r: Request) -> None:
         """Below the first tier a refusal wastes the work already sunk above: the call waits for a free slot.
 
         Acts only where callers are servers, at the limit, for up to half the time left, for as many calls
         as the limit.
         """
-        if not self.subset.able or len(self.waiting) >= self.controller.limit:
+        if not self.subset.available or len(self.waiting) >= self.controller.limit:
             self.blocked += 1
             self.finish(r, refuse=True)
             return
-        r.held = True
+        r.queued = True
         self.waiting.append(r)
-        self.actions.set_timer(max(1, (r.useful_until - now) // 2), TIMER_HELD << TOKEN_BITS | r.id)
+        self.actions.set_timer(max(1, (r.useful_until - now) // 2), TIMER_QUEUED << TOKEN_BITS | r.id)
 
     def serve_waiting(self, now: int) -> None:
         waiting = self.waiting
-        while waiting and (not waiting[0].held or self.controller.admits(now, 0)):
+        while waiting and (not waiting[0].queued or self.controller.admits(now, 0)):
             r = waiting.popleft()
-            if r.held and r.id in self.requests:
-                r.held = False
+            if r.queued and r.id in self.requests:
+                r.queued = False
                 self.attempt(now, r)
 
-    def each_window(self, now: int) -> None:
+    def close_window(self, now: int) -> None:
         """Slow bookkeeping, at most once a window: warm rate, class ranks, spill between zones."""
-        span = now - self.spill_at
-        self.spill_at = now
+        span = now - self.window_start
+        self.window_start = now
         self.slow_start.measure_warm_rate(now, span)
         self.load_shedder.rank_classes()
         if self.spillover.zoned and self.subset.near:
             self.spillover.adjust()
 
-    def settle(self, now: int, srv: Server, r: Request | None, outcome: Outcome, latency: int) -> None:
+    def end_attempt(self, now: int, srv: Server, r: Request | None, outcome: Outcome, latency: int) -> None:
         """Books an attempt's end: in-flight, samples, the server's averages, ejection."""
         srv.in_flight -= 1
         ctl = self.controller
-        if not srv.aside:
+        if not srv.uncounted:
             ctl.record_in_flight(now, -1)
         srv.quiet_since = now
         if outcome in (Outcome.CANCELLED, Outcome.NOT_SENT):
             # Failure prevented: a client leaves during a trial, and no other trial ever follows.
-            srv.trial_out = False
+            srv.trial_in_flight = False
             return
         ok = outcome == Outcome.OK
         if r is not None and (ok or outcome == Outcome.TIMEOUT):
             klass = r.klass
             if srv.deviation.value < OUTLIER and not srv.ejected:
                 ctl.sample(now, klass, max(1, latency - self.trips.get(srv.zone, 0)))
-            ratio = min(latency / self.mean_rtt[klass], RATIO_MOST)
+            ratio = min(latency / self.mean_rtt[klass], MAX_RTT_RATIO)
             srv.deviation.add(ratio / srv.kind.value)
             srv.kind.add(ratio)
             latency_ratio = latency / ctl.target[klass]
@@ -406,8 +406,8 @@
             self.load_shedder.record(latency_ratio)
             self.rtt[klass].add(latency)
             self.mean_rtt[klass] = self.rtt[klass].value
-            if now - self.spill_at >= WINDOW:
-                self.each_window(now)
+            if now - self.window_start >= WINDOW:
+                self.close_window(now)
         if r is not None:
             away = srv.turned_away.get(r.klass, 0.0)
             srv.turned_away[r.klass] = away + SMOOTH * (float(outcome == Outcome.REJECTED) - away)
--- a/brackenladder/policy/ejection.py
+++ b/brackenladder/policy/ejection.py
@@ -41,12 +41,12 @@
         self.fail_rate += SMOOTH_ALL * (bad - self.fail_rate)
         if ok:
             srv.fails_in_row = 0
-            if srv.ejected and (srv.trial_out or srv.silent):
+            if srv.ejected and (srv.trial_in_flight or srv.silent):
                 self.readmit(srv, well=True)
         elif bad:
             srv.fails_in_row += 1
             if srv.ejected:
-                if srv.trial_out:
+                if srv.trial_in_flight:
                     self.eject(now, srv, silent=False)
             elif (
                 srv.fails_in_row >= EJECT_FAILS
@@ -54,11 +54,11 @@
                 or srv.calls >= EJECT_FAILS
                 and srv.fail_rate > EJECT_RATE + self.fail_rate
             ):
-                # Failure prevented: a member that fails quickly holds few calls and wins the draws.
+                # Failure prevented: a member that fails quickly holds few calls and wins the picks.
                 self.eject(now, srv, silent=False)
-        elif srv.trial_out:
+        elif srv.trial_in_flight:
             self.eject(now, srv, silent=srv.silent)
-        srv.trial_out = False
+        srv.trial_in_flight = False
 
     def eject(self, now: int, srv: Server, silent: bool) -> None:
         # Failure prevented: a drained server's last calls fail, it is ejected and later gets a trial call.
@@ -107,10 +107,10 @@
         if now < self.next_trial:
             return None
         for trial in self.ejected:
-            if trial.trial_at > now or trial.trial_out or not self.fleet.may_try(trial.id):
+            if trial.trial_at > now or trial.trial_in_flight or not self.fleet.may_try(trial.id):
                 continue
             if slow_start.may_send(now, trial):
-                trial.trial_out = True
+                trial.trial_in_flight = True
                 trial.trial_at = now + EJECT_TIME
                 return trial
         return None
--- a/brackenladder/policy/request.py
+++ b/brackenladder/policy/request.py
@@ -17,10 +17,10 @@
         self.useful_until = now + patience
         self.uploading = False
         self.attempts = 0
-        self.out: Server | None = None
+        self.server: Server | None = None
         self.ran_on: Server | None = None  # the first server that may have run it
         self.ran_at = 0
-        self.begun = False
-        self.held = False
+        self.responding = False
+        self.queued = False
         self.sent_at = 0
-        self.tried: list[Server] = []
+        self.tried_servers: list[Server] = []
--- a/brackenladder/policy/selection.py
+++ b/brackenladder/policy/selection.py
@@ -12,12 +12,12 @@
 from brackenladder.policy.spillover import ZoneSpillover
 from brackenladder.policy.subset import Subset
 
-PICK_TRIES = 10  # so many members may be passed over for being slow
+PICK_TRIES = 10  # so many members may be skipped for being slow
 
 
 def untried(pool: list[Server], r: Request) -> list[Server]:
     """Those of the pool that the request has not been sent to; all of them if there is no other."""
-    return [m for m in pool if m not in r.tried] or pool if r.tried else pool
+    return [m for m in pool if m not in r.tried_servers] or pool if r.tried_servers else pool
 
 
 class Selection:
@@ -41,34 +41,35 @@
         self.spillover = spillover
         self.ejection = ejection
 
-    def draw(self, now: int, r: Request) -> Server | None:
+    def pick_server(self, now: int, r: Request) -> Server | None:
         """Two random members; the one with less in flight takes the call, a further attempt as well.
 
-        Failure prevented: a member that has just turned a call away holds few, wins the draw for its next
+        Failure prevented: a member that has just turned a call away holds few, wins the pick for its next
         attempt too and turns it away again. The source, too, tries again on another host where it can.
         """
         effect = r.effect
         if r.ran_on is not None and effect == Effect.KEYED:
-            return self.draw_in_group(now, r)
+            return self.pick_in_group(now, r)
         if self.ejection.ejected and effect != Effect.UNSAFE:
             trial = self.ejection.take_trial(now, self.slow_start)
             if trial is not None:
                 return trial
         if self.subset.shares:
             drawn = self.rng.choices([*self.subset.shares], [*self.subset.shares.values()])
-            failed = r.tried[-1].zone if r.tried else -1  # where a zone is lost, a repeat there is lost too
+            # Where a zone is lost, a repeat there is lost too.
+            failed = r.tried_servers[-1].zone if r.tried_servers else -1
             for zone in sorted([*drawn, *self.subset.shares], key=lambda zone: zone == failed):
-                srv = self.draw_two(now, r.klass, untried(self.subset.by_zone[zone], r))
+                srv = self.pick_of_two(now, r.klass, untried(self.subset.by_zone[zone], r))
                 if srv is not None:
                     return srv
             return None
         if self.spillover.zoned and self.subset.near and self.rng.random() >= self.spillover.spill:
-            srv = self.draw_two(now, r.klass, untried(self.subset.near, r))
+            srv = self.pick_of_two(now, r.klass, untried(self.subset.near, r))
             if srv is not None:
                 return srv
-        return self.draw_two(now, r.klass, untried(self.subset.able, r))
+        return self.pick_of_two(now, r.klass, untried(self.subset.available, r))
 
-    def draw_two(self, now: int, klass: int, pool: list[Server]) -> Server | None:
+    def pick_of_two(self, now: int, klass: int, pool: list[Server]) -> Server | None:
         n = len(pool)
         if n == 0:
             return None
@@ -76,8 +77,8 @@
             return pool[0] if self.slow_start.may_send(now, pool[0]) else None
         mean = min(self.mean_rtt)
         for _ in range(3):
-            a = self.pick(now, klass, pool, mean)
-            b = self.pick(now, klass, pool, mean, a)
+            a = self.pick_member(now, klass, pool, mean)
+            b = self.pick_member(now, klass, pool, mean, a)
             if b.load(now, klass, mean) < a.load(now, klass, mean):
                 a, b = b, a
             b_silent = self.ejection.is_silent(now, b)
@@ -90,13 +91,13 @@
                 return a
         return None
 
-    def pick(
+    def pick_member(
         self, now: int, klass: int, pool: list[Server], mean: float, other: Server | None = None
     ) -> Server:
-        """A random member but `other`. One slower than the mean is passed over as often as it is slower.
+        """A random member but `other`. One slower than the mean is skipped as often as it is slower.
 
-        Failure prevented: of few members two slow ones are drawn together each few calls, and what one of
-        them gets keeps it crowded. After a few passes whoever comes is taken.
+        Failure prevented: of few members two slow ones are picked together each few calls, and what one of
+        them gets keeps it crowded. After a few skips whoever comes is taken.
         """
         while True:
             for _ in range(PICK_TRIES):
@@ -106,7 +107,7 @@
             if srv is not other:
                 return srv
 
-    def draw_in_group(self, now: int, r: Request) -> Server | None:
+    def pick_in_group(self, now: int, r: Request) -> Server | None:
         """A keyed request that may have run goes only to the servers that would discard its repeat."""
         first = r.ran_on
         group = self.settings.classes[r.klass].group
@@ -116,7 +117,7 @@
             for _, m in sorted(self.subset.servers.items())
             if m is not first
             and m.in_list
-            and not m.aside
+            and not m.uncounted
             and (
                 group == Group.ALL
                 or group == Group.ZONE
@@ -125,4 +126,4 @@
                 and m.cell == first.cell
             )
         ]
-        return self.draw_two(now, r.klass, pool)
+        return self.pick_of_two(now, r.klass, pool)
--- a/brackenladder/policy/server.py
+++ b/brackenladder/policy/server.py
@@ -38,8 +38,8 @@
         self.in_flight = 0
         self.uploads = 0  # attempts whose requests are still on their way
         self.ejected = False
-        self.aside = False  # its calls do not count against the limit
-        self.trial_out = False
+        self.uncounted = False  # its calls do not count against the limit
+        self.trial_in_flight = False
         self.ready_at = -1
         self.quiet_since = 0
         self.cell = self.zone = 0
@@ -63,9 +63,9 @@
     def slowness(self, now: int, klass: int, mean_rtt: float) -> float:
         """The round-trip expected of it, relative to the mean: by its kind, its own past and its failures.
 
-        Failure prevented: a member once found slow is never drawn again, so its estimate is never renewed.
+        Failure prevented: a member once found slow is never picked again, so its estimate is never renewed.
         What is its own fades while no outcome comes.
-        Failure prevented: a member that turns away one class alone holds few of its calls and wins draws.
+        Failure prevented: a member that turns away one class alone holds few of its calls and wins picks.
         """
         fade = max(0.0, 1 - (now - self.quiet_since) / FADE)
         failing = self.fail_rate + self.turned_away.get(klass, 0.0)
@@ -77,5 +77,5 @@
         return slowness
 
     def load(self, now: int, klass: int, mean_rtt: float) -> float:
-        """Calls in flight, this one included, in expected time: the draw's measure."""
+        """Calls in flight, this one included, in expected time: the measure of a pick."""
         return (self.in_flight + 1) * self.slowness(now, klass, mean_rtt)
--- a/brackenladder/policy/slow_start.py
+++ b/brackenladder/policy/slow_start.py
@@ -7,7 +7,7 @@
 from brackenladder.policy.server import Server
 from brackenladder.policy.subset import Subset
 
-EVEN_MOST = 2.5  # with no warm member, a cold one takes its share of so many even parts of the requests
+MAX_EVEN_SHARES = 2.5  # with no warm member, a cold one takes its share of so many even parts
 
 
 class SlowStart:
@@ -18,18 +18,19 @@
         self.subset = subset
         self.warm_rate = 0.0  # sends a second to a warm member, smoothed
         self.warm_sent = 0
-        self.asked = 0  # requests, without clients' repeats, since `asked_at`
-        self.asked_at = 0
-        self.ask_rate = 0.0  # of them a second, smoothed
+        self.requests = 0  # requests, without clients' repeats, since `counted_since`
+        self.counted_since = 0
+        self.request_rate = 0.0  # of them a second, smoothed
 
-    def count_asked(self, now: int) -> None:
+    def count_request(self, now: int) -> None:
         """Keeps the rate of requests, the measure of a server's share while no member is warm."""
-        self.asked += 1
-        span = now - self.asked_at
+        self.requests += 1
+        span = now - self.counted_since
         if span >= WINDOW * WINDOW_STRETCH:
-            rate = self.asked * 1e6 / span
-            self.ask_rate += min(1.0, span / 2e6 if self.ask_rate else 1.0) * (rate - self.ask_rate)
-            self.asked, self.asked_at = 0, now
+            rate = self.requests * 1e6 / span
+            weight = min(1.0, span / 2e6) if self.request_rate else 1.0
+            self.request_rate += weight * (rate - self.request_rate)
+            self.requests, self.counted_since = 0, now
 
     def measure_warm_rate(self, now: int, span: int) -> None:
         """Takes in the calls sent to warm members in the window that ends now."""
@@ -50,8 +51,8 @@
         """
         if any(m.cold_until <= now and not m.ejected for m in self.subset.members):
             return self.warm_rate
-        even = self.ask_rate / max(1, len(self.subset.members))
-        return min(max(self.warm_rate, even), EVEN_MOST * even)
+        even = self.request_rate / max(1, len(self.subset.members))
+        return min(max(self.warm_rate, even), MAX_EVEN_SHARES * even)
 
     def may_send(self, now: int, srv: Server) -> bool:
         """Slow start: a cold server takes its present share of what a warm member gets from this copy.
--- a/brackenladder/policy/spillover.py
+++ b/brackenladder/policy/spillover.py
@@ -23,7 +23,7 @@
         self.far_ratio = 0.5  # ...and of the others
         self.best_ratio = 0.0
         self.spill = 0.0 if self.zoned else 1.0  # share of calls that may leave the zone
-        self.spill_least = self.spill
+        self.min_spill = self.spill
 
     def record(self, zone: int, latency_ratio: float) -> None:
         """Takes in an answer's latency, relative to its class's target."""
@@ -41,11 +41,11 @@
         if not self.zoned or not members:
             return
         near = sum(m.zone == self.settings.zone for m in members)
-        self.spill_least = max(0.0, 1 - near * self.settings.instances / len(members))
-        self.spill = max(self.spill, self.spill_least)
+        self.min_spill = max(0.0, 1 - near * self.settings.instances / len(members))
+        self.spill = max(self.spill, self.min_spill)
 
     def adjust(self) -> None:
-        """Moves the share by a step, once a window while the zone has servers that may be drawn.
+        """Moves the share by a step, once a window while the zone has servers that may be picked.
 
         Failure prevented: one zone's servers drown while another's stand idle. Unvisited, the other zones
         are taken to do as well as this one did at its best.
@@ -58,4 +58,4 @@
         patience = 1 + CROSSING * self.settings.cross_zone_price
         step = SPILL_GAIN * (self.near_ratio / max(self.far_ratio, 1e-9) - patience)
         self.spill += min(SPILL_STEP, max(-SPILL_STEP, step))
-        self.spill = min(1.0, max(self.spill_least, self.spill))
+        self.spill = min(1.0, max(self.min_spill, self.spill))
--- a/brackenladder/policy/subset.py
+++ b/brackenladder/policy/subset.py
@@ -9,9 +9,9 @@
 from brackenladder.policy.gradient import GradientController
 from brackenladder.policy.server import Server
 
-SUBSET_LEAST = 4  # members of a copy that has hardly any call in flight
-SUBSET_MOST = 24  # and of any other
-SUBSET_FLIGHT = 2  # in between: so many for each call in flight
+MIN_SUBSET_SIZE = 4  # members of a copy that has hardly any call in flight
+MAX_SUBSET_SIZE = 24  # and of any other
+MEMBERS_PER_CALL = 2  # in between: so many for each call in flight
 SMOOTH_FLIGHT = 0.05  # weight of the newest sample in the mean number of calls in flight
 
 
@@ -24,7 +24,7 @@
 
 
 class Subset:
-    """The members, their number, and those of them that may be drawn."""
+    """The members, their number, and those of them that may be picked."""
 
     def __init__(
         self, settings: Settings, servers: Mapping[int, Server], controller: GradientController, zoned: bool
@@ -34,29 +34,29 @@
         self.controller = controller
         self.zoned = zoned  # members are taken from each zone, also without shares
         self.members: list[Server] = []
-        self.size = SUBSET_LEAST  # wanted when the members were last taken
-        self.flight = 0.0  # calls in flight, smoothed
-        self.near: list[Server] = []  # members in this zone that may be drawn
-        self.able: list[Server] = []  # all members that may be drawn
+        self.size = MIN_SUBSET_SIZE  # wanted when the members were last taken
+        self.mean_in_flight = 0.0  # calls in flight, smoothed
+        self.near: list[Server] = []  # members in this zone that may be picked
+        self.available: list[Server] = []  # all members that may be picked
         self.shares: Mapping[int, float] = {}  # of the calls, by zone, as the fleet has it
-        self.by_zone: dict[int, list[Server]] = {}  # those of `able`, where there are shares
+        self.by_zone: dict[int, list[Server]] = {}  # those of `available`, where there are shares
 
     def fits(self) -> bool:
         """Whether the size still suits the calls in flight, whose mean takes in a sample."""
-        self.flight += SMOOTH_FLIGHT * (self.controller.in_flight - self.flight)
+        self.mean_in_flight += SMOOTH_FLIGHT * (self.controller.in_flight - self.mean_in_flight)
         return self.size / 2 <= self.wanted_size() <= self.size * 1.25
 
     def wanted_size(self) -> int:
-        return min(SUBSET_MOST, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
+        return min(MAX_SUBSET_SIZE, max(MIN_SUBSET_SIZE, ceil(MEMBERS_PER_CALL * self.mean_in_flight)))
 
-    def stretch(self, servers: list[Server]) -> list[Server]:
-        """This copy's part of a shuffle in which the machines of each kind lie evenly spread.
+    def slice(self, servers: list[Server]) -> list[Server]:
+        """This copy's slice of a shuffle in which the machines of each kind lie evenly spread.
 
         Failure prevented: by chance a copy's few members are all of a slow kind, and it keeps them crowded
         while others' fast ones stand idle.
         """
         n = len(servers)
-        parts = max(1, n // SUBSET_LEAST)
+        parts = max(1, n // MIN_SUBSET_SIZE)
         turn, part = divmod(self.settings.index, parts)
         servers.sort(key=lambda srv: (mix(srv.id, turn), srv.id))
         kinds: dict[int, list[Server]] = {}
@@ -71,9 +71,9 @@
         return [order[i % n] for i in range(start, min(max(end, start + self.size), start + n))]
 
     def refill(self) -> None:
-        """Takes the members anew: this copy's stretch of an order of the servers that all copies share.
+        """Takes the members anew: this copy's slice of an order of the servers that all copies share.
 
-        Copies whose numbers follow one another take stretches that follow one another; once round, the
+        Copies whose numbers follow one another take slices that follow one another; once round, the
         next ones go by another shuffle. So each server belongs to equally many copies, without a message,
         a new server gets its part as soon as it is listed, and a change of the list moves few members.
         """
@@ -85,21 +85,20 @@
         if self.zoned or self.shares:
             # Failure prevented: a subset over all zones has one member or none where calls should stay.
             for zone in sorted({srv.zone for srv in listed}):
-                self.members += self.stretch([srv for srv in listed if srv.zone == zone])
+                self.members += self.slice([srv for srv in listed if srv.zone == zone])
         else:
-            self.members = self.stretch(listed)
+            self.members = self.slice(listed)
         for srv in self.members:
             srv.member = True
 
     def sort(self) -> None:
-        self.able = []
+        self.available = []
         for m in self.members:
-            aside = m.ejected
-            if not aside:
-                self.able.append(m)
-            if aside != m.aside:
+            if not m.ejected:
+                self.available.append(m)
+            if m.ejected != m.uncounted:
                 # Failure prevented: calls stuck on a silent member fill the limit for all the others.
-                self.controller.in_flight += -m.in_flight if aside else m.in_flight
-                m.aside = aside
-        self.near = [m for m in self.able if m.zone == self.settings.zone]
-        self.by_zone = {zone: [m for m in self.able if m.zone == zone] for zone in self.shares}
+                self.controller.in_flight += -m.in_flight if m.ejected else m.in_flight
+                m.uncounted = m.ejected
+        self.near = [m for m in self.available if m.zone == self.settings.zone]
+        self.by_zone = {zone: [m for m in self.available if m.zone == zone] for zone in self.shares}
--- a/laurelspindle/virtual/fleet.py
+++ b/laurelspindle/virtual/fleet.py
@@ -104,10 +104,10 @@
             way = self.world.network.between(self.home, self.world.by_id[server].zone, request)
             self.hook.ended(server, outcome, latency, 2 * way / 1e6 if request % DIALS == 0 else 0.0)
 
-    def time_out(self, now: int, r: Request, srv: Server) -> int:
-        if srv.aside:
+    def attempt_timeout(self, now: int, r: Request, srv: Server) -> int:
+        if srv.uncounted:
             self.notes.trials[srv.id] += 1
-        return super().time_out(now, r, srv)
+        return super().attempt_timeout(now, r, srv)
 
     def finish(self, r: Request, refuse: bool) -> None:
         if refuse and not r.attempts and self.controller.recalculating and self.controller.recalculations:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -25,7 +25,7 @@
 @pytest.fixture
 def wide(monkeypatch):
     """All servers of a small list are members."""
-    monkeypatch.setattr(subset, "SUBSET_LEAST", 24)
+    monkeypatch.setattr(subset, "MIN_SUBSET_SIZE", 24)
 
 
 def test_refused_at_the_limit_at_once_with_back_off():
@@ -572,7 +572,7 @@
     node, rec = balancer(entries, cross_zone_price=0.04, instances=12)
     node.spillover.far_ratio, node.spillover.best_ratio, node.spillover.near_ratio = 5.0, 0.2, 0.6
     for i in range(1, 60):
-        node.each_window(i * 100_000)
+        node.close_window(i * 100_000)
     assert node.spillover.far_ratio < 3.0 and node.spillover.spill > 0
 
 
@@ -610,7 +610,7 @@
     small = len(node.subset.members)
     for i in range(60):
         ask(node, rec, i, i)
-    node.subset.flight = 40.0
+    node.subset.mean_in_flight = 40.0
     ask(node, rec, 100, 100)
     assert small < 12 and len(node.subset.members) == 24
 
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -61,8 +61,8 @@
 def test_constants_and_revisions_are_loaded_beside_todays_module():
     from brackenladder.policy import balancer as today
 
-    policy_of("", (("CUT_FACTOR", 4.0),))
-    assert today.CUT_FACTOR == 8
+    policy_of("", (("ATTEMPT_TIMEOUT_FACTOR", 4.0),))
+    assert today.ATTEMPT_TIMEOUT_FACTOR == 8
     (task,) = tasks(plan_of({**TABLE, "seeds": 1, "variant": [{"name": "a", "revision": "git:5fc5af5"}]}))
     result, error = run_task(task)
     assert error is None and result["made"]["module"].startswith("5fc5af5")
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -231,7 +231,7 @@
         await until(lambda: server.closed == 1 and not bench.node.requests.open)
         assert outcomes == [Outcome.CANCELLED]
         assert not any(s.in_flight for s in bench.node.balancer.servers.values())
-        assert not bench.node.balancer.flowing
+        assert not bench.node.balancer.streaming
 
     play(scene)
 
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -251,7 +251,7 @@
 
 def repeats_outside_the_group(monkeypatch):
     monkeypatch.setattr(
-        Selection, "draw_in_group", lambda self, now, r: self.draw_two(now, 0, self.subset.able)
+        Selection, "pick_in_group", lambda self, now, r: self.pick_of_two(now, 0, self.subset.available)
     )
 
 
