--- a/brackenladder/policy/balancer.py
+++ b/brackenladder/policy/balancer.py
@@ -129,13 +129,13 @@
         s = self.settings
         # Failure prevented: a request of an unknown class gets the retry rights of some other class.
         known = klass < len(s.classes)
-        klass = min(klass, len(s.classes) - 1)
-        c = s.classes[klass]
+        request_class = min(klass, len(s.classes) - 1)
+        c = s.classes[request_class]
         useful = time_left
         if c.late_worth <= 0 and c.aim - 2 * s.tick < useful:
             # Late work is waste: an answer after the aim is worth nothing here, so nothing waits for it.
             useful = max(s.tick, c.aim - 2 * s.tick)
-        r = Request(request, klass, c.effect if known else Effect.UNSAFE, now, useful)
+        r = Request(request, request_class, c.effect if known else Effect.UNSAFE, now, useful)
         self.requests[request] = r
         if not repeat:
             self.slow_start.count_request(now)
@@ -148,7 +148,7 @@
             # Trunk reservation: a class of lesser worth for its time leaves sqrt(limit) slots for
             # what is worth more, a tenant beyond its share twice that.
             over, clear = self.load_shedder.over_share(now, tenant)
-            spare = self.load_shedder.rank[klass] + 2 * over
+            spare = self.load_shedder.rank[request_class] + 2 * over
             if clear and self.load_shedder.drops() or not ctl.admits(now, spare):
                 self.blocked += 1
                 self.finish(r, refuse=True)
@@ -304,23 +304,23 @@
 
         Failure prevented: an answer that never comes costs the request its whole time.
         """
-        left = r.useful_until - now
+        remaining = r.useful_until - now
         if r.effect == Effect.UNSAFE:
-            return left
-        mean = self.mean_rtt[r.klass]
+            return remaining
+        mean = self.mean_rtt[r.request_class]
         if srv.uncounted:  # a trial of an ejected server
-            return min(left, max(self.settings.tick, int(SILENT_FACTOR * mean)))
+            return min(remaining, max(self.settings.tick, int(SILENT_FACTOR * mean)))
         # Failure prevented: in a crowd every copy aborts calls that are half done, their work is lost at this
         # tier and all behind it, and the next attempts crowd the tier again.
         patience = max(self.settings.tick, int(ATTEMPT_TIMEOUT_FACTOR * mean))
         if r.attempts + 1 < self.settings.max_attempts and self.retry_budget.allows():
-            return min(left, max(left // 2, patience))
-        return left
+            return min(remaining, max(remaining // 2, patience))
+        return remaining
 
     def after_failure(self, now: int, r: Request, srv: Server | None, outcome: Outcome) -> None:
         """A further attempt where class, time, budget and attempt cap allow it; a final answer otherwise."""
         s = self.settings
-        c = s.classes[r.klass]
+        c = s.classes[r.request_class]
         if outcome not in NEVER_RAN and r.ran_on is None:
             r.ran_on = srv
             r.ran_at = r.sent_at
@@ -332,7 +332,7 @@
             allowed
             and r.attempts < s.max_attempts
             and self.retry_budget.allows()
-            and now + self.mean_rtt[r.klass] < r.useful_until
+            and now + self.mean_rtt[r.request_class] < r.useful_until
         ):
             self.retry_budget.spend()
             self.attempt(now, r)
@@ -348,7 +348,7 @@
             return
         after = 0
         if s.retry_after:
-            after = min(s.max_retry_after, int(s.classes[r.klass].aim / 8))
+            after = min(s.max_retry_after, int(s.classes[r.request_class].aim / 8))
         self.actions.refuse(r.id, after)
 
     def enqueue(self, now: int, r: Request) -> None:
@@ -395,22 +395,22 @@
             return
         ok = outcome == Outcome.OK
         if r is not None and (ok or outcome == Outcome.TIMEOUT):
-            klass = r.klass
+            request_class = r.request_class
             if srv.deviation.value < OUTLIER and not srv.ejected:
-                ctl.sample(now, klass, max(1, latency - self.trips.get(srv.zone, 0)))
-            ratio = min(latency / self.mean_rtt[klass], MAX_RTT_RATIO)
+                ctl.sample(now, request_class, max(1, latency - self.trips.get(srv.zone, 0)))
+            ratio = min(latency / self.mean_rtt[request_class], MAX_RTT_RATIO)
             srv.deviation.add(ratio / srv.kind.value)
             srv.kind.add(ratio)
-            latency_ratio = latency / ctl.target[klass]
+            latency_ratio = latency / ctl.target[request_class]
             self.spillover.record(srv.zone, latency_ratio)
             self.load_shedder.record(latency_ratio)
-            self.rtt[klass].add(latency)
-            self.mean_rtt[klass] = self.rtt[klass].value
+            self.rtt[request_class].add(latency)
+            self.mean_rtt[request_class] = self.rtt[request_class].value
             if now - self.window_start >= WINDOW:
                 self.close_window(now)
         if r is not None:
-            away = srv.turned_away.get(r.klass, 0.0)
-            srv.turned_away[r.klass] = away + SMOOTH * (float(outcome == Outcome.REJECTED) - away)
+            away = srv.turned_away.get(r.request_class, 0.0)
+            srv.turned_away[r.request_class] = away + SMOOTH * (float(outcome == Outcome.REJECTED) - away)
         if not srv.ejected and outcome != Outcome.REJECTED:
             ctl.lost += SMOOTH_ALL * ((0.0 if ok else 1.0) - ctl.lost)
         self.ejection.record(now, srv, outcome)
--- a/brackenladder/policy/gradient.py
+++ b/brackenladder/policy/gradient.py
@@ -147,30 +147,30 @@
         self.windows_at_floor = 0
 
     def end_recalculation(self, now: int) -> None:
-        for klass, samples in enumerate(self.min_rtt_samples):
+        for request_class, samples in enumerate(self.min_rtt_samples):
             if len(samples) >= MIN_LIMIT:
-                self.min_rtt[klass] = percentile(samples, PERCENTILE)
+                self.min_rtt[request_class] = percentile(samples, PERCENTILE)
                 # Failure prevented: a min_rtt measured under load lets queues grow past the aim.
-                max_target = MAX_TARGET_SHARE / AIM_SHARE * self.allowance[klass]
-                target = max(self.min_rtt[klass] * (1 + BUFFER), self.allowance[klass])
-                self.target[klass] = min(target, max_target)
+                max_target = MAX_TARGET_SHARE / AIM_SHARE * self.allowance[request_class]
+                target = max(self.min_rtt[request_class] * (1 + BUFFER), self.allowance[request_class])
+                self.target[request_class] = min(target, max_target)
         self.recalculating = False
         self.fleet.passed()
         self.recalculations += 1
         self.next_recalculation = now + int(MIN_RTT_INTERVAL * (1 + MIN_RTT_JITTER * self.rng.random()))
         self.window.restart(now)
 
-    def sample(self, now: int, klass: int, latency: int) -> None:
+    def sample(self, now: int, request_class: int, latency: int) -> None:
         """A served call's latency, or the time-out of one that timed out."""
         if self.recalculating:
-            self.min_rtt_samples[klass].append(latency)
+            self.min_rtt_samples[request_class].append(latency)
             self.min_rtt_calls -= 1
             # Failure prevented: a recalculation that ends at its last answer has seen only the short calls.
             if now >= self.min_rtt_until + (0 if self.min_rtt_calls <= 0 else 2 * WINDOW * WINDOW_STRETCH):
                 self.end_recalculation(now)
             return
         window = self.window
-        window.rtts.append(latency / self.target[klass])
+        window.rtts.append(latency / self.target[request_class])
         window.flight_sum += self.in_flight
         window.latency_sum += latency
         self.close_window(now)
--- a/brackenladder/policy/request.py
+++ b/brackenladder/policy/request.py
@@ -9,9 +9,9 @@
 class Request:
     """An open request. At most one attempt is out at a time."""
 
-    def __init__(self, request: int, klass: int, effect: Effect, now: int, patience: int) -> None:
+    def __init__(self, request: int, request_class: int, effect: Effect, now: int, patience: int) -> None:
         self.id = request
-        self.klass = klass
+        self.request_class = request_class
         self.effect = effect
         self.patience = patience
         self.useful_until = now + patience
--- a/brackenladder/policy/selection.py
+++ b/brackenladder/policy/selection.py
@@ -59,17 +59,17 @@
             # Where a zone is lost, a repeat there is lost too.
             failed = r.tried_servers[-1].zone if r.tried_servers else -1
             for zone in sorted([*drawn, *self.subset.shares], key=lambda zone: zone == failed):
-                srv = self.pick_of_two(now, r.klass, untried(self.subset.by_zone[zone], r))
+                srv = self.pick_of_two(now, r.request_class, untried(self.subset.by_zone[zone], r))
                 if srv is not None:
                     return srv
             return None
         if self.spillover.zoned and self.subset.near and self.rng.random() >= self.spillover.spill:
-            srv = self.pick_of_two(now, r.klass, untried(self.subset.near, r))
+            srv = self.pick_of_two(now, r.request_class, untried(self.subset.near, r))
             if srv is not None:
                 return srv
-        return self.pick_of_two(now, r.klass, untried(self.subset.available, r))
+        return self.pick_of_two(now, r.request_class, untried(self.subset.available, r))
 
-    def pick_of_two(self, now: int, klass: int, pool: list[Server]) -> Server | None:
+    def pick_of_two(self, now: int, request_class: int, pool: list[Server]) -> Server | None:
         n = len(pool)
         if n == 0:
             return None
@@ -77,9 +77,9 @@
             return pool[0] if self.slow_start.may_send(now, pool[0]) else None
         mean = min(self.mean_rtt)
         for _ in range(3):
-            a = self.pick_member(now, klass, pool, mean)
-            b = self.pick_member(now, klass, pool, mean, a)
-            if b.load(now, klass, mean) < a.load(now, klass, mean):
+            a = self.pick_member(now, request_class, pool, mean)
+            b = self.pick_member(now, request_class, pool, mean, a)
+            if b.load(now, request_class, mean) < a.load(now, request_class, mean):
                 a, b = b, a
             b_silent = self.ejection.is_silent(now, b)
             if not self.ejection.is_silent(now, a) and self.slow_start.may_send(now, a):
@@ -92,7 +92,7 @@
         return None
 
     def pick_member(
-        self, now: int, klass: int, pool: list[Server], mean: float, other: Server | None = None
+        self, now: int, request_class: int, pool: list[Server], mean: float, other: Server | None = None
     ) -> Server:
         """A random member but `other`. One slower than the mean is skipped as often as it is slower.
 
@@ -102,7 +102,7 @@
         while True:
             for _ in range(PICK_TRIES):
                 srv = pool[int(self.rng.random() * len(pool))]
-                if srv is not other and self.rng.random() * srv.slowness(now, klass, mean) < 1:
+                if srv is not other and self.rng.random() * srv.slowness(now, request_class, mean) < 1:
                     return srv
             if srv is not other:
                 return srv
@@ -110,7 +110,7 @@
     def pick_in_group(self, now: int, r: Request) -> Server | None:
         """A keyed request that may have run goes only to the servers that would discard its repeat."""
         first = r.ran_on
-        group = self.settings.classes[r.klass].group
+        group = self.settings.classes[r.request_class].group
         assert first is not None
         pool = [
             m
@@ -126,4 +126,4 @@
                 and m.cell == first.cell
             )
         ]
-        return self.pick_of_two(now, r.klass, pool)
+        return self.pick_of_two(now, r.request_class, pool)
--- a/brackenladder/policy/server.py
+++ b/brackenladder/policy/server.py
@@ -60,7 +60,7 @@
         self.tokens = 0.0
         self.tokens_at = 0
 
-    def slowness(self, now: int, klass: int, mean_rtt: float) -> float:
+    def slowness(self, now: int, request_class: int, mean_rtt: float) -> float:
         """The round-trip expected of it, relative to the mean: by its kind, its own past and its failures.
 
         Failure prevented: a member once found slow is never picked again, so its estimate is never renewed.
@@ -68,7 +68,7 @@
         Failure prevented: a member that turns away one class alone holds few of its calls and wins picks.
         """
         fade = max(0.0, 1 - (now - self.quiet_since) / FADE)
-        failing = self.fail_rate + self.turned_away.get(klass, 0.0)
+        failing = self.fail_rate + self.turned_away.get(request_class, 0.0)
         own = self.deviation.value * (1 + FAIL_WEIGHT * failing)
         slowness = self.kind.value * (1 + (own - 1) * fade)
         if self.in_flight and now - self.quiet_since > mean_rtt:
@@ -76,6 +76,6 @@
             slowness *= (now - self.quiet_since) / mean_rtt
         return slowness
 
-    def load(self, now: int, klass: int, mean_rtt: float) -> float:
+    def load(self, now: int, request_class: int, mean_rtt: float) -> float:
         """Calls in flight, this one included, in expected time: the measure of a pick."""
-        return (self.in_flight + 1) * self.slowness(now, klass, mean_rtt)
+        return (self.in_flight + 1) * self.slowness(now, request_class, mean_rtt)
