--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -5,6 +5,7 @@
 import sys
 import tomllib
 from dataclasses import replace
+from graphlib import TopologicalSorter
 from pathlib import Path
 from random import Random
 
@@ -329,6 +330,15 @@
     assert max(map(len, lines)) <= 110
 
 
+def test_the_policy_imports_the_interface_and_itself_alone_and_without_a_cycle():
+    imports = {}
+    for file in POLICY:
+        names = re.findall(r"^from brackenladder\.([\w.]+) import", file.read_text(), re.MULTILINE)
+        assert {name.split(".")[0] for name in names} <= {"interface", "policy"}
+        imports[file.stem] = {name.removeprefix("policy.") for name in names}
+    assert list(TopologicalSorter(imports).static_order())[-1] == "__init__"  # CycleError
+
+
 def test_the_readme_s_example_runs():
     text = (ROOT / "README.md").read_text()
     code = text.split("```python")[1].split("```")[0]
