--- a/brackenladder/policy/balancer.py
+++ b/brackenladder/policy/balancer.py
@@ -413,6 +413,8 @@
             srv.turned_away[r.request_class] = away + SMOOTH * (float(outcome == Outcome.REJECTED) - away)
         if not srv.ejected and outcome != Outcome.REJECTED:
             ctl.lost += SMOOTH_ALL * ((0.0 if ok else 1.0) - ctl.lost)
+        if ok:
+            self.slow_start.warm_served += srv.cold_until <= now
         self.ejection.record(now, srv, outcome)
 
     def drop(self, srv: Server) -> None:
--- a/brackenladder/policy/slow_start.py
+++ b/brackenladder/policy/slow_start.py
@@ -18,6 +18,8 @@
         self.subset = subset
         self.warm_rate = 0.0  # sends a second to a warm member, smoothed
         self.warm_sent = 0
+        self.served_rate = 0.0  # answers a second from a warm member, smoothed
+        self.warm_served = 0
         self.requests = 0  # requests, without clients' repeats, since `counted_since`
         self.counted_since = 0
         self.request_rate = 0.0  # of them a second, smoothed
@@ -33,14 +35,15 @@
             self.requests, self.counted_since = 0, now
 
     def measure_warm_rate(self, now: int, span: int) -> None:
-        """Takes in the calls sent to warm members in the window that ends now."""
+        """Takes in what warm members were sent and answered in the window that ends now."""
         warm = 0
         for m in self.subset.members:
             warm += m.cold_until <= now and not m.ejected
         if warm:
-            rate = self.warm_sent * 1e6 / span / warm
-            self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
-        self.warm_sent = 0
+            weight = min(1.0, span / 2e6)
+            self.warm_rate += weight * (self.warm_sent * 1e6 / span / warm - self.warm_rate)
+            self.served_rate += weight * (self.warm_served * 1e6 / span / warm - self.served_rate)
+        self.warm_sent = self.warm_served = 0
 
     def fair_rate(self, now: int) -> float:
         """What a warm member gets of this copy, in calls a second; or would get, where none is warm.
@@ -48,10 +51,12 @@
         Failure prevented: a node that starts among servers that all are cold has seen no warm one, takes
         their share of nothing, and sends nothing until the first is warm.
         Failure prevented: the last warm members take all calls; what they got then pushes cold ones over.
+        Failure prevented: in a crowd they are sent several times what they can do, and what they turn away
+        sets the pace of cold ones. What they answer bounds it; an even part does where they hang.
         """
-        if any(m.cold_until <= now and not m.ejected for m in self.subset.members):
-            return self.warm_rate
         even = self.request_rate / max(1, len(self.subset.members))
+        if any(m.cold_until <= now and not m.ejected for m in self.subset.members):
+            return min(self.warm_rate, max(self.served_rate, even))
         return min(max(self.warm_rate, even), MAX_EVEN_SHARES * even)
 
     def may_send(self, now: int, srv: Server) -> bool:
--- a/tests/test_policy_slow_start.py
+++ b/tests/test_policy_slow_start.py
@@ -25,7 +25,7 @@
 def test_the_bucket_of_a_cold_server_starts_empty():
     """A call saved up while nobody watched would come on top of every other node's."""
     node, rec = balancer(2)
-    node.slow_start.warm_rate = 10.0
+    node.slow_start.warm_rate = node.slow_start.served_rate = 10.0
     node.server_list(SEC, ListKind.CHANGES, [ServerEntry(1, ready_at=SEC)])
     cold = node.servers[1]
     assert not node.slow_start.may_send(SEC, cold)
