--- a/brackenladder/fleet/config.py
+++ b/brackenladder/fleet/config.py
@@ -7,12 +7,15 @@
 from dataclasses import dataclass
 from ipaddress import ip_address
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from brackenladder.fleet.membership.codec import NAME_MOST, KeyFault, read_key
 from brackenladder.fleet.membership.swim import Address
 from brackenladder.fleet.zones.settings import ZoneSettings
 
+if TYPE_CHECKING:
+    from brackenladder.fleet.federation.settings import ZoneMembershipSettings
+
 VOTERS = (0, 3, 5)
 SEEDS_MOST = 64
 PERIOD_MS = (100, 60_000)
@@ -21,7 +24,7 @@
 KEYS = (
     *("name", "zone", "region", "listen", "advertise", "seeds", "key", "old_key"),
     *("voters", "old_voters", "lease_ms", "longest_lease_ms", "votes", "period_ms", "lab"),
-    *("probe", "remeasure", "zones"),
+    *("probe", "remeasure", "zones", "membership"),
 )
 
 
@@ -50,6 +53,7 @@
     remeasure: float  # the share of the tier's nodes in a minRTT pass at once; 0: as each sees fit
     zones: ZoneSettings | None  # None: the module's calls go where it sees fit
     clock_file: str | None  # lab: an offset of the wall clock in milliseconds, read again each period
+    membership: ZoneMembershipSettings | None = None  # None: one group spans the fleet
 
 
 class Section:
@@ -155,6 +159,7 @@
         probe=s.flag("probe"),
         remeasure=s.share("remeasure"),
         zones=zones(s),
+        membership=membership(s),
         clock_file=extra.text("clock_file", most=4096) if "clock_file" in extra.table else None,
     )
     if found.lease > found.longest:
@@ -204,6 +209,15 @@
     return ZoneSettings(room=float(room), costs=costs)
 
 
+def membership(s: Section) -> ZoneMembershipSettings | None:
+    """The table `membership`, if there is one. Without it nothing of its package is imported."""
+    if "membership" not in s.table:
+        return None
+    from brackenladder.fleet.federation.settings import read_membership
+
+    return read_membership(s, s.table["membership"])
+
+
 def folder(s: Section, key: str) -> Path | None:
     if key not in s.table:
         return None
--- /dev/null
+++ b/brackenladder/fleet/federation/settings.py
@@ -0,0 +1,93 @@
+"""Figures of membership by zone, and the checked reading of its table in the configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from brackenladder.fleet.config import Section
+from brackenladder.fleet.federation.messages import MAX_NAME, MAX_ZONES
+from brackenladder.fleet.membership.swim import Address
+
+MAX_SEEDS_A_ZONE = 16
+MAX_GROUP = 400  # members of a zone's group; a larger zone is to be split
+SCOPES = ("zone", "fleet")
+
+
+@dataclass(frozen=True)
+class ZoneMembershipSettings:
+    """`zone_seeds`: a few addresses of each other zone, asked while its gateways are not known or silent."""
+
+    zone_seeds: Mapping[str, tuple[Address, ...]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class FederationTiming:
+    """Figures of the protocol, for SWIM periods of a second. Times in microseconds."""
+
+    gateways: int = 4  # of a zone
+    exchange_every: int = 5_000_000  # a gateway with one gateway of each other zone
+    ask_every: int = 10_000_000  # a member its zone's gateways
+    answer_within: int = 2_000_000
+    asks_unanswered: int = 2  # in a row: then a gateway counts as silent...
+    silent_for: int = 30_000_000  # ...so long, and others take its place
+    remake_after: int = 1_000_000  # an own summary is sent again unchanged so long
+    settle: int = 10_000_000  # from the start until a node speaks for its zone
+    stale_after: int = 30_000_000
+    lost_after: int = 60_000_000
+    answers_a_second: int = 200
+
+    def scaled(self, period: int) -> FederationTiming:
+        """For SWIM periods of another length."""
+        second = 1_000_000
+        return FederationTiming(
+            gateways=self.gateways,
+            exchange_every=self.exchange_every * period // second,
+            ask_every=self.ask_every * period // second,
+            answer_within=self.answer_within * period // second,
+            asks_unanswered=self.asks_unanswered,
+            silent_for=self.silent_for * period // second,
+            remake_after=self.remake_after * period // second,
+            settle=self.settle * period // second,
+            stale_after=self.stale_after * period // second,
+            lost_after=self.lost_after * period // second,
+            answers_a_second=self.answers_a_second,
+        )
+
+
+def read_membership(section: Section, table: object) -> ZoneMembershipSettings | None:
+    """The table `membership` of the fleet's section; None where one group spans the fleet. Faults go into the
+    section."""
+    if not isinstance(table, dict):
+        section.fault("membership", table, "must be a table")
+        return None
+    inner = Section(table, f"{section.where}.membership")
+    inner.only("scope", "zone_seeds")
+    scope = table.get("scope")
+    if scope not in SCOPES:
+        inner.fault("scope", scope, f"must be {' or '.join(SCOPES)}")
+    seeds = read_zone_seeds(inner, table.get("zone_seeds", {}), section.table.get("zone"))
+    if scope == "fleet" and "zone_seeds" in table:
+        inner.fault("zone_seeds", table["zone_seeds"], "must not be given where scope is fleet")
+    section.faults += inner.faults
+    return ZoneMembershipSettings(seeds) if scope == "zone" else None
+
+
+def read_zone_seeds(inner: Section, table: Any, own_zone: object) -> dict[str, tuple[Address, ...]]:
+    """Addresses by zone."""
+    if not isinstance(table, dict) or len(table) > MAX_ZONES:
+        inner.fault("zone_seeds", table, f"must be a table of at most {MAX_ZONES} zones")
+        return {}
+    seeds = {}
+    for zone, addresses in table.items():
+        key = f"zone_seeds.{zone}"
+        if not 0 < len(zone) <= MAX_NAME:
+            inner.fault(key, zone, f"a zone's name must have 1 to {MAX_NAME} characters")
+        elif zone == own_zone:
+            inner.fault(key, addresses, "must be of other zones: this zone's addresses go into fleet.seeds")
+        elif not isinstance(addresses, list) or not 0 < len(addresses) <= MAX_SEEDS_A_ZONE:
+            inner.fault(key, addresses, f"must be a list of 1 to {MAX_SEEDS_A_ZONE} addresses")
+        else:
+            seeds[zone] = tuple(inner.address(f"{key}[{i}]", a) for i, a in enumerate(addresses))
+    return seeds
