Explore: what membership costs by the fleet's size, and the hard cases from a command line

Need: flat, by zone and by heartbeat are compared by slopes, each by a command that can be repeated. Change: zone_costs.py (flat, zones, federation, memory), zone_cases.py gets a main; SWIM's time apart.

--- a/laurelspindle/explore/zone_cases.py
+++ b/laurelspindle/explore/zone_cases.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
 
 from brackenladder.fleet.federation.records import Freshness
-from laurelspindle.explore.zone_members import HOUR, SECOND, Fleet, Node, SharedGroup
+from laurelspindle.explore.zone_members import HOUR, SECOND, ZONE_SIZE, ZONES, Fleet, SharedGroup
 
 JOIN_LIMIT = 300.0  # seconds
 KNOW_LIMIT = 200.0
-GATEWAY_FLOOR = 1.5  # datagrams a second that only a gateway sends
 
 
 @dataclass
@@ -143,6 +143,10 @@
     return number % 4 != 2
 
 
+def never_old(number: int) -> bool:
+    return False
+
+
 def release(fleet: Fleet) -> CaseFigures:
     """Old nodes drop the kinds that they do not know; the new ones find one another beside them."""
     known = fleet.network.until(fleet.all_know, JOIN_LIMIT)
@@ -169,44 +173,27 @@
     return CaseFigures("different views", fewest >= min(fleet.timing.gateways, len(names)), {}, notes)
 
 
-def members_and_gateways(fleet: Fleet) -> tuple[list[Node], list[Node]]:
-    """The ordinary members and the gateways, as they see themselves."""
-    speaking = fleet.speaking()
-    gateways = [n for n in speaking if n.federation is not None and n.federation.is_gateway]
-    return [n for n in speaking if n not in gateways], gateways
-
+CASES: dict[str, tuple[bool, Callable[[Fleet], CaseFigures]]] = {
+    "discovery": (False, discovery),
+    "death": (False, death),
+    "gateways": (False, gateways_die),
+    "zone": (False, zone_lost),
+    "region": (True, region_alone),
+    "storm": (False, storm),
+    "views": (True, different_views),
+    "release": (False, release),
+}  # whether the groups are shared, to be quick, and the case
 
-@dataclass
-class Cost:
-    """Of one role, a node and second: its own datagrams and bytes each way, and processor time."""
-
-    sent: float
-    received: float
-    bytes_out: float
-    bytes_in: float
-    decisions_us: float
-    codec_us: float
-
-
-def cost(fleet: Fleet, seconds: float) -> tuple[Cost, Cost]:
-    """What an ordinary member and a gateway spend, in calm."""
-    members, gateways = members_and_gateways(fleet)
-    for node in fleet.nodes.values():
-        node.endpoint.traffic.__init__()  # type: ignore[misc]
-        node.endpoint.cpu_ns = node.cpu_ns = 0
-    fleet.network.run(seconds)
-    return mean_cost(members, seconds), mean_cost(gateways, seconds)
 
+def main() -> None:
+    """Cases by name, or all, at a number of zones and nodes a zone:
+    `python -m laurelspindle.explore.zone_cases 13 20 death zone`."""
+    zones, size = (int(sys.argv[1]), int(sys.argv[2])) if len(sys.argv) > 2 else (ZONES, ZONE_SIZE)
+    for name in sys.argv[3:] or CASES:
+        shared, case = CASES[name]
+        old = mostly_old if name == "release" else never_old
+        print(case(Fleet(zones, size, shared=shared, old=old)).line(), flush=True)
 
-def mean_cost(nodes: Sequence[Node], seconds: float) -> Cost:
-    def mean(figure: Callable[[Node], float]) -> float:
-        return sum(figure(n) for n in nodes) / max(1, len(nodes)) / seconds
 
-    return Cost(
-        mean(lambda n: n.endpoint.traffic.sent),
-        mean(lambda n: n.endpoint.traffic.received),
-        mean(lambda n: n.endpoint.traffic.bytes_out),
-        mean(lambda n: n.endpoint.traffic.bytes_in),
-        mean(lambda n: n.cpu_ns / 1000),
-        mean(lambda n: n.endpoint.cpu_ns / 1000),
-    )
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/laurelspindle/explore/zone_costs.py
@@ -0,0 +1,124 @@
+"""What membership costs a node by the size of the fleet: one SWIM group, or one a zone with gateways."""
+
+from __future__ import annotations
+
+import sys
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from laurelspindle.explore.regional import Traffic
+from laurelspindle.explore.zone_members import ZONES, Fleet, Node
+
+CALM = 20.0  # seconds over which costs are taken
+SETTLED = 40.0  # seconds after which gateways know one another
+JOIN_LIMIT = 120.0
+DEATH_LIMIT = 120.0
+
+
+@dataclass(frozen=True)
+class Cost:
+    """Of one role, a node and second: datagrams and bytes each way, and microseconds of processor time."""
+
+    nodes: int
+    sent: float
+    received: float
+    bytes_out: float
+    bytes_in: float
+    swim_us: float
+    federation_us: float
+    codec_us: float
+
+    def line(self, role: str) -> str:
+        return (
+            f"{role} ({self.nodes}): sent {self.sent:.2f} received {self.received:.2f} datagrams/s, "
+            f"out {self.bytes_out:.0f} in {self.bytes_in:.0f} bytes/s, swim {self.swim_us:.0f} "
+            f"federation {self.federation_us:.0f} codec {self.codec_us:.0f} us/s"
+        )
+
+
+def calm_costs(fleet: Fleet) -> dict[str, Cost]:
+    """By role, over some calm seconds."""
+    gateways = [n for n in fleet.speaking() if n.federation is not None and n.federation.is_gateway]
+    members = [n for n in fleet.nodes.values() if n not in gateways]
+    for node in fleet.nodes.values():
+        node.endpoint.traffic = Traffic()
+        node.endpoint.cpu_ns = node.cpu_ns = node.swim_cpu_ns = 0
+    fleet.network.run(CALM)
+    roles = {"member": members, "gateway": gateways}
+    return {role: mean_cost(nodes) for role, nodes in roles.items() if nodes}
+
+
+def mean_cost(nodes: Sequence[Node]) -> Cost:
+    def mean(figure: Callable[[Node], float]) -> float:
+        return sum(map(figure, nodes)) / len(nodes) / CALM
+
+    return Cost(
+        len(nodes),
+        mean(lambda n: n.endpoint.traffic.sent),
+        mean(lambda n: n.endpoint.traffic.received),
+        mean(lambda n: n.endpoint.traffic.bytes_out),
+        mean(lambda n: n.endpoint.traffic.bytes_in),
+        mean(lambda n: n.swim_cpu_ns / 1000),
+        mean(lambda n: n.cpu_ns / 1000),
+        mean(lambda n: n.endpoint.cpu_ns / 1000),
+    )
+
+
+def federation_alone(size: int) -> list[str]:
+    """Costs of the zones' summaries, without SWIM."""
+    fleet = Fleet(ZONES, size // ZONES, shared=True)
+    fleet.network.run(SETTLED)
+    return [cost.line(role) for role, cost in calm_costs(fleet).items()]
+
+
+def whole(size: int, flat: bool) -> list[str]:
+    """Joining, costs and a death, with SWIM in the zones or in one group over all."""
+    fleet = Fleet(ZONES, size // ZONES, flat=flat)
+    total = len(fleet.nodes)
+
+    def complete() -> bool:
+        if flat:
+            return all(len(n.group.alive()) + 1 == len(fleet.nodes) for n in fleet.nodes.values())
+        return fleet.groups_complete() and fleet.all_know() and fleet.sizes_right()
+
+    joined = fleet.network.until(complete, JOIN_LIMIT, 0.5)
+    costs = calm_costs(fleet)
+    fleet.kill(fleet.of_zone(0)[-1])
+    known = fleet.network.until(complete, DEATH_LIMIT, 0.5)
+    first = f"{total} nodes: all know all after {joined:.1f} s, a death after {known:.1f} s"
+    return [first, *(cost.line(role) for role, cost in costs.items())]
+
+
+def memory(size: int) -> list[str]:
+    """Bytes that a federation holds, by tracemalloc: of a whole fleet over its nodes."""
+    fleet = Fleet(ZONES, size // ZONES, shared=True)
+    fleet.network.run(SETTLED)
+    for node in fleet.nodes.values():
+        assert node.federation is not None
+        node.federation.records.zones.clear()
+        node.federation.rendezvous.scores.clear()
+    tracemalloc.start()
+    fleet.network.run(SETTLED)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return [f"{held / len(fleet.nodes):.0f} bytes a node, datagrams on their way included"]
+
+
+MODES: dict[str, Callable[[int], list[str]]] = {
+    "flat": lambda size: whole(size, flat=True),
+    "zones": lambda size: whole(size, flat=False),
+    "federation": federation_alone,
+    "memory": memory,
+}
+
+
+def main() -> None:
+    """What is measured, and sizes: `python -m laurelspindle.explore.zone_costs zones 100 200 400`."""
+    mode = sys.argv[1]
+    for size in map(int, sys.argv[2:]):
+        print(f"{mode} {size}:", *MODES[mode](size), sep="\n  ", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/laurelspindle/explore/zone_members.py
+++ b/laurelspindle/explore/zone_members.py
@@ -12,7 +12,7 @@
 from brackenladder.fleet.federation.messages import FederationMessage, FederationWire
 from brackenladder.fleet.federation.records import Event, Freshness
 from brackenladder.fleet.federation.settings import FederationTiming, ZoneMembershipSettings
-from brackenladder.fleet.membership.swim import Address, Claim, Member, Message, Status, Swim
+from brackenladder.fleet.membership.swim import Address, Claim, Member, Message, Send, Status, Swim
 from laurelspindle.explore.regional import RegionalNetwork
 
 ZONES = 13
@@ -57,7 +57,8 @@
         self.address = node_address(zone, number)
         self.incarnation = incarnation
         self.open = True
-        self.cpu_ns = 0  # of the federation, without the codec
+        self.cpu_ns = 0  # of the federation, without the codec...
+        self.swim_cpu_ns = 0  # ...and of SWIM
         self.events: list[tuple[int, Event]] = []
         network = fleet.network
         self.endpoint = network.attach(self.address, zone % fleet.regions, self.receive, old)
@@ -102,8 +103,7 @@
     def wake_swim(self, _: object) -> None:
         clock = self.fleet.network.clock
         if self.open and self.swim is not None:
-            for send in self.swim.tick(clock.now):
-                self.fleet.network.send(self.address, send.to, send.message)
+            self.timed_swim(self.swim.tick, clock.now)
             clock.call_at(max(clock.now + 1, self.swim.due()), self.wake_swim, None)
 
     def wake_federation(self, _: object) -> None:
@@ -117,8 +117,7 @@
         federation = self.federation
         if isinstance(message, Message):
             if self.swim is not None:
-                for send in self.swim.receive(now, source, message):
-                    self.fleet.network.send(self.address, send.to, send.message)
+                self.timed_swim(self.swim.receive, now, source, message)
         elif federation is not None:
             self.timed(lambda: federation.received(now, source, message))
 
@@ -129,6 +128,13 @@
         for to, message in out:
             self.fleet.network.send(self.address, to, message)
 
+    def timed_swim(self, act: Callable[..., list[Send]], *what: Any) -> None:
+        began = process_time_ns()
+        out = act(*what)
+        self.swim_cpu_ns += process_time_ns() - began
+        for send in out:
+            self.fleet.network.send(self.address, send.to, send.message)
+
     # ---- what it knows --------------------------------------------------------------------------------
 
     def freshness(self, zone: int) -> Freshness | None:
