Fleet: components behind one interface, and a registry that dispatches to them

Need: host.py named each part of the fleet in four places (codec, tick, dispatch, page), so that a new part was an edit of each. Change: component.py has the interface (wires, open, close, leave, deadline, tick, received, member_forgotten, status), typed outgoing messages (to a member by name, or to an address) and what a component may use of the runtime; registry.py finds a message kind's component; assembly.py makes the components that the configuration asks for; operator_pages.py has the HTTP handlers. Duties, the replacement and the policy's adapter are components; datagrams, log lines and page keys are as before. New: an exception in one component is reported to the loop's handler, counted (events.fault), and keeps none of the others from their turn; before, those after it lost theirs at each tick.

--- /dev/null
+++ b/brackenladder/fleet/assembly.py
@@ -0,0 +1,47 @@
+"""Which components a process runs: the one place to add a component to.
+
+A component's package is imported only where the configuration asks for the component.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from brackenladder.fleet.component import Component, Runtime
+from brackenladder.fleet.config import FleetConfig
+from brackenladder.fleet.hand import Hand
+from brackenladder.fleet.policy_component import PolicyComponent
+
+if TYPE_CHECKING:
+    from brackenladder.fleet.duties.component import DutiesComponent
+    from brackenladder.fleet.replace.component import ReplacementComponent
+
+
+@dataclass
+class FleetComponents:
+    """What `components_for` makes. `ordered`: all components, in the order in which they are opened, ticked
+    and shown. The others: those that the node and its operators speak to."""
+
+    hand: Hand
+    duties: DutiesComponent | None = None
+    replacement: ReplacementComponent | None = None
+    ordered: list[Component] = field(default_factory=list)
+
+
+def components_for(config: FleetConfig, runtime: Runtime) -> FleetComponents:
+    """The components that a configuration asks for."""
+    hand = Hand(config, runtime.settings, runtime.now, runtime.wall, runtime.schedule, runtime.log.line)
+    made = FleetComponents(hand)
+    if config.voters:
+        from brackenladder.fleet.duties.component import DutiesComponent
+        from brackenladder.fleet.probe.decisions import PREFIX as PROBES
+        from brackenladder.fleet.remeasure.decisions import PREFIX as PASSES
+        from brackenladder.fleet.replace.component import ReplacementComponent
+        from brackenladder.fleet.replace.decisions import DUTY
+
+        made.duties = DutiesComponent(runtime, reserved=DUTY, quiet=(PROBES, PASSES))
+        made.replacement = ReplacementComponent(runtime, made.duties)
+        made.ordered += [made.duties, made.replacement]
+    made.ordered.append(PolicyComponent(runtime, hand, made.duties))
+    return made
--- /dev/null
+++ b/brackenladder/fleet/duties/component.py
@@ -0,0 +1,64 @@
+"""Duties (leases granted by a majority of voters) as a component of the fleet runtime."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from brackenladder.fleet.component import Component, Outgoing, Runtime, addressed
+from brackenladder.fleet.duties.part import Duties
+from brackenladder.fleet.membership.codec import Part
+from brackenladder.fleet.membership.swim import Address
+
+
+class DutiesComponent(Component):
+    """`reserved`: the name of a duty that scripts may not ask for. `quiet`: beginnings of the names of duties
+    that are reserved and change hands too often for the log."""
+
+    def __init__(self, runtime: Runtime, reserved: str, quiet: tuple[str, ...]) -> None:
+        self.runtime = runtime
+        self.reserved = reserved
+        self.duties = Duties(runtime.config, runtime.log, quiet)
+
+    @property
+    def wires(self) -> Sequence[Part]:
+        return (self.duties.wire,)
+
+    def is_reserved(self, duty: str) -> bool:
+        """Whether the fleet itself uses a duty of this name."""
+        return duty == self.reserved or duty.startswith(self.duties.quiet)
+
+    def abstains(self, now: int) -> bool:
+        """Whether this process is a voter that does not vote yet."""
+        voter = self.duties.voter
+        return voter is not None and bool(voter.lists) and voter.abstains(now)
+
+    def script_request(
+        self, now: int, duty: str, script: str, release: bool
+    ) -> tuple[dict[str, Any], list[Outgoing]]:
+        """A script of this node asks for a duty (again), or releases it. What it is told, and messages."""
+        action = self.duties.give if release else self.duties.hold
+        table, out = action(now, duty, script)
+        return table, addressed(out)
+
+    def open(self) -> None:
+        runtime = self.runtime
+        self.duties.open(runtime.incarnation, runtime.now(), self.wall_milliseconds, runtime.rng)
+
+    def wall_milliseconds(self) -> int:
+        return self.runtime.wall() // 1000
+
+    def leave(self, now: int) -> list[Outgoing]:
+        return addressed(self.duties.leave(now))
+
+    def deadline(self, now: int) -> int | None:
+        return self.duties.deadline()
+
+    def tick(self, now: int) -> list[Outgoing]:
+        return addressed(self.duties.tick(now))
+
+    def received(self, now: int, sender: Address, message: Any) -> list[Outgoing]:
+        return addressed(self.duties.received(now, message))
+
+    def status(self, now: int) -> dict[str, Any]:
+        return {"duties": self.duties.view(now)}
--- a/brackenladder/fleet/hand.py
+++ b/brackenladder/fleet/hand.py
@@ -12,12 +12,13 @@
 
 from brackenladder.fleet.config import FleetConfig
 from brackenladder.fleet.duties.asker import Asker
+from brackenladder.fleet.membership.codec import Part
 from brackenladder.fleet.probe.decisions import Out, Probe
-from brackenladder.fleet.probe.messages import ProbeMessage
+from brackenladder.fleet.probe.messages import ProbeMessage, ProbeWire
 from brackenladder.fleet.probe.settings import settings_for
 from brackenladder.fleet.remeasure.decisions import Remeasure, RemeasureSettings
 from brackenladder.fleet.zones.decisions import Listed, Zones
-from brackenladder.fleet.zones.messages import ZoneMessage
+from brackenladder.fleet.zones.messages import ZoneMessage, ZoneWire
 from brackenladder.fleet.zones.orders import Orders
 from brackenladder.interface import ListKind, Outcome, ServerEntry, Settings, State
 
@@ -85,6 +86,15 @@
         """A module that was told of zones keeps its last shares: there is no way to be without."""
         self.probe = self.remeasure = self.zones = self.orders = None
 
+    def wires(self) -> list[Part]:
+        """Probes' messages are read by all that have voters, whether they probe themselves or not."""
+        wires: list[Part] = []
+        if self.config.voters:
+            wires.append(ProbeWire())
+        if self.config.zones is not None:
+            wires.append(ZoneWire())
+        return wires
+
     def place(self) -> float:
         """Where this node stands among the members, from 0 to 1."""
         names = sorted([*self.alive(), self.config.name])
--- a/brackenladder/fleet/host.py
+++ b/brackenladder/fleet/host.py
@@ -1,45 +1,38 @@
-"""The fleet's parts on a node's event loop: clock, datagrams, log and page.
+"""The fleet runtime: runs membership and the components on a node's event loop.
 
-The only file that knows both sides: the parts know no socket and no clock, `brackenladder.net` knows no part.
+It owns the datagram socket, the one timer, the clocks, the log lines about members and the operators' page.
+Which components there are is decided in `assembly.py`; the runtime itself knows none of them by name.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from contextlib import suppress
+from functools import partial
 from pathlib import Path
 from random import Random
 from time import CLOCK_BOOTTIME, clock_gettime_ns, time_ns
 from typing import Any, cast
-from urllib.parse import parse_qs
 
+from brackenladder.fleet.assembly import components_for
+from brackenladder.fleet.component import Component, Outgoing, WireMessage
 from brackenladder.fleet.config import FleetConfig
-from brackenladder.fleet.duties.messages import DutyMessage
-from brackenladder.fleet.duties.part import Duties
-from brackenladder.fleet.duties.voter import Out
-from brackenladder.fleet.hand import Hand
-from brackenladder.fleet.membership.codec import NAME_MOST, Codec, Part
+from brackenladder.fleet.membership.codec import Codec
 from brackenladder.fleet.membership.swim import Address, Claim, Send, Swim, Timing
-from brackenladder.fleet.probe.decisions import PREFIX as PROBES
-from brackenladder.fleet.probe.messages import ProbeMessage, ProbeWire
-from brackenladder.fleet.remeasure.decisions import PREFIX as PASSES
-from brackenladder.fleet.replace.decisions import DUTY, MOST, Replacement
-from brackenladder.fleet.replace.messages import ReplaceMessage, ReplaceWire, State
-from brackenladder.fleet.zones.messages import ZoneMessage, ZoneWire
+from brackenladder.fleet.operator_pages import OperatorPages
+from brackenladder.fleet.registry import MEMBERSHIP_KINDS, Registry
 from brackenladder.interface import Settings
-from brackenladder.net.lifecycle import Lifecycle, Stage
+from brackenladder.net.lifecycle import Lifecycle
 from brackenladder.net.log import Log
 
-Act = Callable[[str, str, Duties], tuple[dict[str, Any], Out]]
-
-LOUD = ("join", "suspect", "dead", "left", "alive", "refuted")  # changes that the log tells
-FREQUENT = (PROBES, PASSES)  # beginnings of duties that come and go
-LATE = 50_000  # microseconds: a tick so late is counted, since the process itself was slow
+LOGGED_CHANGES = ("join", "suspect", "dead", "left", "alive", "refuted")
+LATE_TICK = 50_000  # microseconds: a tick so late is counted, since the process itself was slow
+MIN_WAIT = 1_000  # microseconds until the timer's next tick
 SYNC_PERIODS = 15  # between two whole exchanges: what gossip missed is known after some of them
-LEAVES = 3  # times that a leaving process says so, since a datagram may be lost
+LEAVE_REPEATS = 3  # a datagram may be lost
+STATUS_WITHOUT_VOTERS: dict[str, Any] = {"duties": None, "replace": None}
 
 
 class Host(asyncio.DatagramProtocol):
@@ -55,27 +48,31 @@
         end: Callable[[], None],
         settings: Settings,
     ) -> None:
+        """`end`: ends this process as SIGTERM does."""
         self.config = config
         self.loop = loop
+        self.seed = seed
         self.log = log
         self.life = life
-        self.end = end  # ends this process as SIGTERM does
-        self.replacement: Replacement | None = None
+        self.end = end
+        self.settings = settings
         self.rng = Random(f"fleet {config.name} {seed}")
-        self.hand = Hand(config, settings, self.now, self.wall, self.arm, log.line)
-        self.duties = Duties(config, log, FREQUENT) if config.voters else None
-        parts: list[Part] = [] if self.duties is None else [self.duties.wire, ReplaceWire(), ProbeWire()]
-        parts += [ZoneWire()] if config.zones is not None else []
-        self.codec = Codec(list(config.keys), parts)
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.swim: Swim | None = None
-        self.offset = 0  # of the wall clock, microseconds; a lab's alone
+        self.wall_offset = 0  # microseconds; a lab's alone
         self.sent: Counter[str] = Counter()
         self.received: Counter[str] = Counter()
         self.events: Counter[str] = Counter()
         self.bytes_out = self.bytes_in = self.late = 0
-        self.ended = False
+        self.end_requested = False
+        made = components_for(config, self)
+        self.hand = made.hand
+        self.components = Registry(made.ordered)
+        self.codec = Codec(list(config.keys), self.components.wires)
+        pages = OperatorPages(self, made.hand, made.duties, made.replacement)
+        self.page, self.hold, self.give = pages.page, pages.hold, pages.give
+        self.replace, self.zone = pages.replace, pages.zone
 
     async def open(self) -> None:
         """Takes the port and joins. An OSError if the address cannot be had."""
@@ -89,34 +86,30 @@
             self.rng,
             self.now(),
             Timing(period=c.period, ack_within=c.period * 3 // 10, sync_every=SYNC_PERIODS * c.period),
-            self.told,
+            self.member_changed,
         )
         self.log.line(
             f"fleet joins name={c.name} zone={c.zone} region={c.region or '-'} listen={spelled(c.listen)}"
-            f" advertise={spelled(c.advertise)} seeds={len(c.seeds)} incarnation={self.swim.me.incarnation}"
+            f" advertise={spelled(c.advertise)} seeds={len(c.seeds)} incarnation={self.incarnation}"
         )
-        self.hand.open(self.alive, self.rng)
-        if self.duties is not None:
-            life = self.swim.me.incarnation
-            self.duties.open(life, self.now(), lambda: self.wall() // 1000, self.rng)
-            self.replacement = Replacement(c.name, c.zone, life, self, self.now())
-            assert self.duties.asker is not None
-            self.hand.vote(self.duties.asker, self.rng)
+        for component in self.components.ordered:
+            component.open()
         self.tick()
 
     def leave(self) -> None:
-        """SIGTERM: the others are told, and nothing is heard or said after that."""
+        """SIGTERM: the others are told, and nothing is received or sent after that."""
         if self.swim is not None and self.transport is not None:
-            if self.duties is not None:
-                self.speak(self.duties.leave(self.now()))
-            last = self.swim.leave()
-            for _ in range(LEAVES):
-                self.send(last)
+            for component in self.components.ordered:
+                self.run(component, "leave", partial(component.leave, self.now()))
+            farewell = self.swim.leave()
+            for _ in range(LEAVE_REPEATS):
+                self.send_membership(farewell)
         self.close()
 
     def close(self) -> None:
-        """Lets the port go, without a word: another process of this node goes on under its name."""
-        self.hand.close()
+        """Closes the socket without a message: another process of this node goes on under its name."""
+        for component in self.components.ordered:
+            component.close()
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
@@ -124,7 +117,16 @@
             self.transport.close()
             self.transport = None
 
-    # ---- clocks -----------------------------------------------------------------------------------------
+    # ---- what components use ----------------------------------------------------------------------------
+
+    @property
+    def is_open(self) -> bool:
+        return self.transport is not None
+
+    @property
+    def incarnation(self) -> int:
+        assert self.swim is not None
+        return self.swim.me.incarnation
 
     def now(self) -> int:
         """Microseconds of a clock that goes on while the process or the machine is paused, read now: the
@@ -135,51 +137,70 @@
         """Microseconds of Unix time, which may step."""
         if self.config.clock_file is not None:
             with suppress(OSError, ValueError):
-                self.offset = int(Path(self.config.clock_file).read_text()) * 1000
-        return time_ns() // 1000 + self.offset
+                self.wall_offset = int(Path(self.config.clock_file).read_text()) * 1000
+        return time_ns() // 1000 + self.wall_offset
 
-    # ---- the parts' life --------------------------------------------------------------------------------
+    def stream(self, purpose: str) -> Random:
+        return Random(f"fleet {self.config.name} {self.seed} {purpose}")
 
-    def tick(self) -> None:
-        """Does what is due, and comes back when something is due again."""
-        assert self.swim is not None
-        now = self.now()
-        self.late += now - self.swim.due() > LATE
-        try:
-            self.send(self.swim.tick(now))
-            if self.duties is not None:
-                self.speak(self.duties.tick(now))
-                self.follow(now)
-            self.speak(self.hand.tick(now))
-        finally:  # Failure prevented: one fault in a part ends the process's part in the fleet for good
-            self.arm()
-
-    def due(self) -> int:
-        """When a part has something to do."""
-        assert self.swim is not None
-        dues: list[int | None] = [self.swim.due(), self.hand.deadline(self.now())]
-        if self.duties is not None and self.replacement is not None:
-            dues += [self.duties.deadline(), self.replacement.deadline(self.token())]
-        return min(d for d in dues if d is not None)
+    def alive(self) -> list[str]:
+        return self.swim.alive() if self.swim is not None else []
+
+    def gone(self) -> list[str]:
+        return sorted(n for n, m in self.swim.members.items() if m.gone) if self.swim is not None else []
+
+    def address_of(self, member: str) -> Address | None:
+        found = self.swim.members.get(member) if self.swim is not None else None
+        return found.claim.address if found is not None else None
 
-    def arm(self) -> None:
+    def end_process(self) -> None:
+        self.end_requested = True
+
+    def schedule(self) -> None:
+        """Sets the timer to the next deadline."""
         if self.timer is not None:
             self.timer.cancel()
         if self.transport is not None and self.swim is not None:
-            wait = max(1000, self.due() - self.now())
+            wait = max(MIN_WAIT, self.deadline() - self.now())
             self.timer = self.loop.call_later(wait / 1e6, self.tick)
 
-    def told(self, what: str, claim: Claim) -> None:
-        """Membership's view has changed."""
-        self.events[what] += 1
-        if what == "forgotten":
-            self.codec.forget(claim.name)
-            self.hand.forget(claim.name)
-        if what in LOUD:
-            at = spelled(claim.address)
-            self.log.line(f"fleet {what} member={claim.name} at={at} incarnation={claim.incarnation}")
+    # ---- time -------------------------------------------------------------------------------------------
+
+    def deadline(self) -> int:
+        """When membership or a component has something to do."""
+        assert self.swim is not None
+        first = self.components.deadline(self.now())
+        return self.swim.due() if first is None else min(first, self.swim.due())
+
+    def tick(self) -> None:
+        """Does what is due, and sets the timer again.
+
+        Failure prevented: one fault in a component ends the process's part in the fleet for good.
+        """
+        assert self.swim is not None
+        now = self.now()
+        self.late += now - self.swim.due() > LATE_TICK
+        try:
+            self.send_membership(self.swim.tick(now))
+        except Exception as error:
+            self.report("membership", "tick", error)
+        for component in self.components.ordered:
+            self.run(component, "tick", partial(component.tick, now))
+        self.schedule()
+
+    def run(self, component: Component, action: str, call: Callable[[], Sequence[Outgoing]]) -> None:
+        """Calls a component and sends what it returns. Its fault is reported and ends nothing else."""
+        try:
+            self.deliver(call())
+        except Exception as error:
+            self.report(type(component).__name__, action, error)
+
+    def report(self, what: str, action: str, error: Exception) -> None:
+        self.events["fault"] += 1
+        context = {"message": f"fleet: {what}.{action} failed", "exception": error}
+        self.loop.call_exception_handler(context)
 
-    # ---- datagrams --------------------------------------------------------------------------------------
+    # ---- messages in ------------------------------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)
@@ -192,80 +213,66 @@
         if message is None:
             return
         self.received[message.kind.name.lower()] += 1
-        due = self.due()
-        if isinstance(message, DutyMessage):
-            assert self.duties is not None
-            self.speak(self.duties.received(self.now(), message))
-        elif isinstance(message, (ProbeMessage, ZoneMessage)):
-            self.speak(self.hand.received(self.now(), message))
-        elif isinstance(message, ReplaceMessage):
-            assert self.replacement is not None
-            self.speak(self.replacement.received(self.now(), message))
-            self.follow(self.now())
+        before = self.deadline()
+        sender = (addr[0], addr[1])
+        if message.kind in MEMBERSHIP_KINDS:
+            self.send_membership(self.swim.receive(self.now(), sender, message))
         else:
-            self.send(self.swim.receive(self.now(), (addr[0], addr[1]), message))
-        if self.due() < due:
-            self.arm()
-
-    # ---- the replacement --------------------------------------------------------------------------------
-
-    def token(self) -> int | None:
-        """Of the replacement's duty, if this process holds it now."""
-        asker = self.duties.asker if self.duties is not None else None
-        return asker.holding(self.now(), DUTY) if asker is not None else None
-
-    def follow(self, now: int) -> None:
-        """Asks for the duty while there is something to lead, leads, and ends when told to."""
-        assert self.duties is not None and self.duties.asker is not None and self.replacement is not None
-        r = self.replacement
-        if r.wants():
-            self.duties.asker.want(now, DUTY)
-        elif DUTY in self.duties.asker.wanted and not r.tells:
-            self.speak(self.duties.asker.drop(now, DUTY))
-        before = r.plan
-        self.speak(r.tick(now, self.token()))
-        if r.plan != before and r.plan is not None:
-            self.log.line(f"fleet replacement {r.plan.state.name.lower()} begun_us={r.plan.number}")
-        if r.leaving and self.life.stage != Stage.ENDING and not self.ended:
-            self.ended = True
-            self.log.line(f"fleet replacement: this process is the next to end, token={r.token}")
-            self.end()
-
-    def serving(self) -> bool:
-        """Whether this process takes clients, and votes if it is a voter.
-
-        Failure prevented: voters are replaced faster than they vote again, and there is no majority left.
-        """
-        voter = self.duties.voter if self.duties is not None else None
-        return self.life.serving and not (voter is not None and voter.lists and voter.abstains(self.now()))
+            self.dispatch(message, sender)
+        if self.deadline() < before:
+            self.schedule()
+
+    def dispatch(self, message: WireMessage, sender: Address) -> None:
+        """Hands a message to the component that has its kind."""
+        component = self.components.owner(message.kind)
+        if component is None:
+            self.events["unhandled"] += 1
+            return
+        self.run(component, "received", partial(component.received, self.now(), sender, message))
 
-    def alive(self) -> list[str]:
-        return self.swim.alive() if self.swim is not None else []
+    def error_received(self, exc: Exception) -> None:
+        """A peer's port is closed, or the network is: membership learns of it by silence."""
+        self.events["unreachable"] += 1
 
-    def gone(self) -> list[str]:
-        return sorted(n for n, m in self.swim.members.items() if m.gone) if self.swim is not None else []
+    def member_changed(self, change: str, claim: Claim) -> None:
+        """Membership's view has changed."""
+        self.events[change] += 1
+        if change == "forgotten":
+            self.codec.forget(claim.name)
+            self.components.member_forgotten(claim.name)
+        if change in LOGGED_CHANGES:
+            at = spelled(claim.address)
+            self.log.line(f"fleet {change} member={claim.name} at={at} incarnation={claim.incarnation}")
 
-    # ---- sending ----------------------------------------------------------------------------------------
+    # ---- messages out -----------------------------------------------------------------------------------
 
-    def speak(self, out: Sequence[tuple[str, Any]]) -> None:
-        """Sends to members by name; what a voter says to this process itself comes back at once."""
-        assert self.swim is not None
-        waiting = list(out)
+    def deliver(self, outgoing: Sequence[Outgoing]) -> None:
+        """Sends what a component returned; what is addressed to this process itself is handled at once."""
+        waiting = deque(outgoing)
         while waiting:
-            name, message = waiting.pop(0)
-            if name == self.config.name:
-                assert self.duties is not None
-                waiting += self.duties.received(self.now(), message)
-            elif (member := self.swim.members.get(name)) is not None:
-                self.transmit(message, member.claim.address)
-            else:
+            out = waiting.popleft()
+            if out.to == self.config.name:
+                waiting.extend(self.loop_back(out.message))
+                continue
+            address = self.address_of(out.to) if isinstance(out.to, str) else out.to
+            if address is None:
                 self.events["unknown"] += 1
+            else:
+                self.transmit(out.message, address)
+        if self.end_requested:
+            self.end_requested = False
+            self.end()
 
-    def send(self, sends: list[Send]) -> None:
+    def loop_back(self, message: WireMessage) -> Sequence[Outgoing]:
+        component = self.components.owner(message.kind)
+        return component.received(self.now(), self.config.advertise, message) if component is not None else ()
+
+    def send_membership(self, sends: Sequence[Send]) -> None:
         for send in sends:
             self.transmit(send.message, send.to)
 
-    def transmit(self, message: Any, to: Address) -> None:
+    def transmit(self, message: WireMessage, to: Address) -> None:
+        """Sends one datagram, if the socket is open."""
         if self.transport is None:
             return
         data = self.codec.encode(message, self.wall())
@@ -277,34 +284,18 @@
         self.sent[message.kind.name.lower()] += 1
         self.bytes_out += len(data)
 
-    def error_received(self, exc: Exception) -> None:
-        """A peer's port is closed, or the network is: membership learns of it by silence."""
-        self.events["unreachable"] += 1
-
     # ---- what operators see -----------------------------------------------------------------------------
 
     def view(self) -> dict[str, Any]:
         """The page: this process's own view, with ages in seconds, and its counters."""
-        swim, c, now = self.swim, self.config, self.now()
-        members = []
-        if swim is not None:
-            for name, m in sorted(swim.members.items()):
-                members.append(
-                    {
-                        "name": name,
-                        "address": spelled(m.claim.address),
-                        "state": m.claim.status.name.lower(),
-                        "incarnation": m.claim.incarnation,
-                        "age_s": round((now - m.since) / 1e6, 3),
-                    }
-                )
-        return {
-            "name": c.name,
-            "zone": c.zone,
-            "region": c.region,
-            "open": self.transport is not None,
+        swim, config, now = self.swim, self.config, self.now()
+        page = {
+            "name": config.name,
+            "zone": config.zone,
+            "region": config.region,
+            "open": self.is_open,
             "incarnation": swim.me.incarnation if swim is not None else 0,
-            "members": members,
+            "members": member_table(swim, now) if swim is not None else [],
             "sent": dict(self.sent),
             "received": dict(self.received),
             "refused": dict(self.codec.dropped),
@@ -312,73 +303,23 @@
             "bytes_out": self.bytes_out,
             "bytes_in": self.bytes_in,
             "late_ticks": self.late,
-            "duties": self.duties.view(now) if self.duties is not None else None,
-            "replace": self.replacement.view(self.token()) if self.replacement is not None else None,
-        } | self.hand.view(now)
-
-    def page(self) -> tuple[int, bytes]:
-        """`GET /fleet`."""
-        return 200, json.dumps(self.view()).encode() + b"\n"
-
-    def hold(self, query: bytes) -> tuple[int, bytes]:
-        """`PUT /fleet/hold?duty=NAME&script=ID`: a script wants a duty, and comes again while it does."""
-        return self.answer(query, lambda duty, script, part: part.hold(self.now(), duty, script))
-
-    def give(self, query: bytes) -> tuple[int, bytes]:
-        """`PUT /fleet/give?duty=NAME&script=ID`: the script is done."""
-        return self.answer(query, lambda duty, script, part: part.give(self.now(), duty, script))
-
-    def replace(self, query: bytes) -> tuple[int, bytes]:
-        """`PUT /fleet/replace?do=begin|pause|resume|stop&most=K`."""
-        if self.replacement is None or self.transport is None:
-            return 503, b"no voters are configured, or this process is leaving\n"
-        values = parse_qs(query.decode("latin-1"))
-        do, most = values.get("do", [""])[0], values.get("most", ["1"])[0]
-        states = {"pause": State.PAUSED, "resume": State.RUNS, "stop": State.STOPPED}
-        if do == "begin" and most.isascii() and most.isdigit() and 0 < int(most) <= MOST:
-            self.replacement.begin(self.wall(), int(most))
-        elif do in states:
-            self.replacement.change(states[do])
-        else:
-            return 400, b"do: must be begin, pause, resume or stop; most: 1 to 1000\n"
-        self.follow(self.now())
-        self.arm()
-        return 200, json.dumps(self.replacement.view(self.token())).encode() + b"\n"
-
-    def zone(self, query: bytes) -> tuple[int, bytes]:
-        """`PUT /fleet/zone?do=leave|return&zone=NAME&for_s=N`."""
-        zones, orders = self.hand.zones, self.hand.orders
-        if zones is None or orders is None:
-            return 503, b"fleet.zones is not configured, or this process is leaving\n"
-        values = parse_qs(query.decode("latin-1"))
-        do, zone, length = (values.get(key, [""])[0] for key in ("do", "zone", "for_s"))
-        known = sorted({zones.zone, *zones.courses})
-        if zone not in known:
-            return 400, f"zone: must be one of {', '.join(known)}\n".encode()
-        if do == "leave" and not (length.isascii() and length.isdigit() and 0 < int(length) <= 86_400):
-            return 400, b"for_s: must be 1 to 86400\n"
-        if do not in ("leave", "return"):
-            return 400, b"do: must be leave or return\n"
-        if not orders.say(zone, int(length) * 1_000_000 if do == "leave" else 0):
-            return 409, b"zone: words on too many zones hold already\n"
-        self.log.line(f"fleet zone {zone}: told to {do}")
-        self.arm()
-        return 200, json.dumps(zones.view(self.now())).encode() + b"\n"
-
-    def answer(self, query: bytes, act: Act) -> tuple[int, bytes]:
-        if self.duties is None or self.transport is None:
-            return 503, b"no voters are configured, or this process is leaving\n"
-        values = parse_qs(query.decode("latin-1"))
-        duty, script = (values.get(key, [""])[0] for key in ("duty", "script"))
-        if not all(0 < len(name) <= NAME_MOST for name in (duty, script)):
-            return 400, b"duty, script: must be names of 1 to 64 characters\n"
-        if duty == DUTY or duty.startswith(FREQUENT):
-            return 400, b"duty: replace, probe.* and remeasure.* are the fleet's own\n"
-        table, out = act(duty, script, self.duties)
-        self.speak(out)
-        self.arm()
-        return 200, json.dumps(table).encode() + b"\n"
-
-
-def spelled(address: tuple[str, int]) -> str:
+        }
+        return page | STATUS_WITHOUT_VOTERS | self.components.status(now)
+
+
+def member_table(swim: Swim, now: int) -> list[dict[str, Any]]:
+    """All known members but this one, by name; ages in seconds."""
+    return [
+        {
+            "name": name,
+            "address": spelled(member.claim.address),
+            "state": member.claim.status.name.lower(),
+            "incarnation": member.claim.incarnation,
+            "age_s": round((now - member.since) / 1e6, 3),
+        }
+        for name, member in sorted(swim.members.items())
+    ]
+
+
+def spelled(address: Address) -> str:
     return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/brackenladder/fleet/policy_component.py
@@ -0,0 +1,49 @@
+"""The policy's adapter as a component of the fleet runtime: probes, minRTT passes and zones."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from brackenladder.fleet.component import Component, Outgoing, Runtime, addressed
+from brackenladder.fleet.duties.component import DutiesComponent
+from brackenladder.fleet.hand import Hand
+from brackenladder.fleet.membership.codec import Part
+from brackenladder.fleet.membership.swim import Address
+
+
+class PolicyComponent(Component):
+    """`duties`: None where no voters are configured, so that there are no probes and no bound on passes."""
+
+    def __init__(self, runtime: Runtime, hand: Hand, duties: DutiesComponent | None) -> None:
+        self.runtime = runtime
+        self.hand = hand
+        self.duties = duties
+
+    @property
+    def wires(self) -> Sequence[Part]:
+        return self.hand.wires()
+
+    def open(self) -> None:
+        self.hand.open(self.runtime.alive, self.runtime.rng)
+        asker = self.duties.duties.asker if self.duties is not None else None
+        if asker is not None:
+            self.hand.vote(asker, self.runtime.rng)
+
+    def close(self) -> None:
+        self.hand.close()
+
+    def deadline(self, now: int) -> int | None:
+        return self.hand.deadline(now)
+
+    def tick(self, now: int) -> list[Outgoing]:
+        return addressed(self.hand.tick(now))
+
+    def received(self, now: int, sender: Address, message: Any) -> list[Outgoing]:
+        return addressed(self.hand.received(now, message))
+
+    def member_forgotten(self, name: str) -> None:
+        self.hand.forget(name)
+
+    def status(self, now: int) -> dict[str, Any]:
+        return self.hand.view(now)
