Fleet runtime: socket, clocks and member table in files of their own; all calls guarded

Need: host.py did sockets, clocks, dispatch and pages in one file; a component whose deadline, status, close or member_forgotten raised could still stop the timer, the page or the socket's release.

--- a/brackenladder/fleet/component.py
+++ b/brackenladder/fleet/component.py
@@ -106,8 +106,8 @@
 
     Call order: the constructor, `open`, then `tick`, `received` and `deadline` in any order, then `leave` on
     a planned end, then `close`. A process that joins again calls `open` again. `status` and `close` may also
-    be called before `open`, `status` after `close` too. An exception in `tick`, `received` or `leave` is
-    reported to the event loop's exception handler and ends nothing else.
+    be called before `open`, `status` after `close` too. An exception in any method but `open` is reported to
+    the event loop's exception handler and ends nothing else; one in `open` keeps the process from starting.
     """
 
     @property
--- a/brackenladder/fleet/host.py
+++ b/brackenladder/fleet/host.py
@@ -1,24 +1,24 @@
 """The fleet runtime: runs membership and the components on a node's event loop.
 
-It owns the datagram socket, the one timer, the clocks, the log lines about members and the operators' page.
-Which components there are is decided in `assembly.py`; the runtime itself knows none of them by name.
+It owns the one timer, the order of calls, the log lines about members and the operators' page. Which
+components there are is decided in `assembly.py`; the runtime itself knows none of them by name.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable, Sequence
-from contextlib import suppress
 from functools import partial
-from pathlib import Path
 from random import Random
-from time import CLOCK_BOOTTIME, clock_gettime_ns, time_ns
-from typing import Any, cast
+from typing import Any
 
 from brackenladder.fleet.assembly import components_for
-from brackenladder.fleet.component import Component, Outgoing, WireMessage
+from brackenladder.fleet.clocks import Clocks
+from brackenladder.fleet.component import Outgoing, WireMessage
 from brackenladder.fleet.config import FleetConfig
+from brackenladder.fleet.endpoint import DatagramEndpoint
+from brackenladder.fleet.member_table import member_table, spelled
 from brackenladder.fleet.membership.codec import Codec
 from brackenladder.fleet.membership.swim import Address, Claim, Send, Swim, Timing
 from brackenladder.fleet.operator_pages import OperatorPages
@@ -35,7 +35,7 @@
 STATUS_WITHOUT_VOTERS: dict[str, Any] = {"duties": None, "replace": None}
 
 
-class Host(asyncio.DatagramProtocol):
+class Host(DatagramEndpoint):
     """One process's part in the fleet. Open from `open` to `close`; each life is a new incarnation."""
 
     def __init__(
@@ -49,6 +49,7 @@
         settings: Settings,
     ) -> None:
         """`end`: ends this process as SIGTERM does."""
+        super().__init__(Clocks(config.clock_file))
         self.config = config
         self.loop = loop
         self.seed = seed
@@ -57,18 +58,13 @@
         self.end = end
         self.settings = settings
         self.rng = Random(f"fleet {config.name} {seed}")
-        self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.swim: Swim | None = None
-        self.wall_offset = 0  # microseconds; a lab's alone
-        self.sent: Counter[str] = Counter()
-        self.received: Counter[str] = Counter()
-        self.events: Counter[str] = Counter()
-        self.bytes_out = self.bytes_in = self.late = 0
+        self.late = 0  # ticks
         self.end_requested = False
         made = components_for(config, self)
         self.hand = made.hand
-        self.components = Registry(made.ordered)
+        self.components = Registry(made.ordered, self.report)
         self.codec = Codec(list(config.keys), self.components.wires)
         pages = OperatorPages(self, made.hand, made.duties, made.replacement)
         self.page, self.hold, self.give = pages.page, pages.hold, pages.give
@@ -99,8 +95,7 @@
     def leave(self) -> None:
         """SIGTERM: the others are told, and nothing is received or sent after that."""
         if self.swim is not None and self.transport is not None:
-            for component in self.components.ordered:
-                self.run(component, "leave", partial(component.leave, self.now()))
+            self.components.each("leave", lambda component: self.deliver(component.leave(self.now())))
             farewell = self.swim.leave()
             for _ in range(LEAVE_REPEATS):
                 self.send_membership(farewell)
@@ -108,38 +103,19 @@
 
     def close(self) -> None:
         """Closes the socket without a message: another process of this node goes on under its name."""
-        for component in self.components.ordered:
-            component.close()
+        self.components.each("close", lambda component: component.close())
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        if self.transport is not None:
-            self.transport.close()
-            self.transport = None
+        self.close_socket()
 
     # ---- what components use ----------------------------------------------------------------------------
 
-    @property
-    def is_open(self) -> bool:
-        return self.transport is not None
-
     @property
     def incarnation(self) -> int:
         assert self.swim is not None
         return self.swim.me.incarnation
 
-    def now(self) -> int:
-        """Microseconds of a clock that goes on while the process or the machine is paused, read now: the
-        loop's own time stands still within a turn."""
-        return clock_gettime_ns(CLOCK_BOOTTIME) // 1000
-
-    def wall(self) -> int:
-        """Microseconds of Unix time, which may step."""
-        if self.config.clock_file is not None:
-            with suppress(OSError, ValueError):
-                self.wall_offset = int(Path(self.config.clock_file).read_text()) * 1000
-        return time_ns() // 1000 + self.wall_offset
-
     def stream(self, purpose: str) -> Random:
         return Random(f"fleet {self.config.name} {self.seed} {purpose}")
 
@@ -183,36 +159,23 @@
         try:
             self.send_membership(self.swim.tick(now))
         except Exception as error:
-            self.report("membership", "tick", error)
-        for component in self.components.ordered:
-            self.run(component, "tick", partial(component.tick, now))
+            self.report("membership.tick", error)
+        self.components.each("tick", lambda component: self.deliver(component.tick(now)))
         self.schedule()
 
-    def run(self, component: Component, action: str, call: Callable[[], Sequence[Outgoing]]) -> None:
-        """Calls a component and sends what it returns. Its fault is reported and ends nothing else."""
-        try:
-            self.deliver(call())
-        except Exception as error:
-            self.report(type(component).__name__, action, error)
-
-    def report(self, what: str, action: str, error: Exception) -> None:
+    def report(self, what: str, error: Exception) -> None:
+        """Tells the event loop's exception handler of a fault."""
         self.events["fault"] += 1
-        context = {"message": f"fleet: {what}.{action} failed", "exception": error}
-        self.loop.call_exception_handler(context)
+        self.loop.call_exception_handler({"message": f"fleet: {what} failed", "exception": error})
 
     # ---- messages in ------------------------------------------------------------------------------------
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.DatagramTransport, transport)
-
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         if self.swim is None:
             return
-        self.bytes_in += len(data)
-        message = self.codec.decode(data, self.wall())
+        message = self.decoded(data)
         if message is None:
             return
-        self.received[message.kind.name.lower()] += 1
         before = self.deadline()
         sender = (addr[0], addr[1])
         if message.kind in MEMBERSHIP_KINDS:
@@ -225,21 +188,18 @@
     def dispatch(self, message: WireMessage, sender: Address) -> None:
         """Hands a message to the component that has its kind."""
         component = self.components.owner(message.kind)
-        if component is None:
+        if component is not None:
+            handle = partial(component.received, self.now(), sender, message)
+            self.components.guarded(component, "received", lambda: self.deliver(handle()), None)
+        else:
             self.events["unhandled"] += 1
-            return
-        self.run(component, "received", partial(component.received, self.now(), sender, message))
-
-    def error_received(self, exc: Exception) -> None:
-        """A peer's port is closed, or the network is: membership learns of it by silence."""
-        self.events["unreachable"] += 1
 
     def member_changed(self, change: str, claim: Claim) -> None:
         """Membership's view has changed."""
         self.events[change] += 1
         if change == "forgotten":
             self.codec.forget(claim.name)
-            self.components.member_forgotten(claim.name)
+            self.components.each("member_forgotten", lambda c: c.member_forgotten(claim.name))
         if change in LOGGED_CHANGES:
             at = spelled(claim.address)
             self.log.line(f"fleet {change} member={claim.name} at={at} incarnation={claim.incarnation}")
@@ -271,19 +231,6 @@
         for send in sends:
             self.transmit(send.message, send.to)
 
-    def transmit(self, message: WireMessage, to: Address) -> None:
-        """Sends one datagram, if the socket is open."""
-        if self.transport is None:
-            return
-        data = self.codec.encode(message, self.wall())
-        try:
-            self.transport.sendto(data, to)
-        except (OSError, ValueError):  # an address that cannot be sent to is its member's fault alone
-            self.events["unsendable"] += 1
-            return
-        self.sent[message.kind.name.lower()] += 1
-        self.bytes_out += len(data)
-
     # ---- what operators see -----------------------------------------------------------------------------
 
     def view(self) -> dict[str, Any]:
@@ -296,30 +243,6 @@
             "open": self.is_open,
             "incarnation": swim.me.incarnation if swim is not None else 0,
             "members": member_table(swim, now) if swim is not None else [],
-            "sent": dict(self.sent),
-            "received": dict(self.received),
-            "refused": dict(self.codec.dropped),
-            "events": dict(self.events),
-            "bytes_out": self.bytes_out,
-            "bytes_in": self.bytes_in,
-            "late_ticks": self.late,
         }
+        page |= self.counters() | {"late_ticks": self.late}
         return page | STATUS_WITHOUT_VOTERS | self.components.status(now)
-
-
-def member_table(swim: Swim, now: int) -> list[dict[str, Any]]:
-    """All known members but this one, by name; ages in seconds."""
-    return [
-        {
-            "name": name,
-            "address": spelled(member.claim.address),
-            "state": member.claim.status.name.lower(),
-            "incarnation": member.claim.incarnation,
-            "age_s": round((now - member.since) / 1e6, 3),
-        }
-        for name, member in sorted(swim.members.items())
-    ]
-
-
-def spelled(address: Address) -> str:
-    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/brackenladder/fleet/member_table.py
@@ -0,0 +1,26 @@
+"""The group's members as operators read them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from brackenladder.fleet.membership.swim import Address, Swim
+
+
+def member_table(swim: Swim, now: int) -> list[dict[str, Any]]:
+    """All known members but this one, by name; ages in seconds."""
+    return [
+        {
+            "name": name,
+            "address": spelled(member.claim.address),
+            "state": member.claim.status.name.lower(),
+            "incarnation": member.claim.incarnation,
+            "age_s": round((now - member.since) / 1e6, 3),
+        }
+        for name, member in sorted(swim.members.items())
+    ]
+
+
+def spelled(address: Address) -> str:
+    """An address as in configurations and log lines."""
+    return f"{address[0]}:{address[1]}"
--- a/brackenladder/fleet/registry.py
+++ b/brackenladder/fleet/registry.py
@@ -1,15 +1,22 @@
-"""The components of one process: which one has a message kind, and what they have to say together."""
+"""The components of one process: which one has a message kind, and calls to all of them.
+
+A component's exception is reported and ends nothing else.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from typing import Any
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import Any, TypeVar
 
 from brackenladder.fleet.component import Component
 from brackenladder.fleet.membership.codec import Part
 from brackenladder.fleet.membership.swim import Kind
 
 MEMBERSHIP_KINDS = frozenset(int(kind) for kind in Kind)
+FAULTY_DEADLINE_WAIT = 1_000_000  # microseconds until a component whose `deadline` failed is ticked
+
+Result = TypeVar("Result")
 
 
 class DuplicateKind(ValueError):
@@ -17,10 +24,12 @@
 
 
 class Registry:
-    """Components in the order in which they are opened, ticked and shown."""
+    """Components in the order in which they are opened, ticked and shown. `report` gets what failed, as
+    "Component.method", and the exception."""
 
-    def __init__(self, components: Sequence[Component]) -> None:
+    def __init__(self, components: Sequence[Component], report: Callable[[str, Exception], None]) -> None:
         """Raises DuplicateKind."""
+        self.report = report
         self.ordered = list(components)
         self.wires: list[Part] = []
         self.owners: dict[int, Component] = {}  # by message kind
@@ -39,18 +48,36 @@
         """The component that handles messages of a kind."""
         return self.owners.get(kind)
 
+    # ---- calls ------------------------------------------------------------------------------------------
+
+    def guarded(
+        self, component: Component, method: str, call: Callable[[], Result], default: Result
+    ) -> Result:
+        """What a call to a component's method gives; `default` if it fails."""
+        try:
+            return call()
+        except Exception as error:
+            self.report(f"{type(component).__name__}.{method}", error)
+            return default
+
+    def each(self, method: str, call: Callable[[Component], None]) -> None:
+        """Calls all components one after the other."""
+        for component in self.ordered:
+            self.guarded(component, method, partial(call, component), None)
+
     def deadline(self, now: int) -> int | None:
         """When the first component is due."""
-        deadlines = [component.deadline(now) for component in self.ordered]
+        after_fault: int | None = now + FAULTY_DEADLINE_WAIT
+        deadlines = [
+            self.guarded(component, "deadline", partial(component.deadline, now), after_fault)
+            for component in self.ordered
+        ]
         return min((d for d in deadlines if d is not None), default=None)
 
-    def member_forgotten(self, name: str) -> None:
-        for component in self.ordered:
-            component.member_forgotten(name)
-
     def status(self, now: int) -> dict[str, Any]:
         """All components' keys for the page."""
         keys: dict[str, Any] = {}
+        nothing: dict[str, Any] = {}
         for component in self.ordered:
-            keys |= component.status(now)
+            keys |= self.guarded(component, "status", partial(component.status, now), nothing)
         return keys
--- a/tests/test_fleet_components.py
+++ b/tests/test_fleet_components.py
@@ -12,7 +12,7 @@
 from brackenladder.fleet import host
 from brackenladder.fleet.component import Component, Outgoing
 from brackenladder.fleet.membership.codec import Codec
-from brackenladder.fleet.membership.swim import Kind
+from brackenladder.fleet.membership.swim import Claim, Kind, Status
 from brackenladder.fleet.registry import DuplicateKind, Registry
 
 PERIOD = 20_000  # microseconds
@@ -66,6 +66,9 @@
     def close(self):
         self.calls.append("close")
 
+    def member_forgotten(self, name):
+        self.calls.append(f"forgotten {name}")
+
     def leave(self, now):
         self.calls.append("leave")
         return [self.message(name, ToyKind.TOY_HELLO, "farewell") for name in self.runtime.alive()]
@@ -118,14 +121,10 @@
     def wires(self):
         return (OddWire(OddKind.OWNED),)
 
-    def tick(self, now):
+    def fail(self, *args):
         raise RuntimeError(ON_PURPOSE)
 
-    def received(self, now, sender, message):
-        raise RuntimeError(ON_PURPOSE)
-
-    def leave(self, now):
-        raise RuntimeError(ON_PURPOSE)
+    deadline = tick = received = member_forgotten = status = leave = close = fail
 
 
 def with_components(monkeypatch, *kinds):
@@ -188,14 +187,16 @@
         await bench.start()
         fleet, toy = bench.node.fleet, made[1]
         await until(lambda: toy.ticks >= 3)
-        assert reported[0]["message"] == "fleet: Broken.tick failed"
         assert str(reported[0]["exception"]) == ON_PURPOSE and fleet.events["fault"] >= 3
-        reported.clear()
         fleet.datagram_received(fleet.codec.encode(odd(OddKind.OWNED), fleet.wall()), ("127.0.0.1", 9))
-        assert reported[-1]["message"] == "fleet: Broken.received failed"
+        assert "toy" in fleet.view()
+        claim = Claim("b", ("127.0.0.1", 9), Status.DEAD, 1)
+        fleet.member_changed("forgotten", claim)
         fleet.leave()
-        assert reported[-1]["message"] == "fleet: Broken.leave failed"
-        assert toy.calls == ["open", "leave", "close"] and fleet.transport is None
+        failed = {context["message"] for context in reported}
+        methods = ("deadline", "tick", "received", "member_forgotten", "status", "leave", "close")
+        assert failed == {f"fleet: Broken.{method} failed" for method in methods}
+        assert toy.calls == ["open", "forgotten b", "leave", "close"] and fleet.transport is None
 
     play(scene)
 
@@ -226,4 +227,4 @@
 @pytest.mark.parametrize("kinds", [(Toy, Toy), (Membershiplike,)])
 def test_no_two_components_have_one_kind(kinds):
     with pytest.raises(DuplicateKind, match="is defined twice"):
-        Registry([kind(None) for kind in kinds])
+        Registry([kind(None) for kind in kinds], lambda what, error: None)
