Fleet components: a component may read the own group's membership

Need: a component for other groups goes by this member's claim and by all members with their state, not by names alone. Change: Runtime.membership, in place of Runtime.incarnation. Measured: test_fleet, test_fleet_components, test_duties pass.

--- a/brackenladder/fleet/component.py
+++ b/brackenladder/fleet/component.py
@@ -18,7 +18,7 @@
 
 from brackenladder.fleet.config import FleetConfig
 from brackenladder.fleet.membership.codec import Part
-from brackenladder.fleet.membership.swim import Address
+from brackenladder.fleet.membership.swim import Address, Swim
 from brackenladder.interface import Settings
 from brackenladder.net.lifecycle import Lifecycle
 from brackenladder.net.log import Log
@@ -73,8 +73,9 @@
         """Shared with membership. A new component takes `stream` instead."""
 
     @property
-    def incarnation(self) -> int:
-        """Of this process's life in the group: Unix time of its start. Only between `open` and `close`."""
+    def membership(self) -> Swim:
+        """Membership of the own group, to be read only: `me`, `members`, `alive()`. From `open` on; each life
+        has another."""
 
     def stream(self, purpose: str) -> Random:
         """A random stream of a component's own, the same for the same seed."""
--- a/brackenladder/fleet/duties/component.py
+++ b/brackenladder/fleet/duties/component.py
@@ -43,7 +43,9 @@
 
     def open(self) -> None:
         runtime = self.runtime
-        self.duties.open(runtime.incarnation, runtime.now(), self.wall_milliseconds, runtime.rng)
+        self.duties.open(
+            runtime.membership.me.incarnation, runtime.now(), self.wall_milliseconds, runtime.rng
+        )
 
     def wall_milliseconds(self) -> int:
         return self.runtime.wall() // 1000
--- a/brackenladder/fleet/host.py
+++ b/brackenladder/fleet/host.py
@@ -86,7 +86,7 @@
         )
         self.log.line(
             f"fleet joins name={c.name} zone={c.zone} region={c.region or '-'} listen={spelled(c.listen)}"
-            f" advertise={spelled(c.advertise)} seeds={len(c.seeds)} incarnation={self.incarnation}"
+            f" advertise={spelled(c.advertise)} seeds={len(c.seeds)} incarnation={self.swim.me.incarnation}"
         )
         for component in self.components.ordered:
             component.open()
@@ -112,9 +112,9 @@
     # ---- what components use ----------------------------------------------------------------------------
 
     @property
-    def incarnation(self) -> int:
+    def membership(self) -> Swim:
         assert self.swim is not None
-        return self.swim.me.incarnation
+        return self.swim
 
     def stream(self, purpose: str) -> Random:
         return Random(f"fleet {self.config.name} {self.seed} {purpose}")
--- a/brackenladder/fleet/replace/component.py
+++ b/brackenladder/fleet/replace/component.py
@@ -31,8 +31,8 @@
 
     def open(self) -> None:
         runtime = self.runtime
-        config = runtime.config
-        self.replacement = Replacement(config.name, config.zone, runtime.incarnation, self, runtime.now())
+        name, zone, life = runtime.config.name, runtime.config.zone, runtime.membership.me.incarnation
+        self.replacement = Replacement(name, zone, life, self, runtime.now())
 
     # ---- what the decisions see -------------------------------------------------------------------------
 
