Fleet: nodes run membership by zone where fleet.membership has the scope zone

Need: the state machine is to run in a node. Change: federation/component.py on the runtime's interface, registered in assembly.py; kinds are called zone_exchange, zone_exchange_ack, zone_query, zone_response, apart from the duties' in the counts; the page has its part under regions. Result: three nodes on loopback in two zones show each other's zone; without the table no part of the page, no import.

--- a/brackenladder/fleet/assembly.py
+++ b/brackenladder/fleet/assembly.py
@@ -43,5 +43,9 @@
         made.duties = DutiesComponent(runtime, reserved=DUTY, quiet=(PROBES, PASSES))
         made.replacement = ReplacementComponent(runtime, made.duties)
         made.ordered += [made.duties, made.replacement]
+    if config.membership is not None:
+        from brackenladder.fleet.federation.component import FederationComponent
+
+        made.ordered.append(FederationComponent(runtime, config.membership))
     made.ordered.append(PolicyComponent(runtime, hand, made.duties))
     return made
--- /dev/null
+++ b/brackenladder/fleet/federation/component.py
@@ -0,0 +1,70 @@
+"""Membership by zone as a component of the fleet runtime."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from brackenladder.fleet.component import Component, Outgoing, Runtime
+from brackenladder.fleet.federation.decisions import Federation, Out
+from brackenladder.fleet.federation.messages import FederationWire
+from brackenladder.fleet.federation.records import Event
+from brackenladder.fleet.federation.settings import FederationTiming, ZoneMembershipSettings
+from brackenladder.fleet.membership.codec import Part
+from brackenladder.fleet.membership.swim import Address
+
+
+class FederationComponent(Component):
+    """Tells the other zones of this one, and keeps what they tell."""
+
+    def __init__(self, runtime: Runtime, settings: ZoneMembershipSettings) -> None:
+        self.runtime = runtime
+        self.settings = settings
+        self.federation: Federation | None = None
+
+    @property
+    def wires(self) -> Sequence[Part]:
+        return (FederationWire(),)
+
+    def open(self) -> None:
+        runtime = self.runtime
+        config = runtime.config
+        self.federation = Federation(
+            config.zone,
+            config.region,
+            runtime.membership,
+            self.settings,
+            FederationTiming().scaled(config.period),
+            runtime.stream("federation"),
+            runtime.now(),
+            self.zone_changed,
+        )
+
+    def close(self) -> None:
+        self.federation = None
+
+    def zone_changed(self, event: Event) -> None:
+        self.runtime.log.line(f"fleet zone {event.zone}: summary {event.what}")
+
+    # ---- time and messages ------------------------------------------------------------------------------
+
+    def deadline(self, now: int) -> int | None:
+        return self.federation.deadline() if self.federation is not None else None
+
+    def tick(self, now: int) -> list[Outgoing]:
+        return outgoing(self.federation.tick(now)) if self.federation is not None else []
+
+    def received(self, now: int, sender: Address, message: Any) -> list[Outgoing]:
+        if self.federation is None:
+            return []
+        return outgoing(self.federation.received(now, sender, message))
+
+    # ---- what operators see -----------------------------------------------------------------------------
+
+    def status(self, now: int) -> dict[str, Any]:
+        return {"regions": self.federation.view(now) if self.federation is not None else None}
+
+
+def outgoing(pairs: Out) -> list[Outgoing]:
+    """Messages to addresses: gateways of other zones are no members of the own group."""
+    return [Outgoing(address, message) for address, message in pairs]
--- a/brackenladder/fleet/federation/decisions.py
+++ b/brackenladder/fleet/federation/decisions.py
@@ -180,7 +180,9 @@
 
     def ask_message(self, now: int) -> FederationMessage:
         known = self.records.known(now)
-        return FederationMessage(FederationKind.ASK, self.group.me.name, self.zone, self.seq, known=known)
+        return FederationMessage(
+            FederationKind.ZONE_QUERY, self.group.me.name, self.zone, self.seq, known=known
+        )
 
     def give_up(self, now: int, pending: PendingAsk) -> None:
         """No answer came: after some in a row the gateway counts as silent."""
@@ -221,7 +223,7 @@
                 continue
             self.exchanges_unanswered[zone] = self.exchanges_unanswered.get(zone, 0) + 1
             message = FederationMessage(
-                FederationKind.EXCHANGE, self.group.me.name, self.zone, self.seq, summaries
+                FederationKind.ZONE_EXCHANGE, self.group.me.name, self.zone, self.seq, summaries
             )
             out.append((to, message))
         if out:
@@ -246,13 +248,13 @@
         if message.zone != self.zone and message.sender in self.group.members:
             self.counts["members_of_other_zones"] += 1  # seeds of one zone's group are of another's
         self.take_in(now, message)
-        if message.kind == FederationKind.ASK:
+        if message.kind == FederationKind.ZONE_QUERY:
             return self.answer(now, source, message)
-        if message.kind == FederationKind.EXCHANGE:
+        if message.kind == FederationKind.ZONE_EXCHANGE:
             return self.exchange_back(now, source, message)
-        if message.kind == FederationKind.EXCHANGED:
+        if message.kind == FederationKind.ZONE_EXCHANGE_ACK:
             self.exchanges_unanswered.pop(message.zone, None)
-        elif message.kind == FederationKind.ANSWER:
+        elif message.kind == FederationKind.ZONE_RESPONSE:
             self.answered(now, message)
         return []
 
@@ -268,7 +270,12 @@
             return []
         summaries = (self.own_summary(now),)
         me = self.group.me.name
-        return [(source, FederationMessage(FederationKind.EXCHANGED, me, self.zone, message.seq, summaries))]
+        return [
+            (
+                source,
+                FederationMessage(FederationKind.ZONE_EXCHANGE_ACK, me, self.zone, message.seq, summaries),
+            )
+        ]
 
     def answer(self, now: int, source: Address, message: FederationMessage) -> Out:
         """Answers with what is younger here, and at least with an empty message."""
@@ -293,7 +300,9 @@
         refreshes: tuple[Refresh, ...] = (),
     ) -> FederationMessage:
         me = self.group.me.name
-        return FederationMessage(FederationKind.ANSWER, me, self.zone, question.seq, summaries, refreshes)
+        return FederationMessage(
+            FederationKind.ZONE_RESPONSE, me, self.zone, question.seq, summaries, refreshes
+        )
 
     def may_answer(self, now: int) -> bool:
         """Whether the answers of this second are not used up.
--- a/brackenladder/fleet/federation/messages.py
+++ b/brackenladder/fleet/federation/messages.py
@@ -27,10 +27,10 @@
 class FederationKind(IntEnum):
     """What a message is. The numbers are apart from the other components'."""
 
-    EXCHANGE = 80  # my zone's summary; answer with that of yours
-    EXCHANGED = 81
-    ASK = 82  # the ages of all I know; answer with what you have that is younger
-    ANSWER = 83
+    ZONE_EXCHANGE = 80  # my zone's summary; answer with that of yours
+    ZONE_EXCHANGE_ACK = 81
+    ZONE_QUERY = 82  # the ages of all I know; answer with what you have that is younger
+    ZONE_RESPONSE = 83
 
 
 @dataclass(frozen=True)
--- a/laurelspindle/explore/zone_members.py
+++ b/laurelspindle/explore/zone_members.py
@@ -12,7 +12,7 @@
 from brackenladder.fleet.federation.messages import FederationMessage, FederationWire
 from brackenladder.fleet.federation.records import Event, Freshness
 from brackenladder.fleet.federation.settings import FederationTiming, ZoneMembershipSettings
-from brackenladder.fleet.membership.swim import Address, Claim, Member, Message, Send, Status, Swim
+from brackenladder.fleet.membership.swim import Address, Claim, Member, Send, Status, Swim
 from laurelspindle.explore.regional import RegionalNetwork
 
 ZONES = 13
@@ -115,11 +115,11 @@
     def receive(self, source: Address, message: Any) -> None:
         now = self.fleet.network.clock.now
         federation = self.federation
-        if isinstance(message, Message):
-            if self.swim is not None:
-                self.timed_swim(self.swim.receive, now, source, message)
-        elif federation is not None:
-            self.timed(lambda: federation.received(now, source, message))
+        if isinstance(message, FederationMessage):
+            if federation is not None:
+                self.timed(lambda: federation.received(now, source, message))
+        elif self.swim is not None:
+            self.timed_swim(self.swim.receive, now, source, message)
 
     def timed(self, act: Callable[[], list[tuple[Address, FederationMessage]]]) -> None:
         began = process_time_ns()
--- a/tests/test_zone_membership.py
+++ b/tests/test_zone_membership.py
@@ -8,6 +8,8 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from loopback import Bench, play, until
+from test_fleet import free_udp, section
 
 from brackenladder.fleet.config import Section
 from brackenladder.fleet.federation.decisions import Federation
@@ -105,7 +107,7 @@
     gateways = [Gateway("g" * 63 + str(i), ("f" * 45, 65535)) for i in range(4)]
     longest = ZoneState("z" * 64, "r" * 64, 999_999, (1 << 64) - 1, tuple(gateways), (("k" * 32, "v" * 224),))
     biggest = Summary(longest, Version("o" * 64, (1 << 62) - 1, (1 << 62) - 1), 1 << 40)
-    message = FederationMessage(FederationKind.EXCHANGE, "s" * 64, "z" * 64, 1 << 61, (biggest,))
+    message = FederationMessage(FederationKind.ZONE_EXCHANGE, "s" * 64, "z" * 64, 1 << 61, (biggest,))
     data = Codec([KEY], [FederationWire()]).encode(message, START)
     assert len(data) <= MOST
     assert Codec([KEY], [FederationWire()]).decode(data, START) is not None
@@ -119,7 +121,7 @@
     split = batches(all_zones)
     assert [s for batch in split for s in batch] == all_zones
     for batch in split:
-        message = FederationMessage(FederationKind.ANSWER, "zone-0-1", "zone-0", 5, batch)
+        message = FederationMessage(FederationKind.ZONE_RESPONSE, "zone-0-1", "zone-0", 5, batch)
         data = Codec([KEY], [FederationWire()]).encode(message, START)
         assert Codec([KEY], [FederationWire()]).decode(data, START).summaries == batch
 
@@ -155,7 +157,7 @@
         def shorter(self, m):
             return None
 
-    data = Codec([KEY], [Forged()]).encode(FederationMessage(FederationKind.EXCHANGE, "x", "z"), START)
+    data = Codec([KEY], [Forged()]).encode(FederationMessage(FederationKind.ZONE_EXCHANGE, "x", "z"), START)
     assert codec.decode(data, START) is None
     assert codec.dropped["form"] + codec.dropped["length"] == 1
 
@@ -166,12 +168,14 @@
             wire = ["b", "north", 5, 7, [], [], ["b-0", 1, 1, "more"], 0, "more"]
             return ["b", [wire], [], [], {"more": 1}]
 
-    data = Codec([KEY], [Later()]).encode(FederationMessage(FederationKind.EXCHANGE, "x", "b"), START)
+    data = Codec([KEY], [Later()]).encode(FederationMessage(FederationKind.ZONE_EXCHANGE, "x", "b"), START)
     assert Codec([KEY], [FederationWire()]).decode(data, START).summaries == (summary(),)
 
 
 def test_an_old_version_counts_the_kinds_as_unknown():
-    data = Codec([KEY], [FederationWire()]).encode(FederationMessage(FederationKind.ASK, "x", "z"), START)
+    data = Codec([KEY], [FederationWire()]).encode(
+        FederationMessage(FederationKind.ZONE_QUERY, "x", "z"), START
+    )
     old = Codec([KEY])
     assert old.decode(data, START) is None
     assert old.dropped == {"kind": 1}
@@ -336,7 +340,7 @@
 def exchanged(fed, now):
     """The zones' addresses that an exchange goes to."""
     fed.next_exchange = now
-    return {to for to, m in fed.tick(now) if m.kind == FederationKind.EXCHANGE}
+    return {to for to, m in fed.tick(now) if m.kind == FederationKind.ZONE_EXCHANGE}
 
 
 def test_seeds_are_asked_until_gateways_are_known_and_again_when_none_answers():
@@ -346,7 +350,11 @@
     assert exchanged(fed, now) < {("s", 1), ("s", 2)}
     gateways = (Gateway("b-1", ("g", 1)), Gateway("b-2", ("g", 2)))
     reply = FederationMessage(
-        FederationKind.EXCHANGED, "b-1", "b", 0, (Summary(state(gateways=gateways), Version("b-1", 1, 1), 0),)
+        FederationKind.ZONE_EXCHANGE_ACK,
+        "b-1",
+        "b",
+        0,
+        (Summary(state(gateways=gateways), Version("b-1", 1, 1), 0),),
     )
     fed.received(now, ("g", 1), reply)
     known = {a for i in range(2) for a in exchanged(fed, now + (i + 1) * 5 * SEC)}
@@ -362,13 +370,15 @@
     for _ in range(40):
         now += SEC
         asked += [
-            fed.pending.gateway for _, m in fed.tick(now) if m.kind == FederationKind.ASK and fed.pending
+            fed.pending.gateway
+            for _, m in fed.tick(now)
+            if m.kind == FederationKind.ZONE_QUERY and fed.pending
         ]
     assert asked[0] == asked[1] and asked[1] != asked[2]  # once more, for a lost datagram
     assert set(first) - {"me"} <= set(asked)
     assert fed.counts["silent_gateways"] >= 8
     assert fed.gateways(now) and "me" in fed.gateways(now)  # never none
-    fed.received(now, ("h", 2), FederationMessage(FederationKind.ASK, asked[-1], "a"))
+    fed.received(now, ("h", 2), FederationMessage(FederationKind.ZONE_QUERY, asked[-1], "a"))
     assert asked[-1] not in fed.silent
 
 
@@ -376,18 +386,18 @@
     fed, _ = alone(members=[("n1", 2)])
     fed.tick(START + 2 * SEC)
     assert fed.pending is not None
-    stray = FederationMessage(FederationKind.ANSWER, "n1", "a", fed.pending.seq + 1)
+    stray = FederationMessage(FederationKind.ZONE_RESPONSE, "n1", "a", fed.pending.seq + 1)
     fed.received(START + 2 * SEC, ("h", 2), stray)
     assert fed.pending is not None
     fed.received(
-        START + 2 * SEC, ("h", 2), FederationMessage(FederationKind.ANSWER, "n1", "a", fed.pending.seq)
+        START + 2 * SEC, ("h", 2), FederationMessage(FederationKind.ZONE_RESPONSE, "n1", "a", fed.pending.seq)
     )
     assert fed.pending is None
 
 
 def test_answers_are_bounded_by_the_second():
     fed, _ = alone()
-    ask = FederationMessage(FederationKind.ASK, "x", "a", 1)
+    ask = FederationMessage(FederationKind.ZONE_QUERY, "x", "a", 1)
     answers = sum(len(fed.received(START, ("h", 9), ask)) for _ in range(1000))
     assert answers == FederationTiming().answers_a_second
     assert fed.counts["answers_refused"] == 800
@@ -397,7 +407,7 @@
 def test_nobody_else_speaks_for_the_own_zone_and_mixed_groups_are_counted():
     fed, _ = alone(members=[("n1", 2)])
     own = summary("a", size=99)
-    fed.received(START, ("h", 9), FederationMessage(FederationKind.EXCHANGE, "n1", "b", 0, (own,)))
+    fed.received(START, ("h", 9), FederationMessage(FederationKind.ZONE_EXCHANGE, "n1", "b", 0, (own,)))
     assert "a" not in fed.records.zones
     assert fed.counts["own_zone"] == 1 and fed.counts["members_of_other_zones"] == 1
 
@@ -405,7 +415,7 @@
 def test_facts_go_out_with_the_zones_summary_and_are_bounded():
     fed, _ = alone()
     fed.set_fact("config", "17")
-    reply = fed.received(START, ("h", 9), FederationMessage(FederationKind.EXCHANGE, "x", "b"))
+    reply = fed.received(START, ("h", 9), FederationMessage(FederationKind.ZONE_EXCHANGE, "x", "b"))
     assert reply[0][1].summaries[0].state.facts == (("config", "17"),)
     with pytest.raises(ValueError):
         fed.set_fact("config", "v" * 300)
@@ -415,7 +425,7 @@
 def test_a_node_speaks_for_its_zone_only_once_it_has_settled():
     fed, _ = alone({"b": (("s", 1),)})
     sent = [m.kind for at in range(10) for _, m in fed.tick(START + at * SEC)]
-    assert FederationKind.EXCHANGE not in sent and not fed.is_gateway
+    assert FederationKind.ZONE_EXCHANGE not in sent and not fed.is_gateway
     assert fed.deadline() <= START + 15 * SEC
 
 
@@ -517,3 +527,59 @@
 
 def test_addresses_of_the_virtual_fleet_are_its_own():
     assert len({node_address(z, n) for z in range(13) for n in range(400)}) == 13 * 400
+
+
+# ---- real nodes -------------------------------------------------------------------------------------------
+
+
+def start_node(tmp_path, zone, port, seeds, membership):
+    fleet = section(
+        tmp_path,
+        zone=zone,
+        region="north",
+        listen=f"127.0.0.1:{port}",
+        seeds=[f"127.0.0.1:{s}" for s in seeds],
+        period_ms=100,
+    )
+    fleet |= {"membership": membership} if membership is not None else {}
+    config = {"name": f"n{port}", "fleet": fleet, "management": "127.0.0.1:0"}
+    return Bench(config=config, peers=False).start()
+
+
+def test_nodes_of_two_zones_show_each_others_zone_and_no_others_members(tmp_path):
+    async def scene():
+        a, b, c = free_udp(), free_udp(), free_udp()
+        to_b = {"scope": "zone", "zone_seeds": {"b": [f"127.0.0.1:{c}"]}}
+        nodes = [
+            await start_node(tmp_path, "a", a, [], to_b),
+            await start_node(tmp_path, "a", b, [a], {"scope": "zone"}),
+            await start_node(tmp_path, "b", c, [], {"scope": "zone"}),
+        ]
+        fleets = [n.node.fleet for n in nodes]
+
+        def zones(i):
+            return fleets[i].view()["regions"]["zones"]
+
+        await until(lambda: zones(0) and zones(1) and zones(2) and zones(2)["a"]["size"] == 2)
+        page = fleets[1].view()
+        assert [m["name"] for m in page["members"]] == [f"n{a}"]
+        assert page["regions"]["zone"] == "a" and page["regions"]["size"] == 2
+        shown = page["regions"]["zones"]["b"]
+        assert (shown["region"], shown["size"], shown["gateways"]) == ("north", 1, [f"n{c}"])
+        assert shown["state"] == "fresh" and not shown["stale"] and 0 <= shown["age_s"] < 3
+        assert fleets[0].sent["zone_exchange"] and fleets[2].sent["zone_exchange_ack"]
+        assert fleets[1].sent["zone_query"] and fleets[0].sent["zone_response"]
+        for fleet in fleets:
+            fleet.close()
+        assert fleets[0].view()["regions"] is None
+
+    play(scene)
+
+
+def test_a_node_without_the_table_has_no_such_part_on_its_page(tmp_path):
+    async def scene():
+        one = await start_node(tmp_path, "a", free_udp(), [], None)
+        assert "regions" not in one.node.fleet.view()
+        one.node.fleet.close()
+
+    play(scene)
