--- a/brackenladder/fleet/federation/gateways.py
+++ b/brackenladder/fleet/federation/gateways.py
@@ -12,30 +12,35 @@
 MASK = (1 << 64) - 1
 
 
-class Rendezvous:
-    """The order of a zone's members, and the digest of a set of them. Hashes are kept while members live."""
+class Scores(dict[str, int]):
+    """Hashes of a zone's members by name, made when they are first asked for."""
 
     def __init__(self, zone: str) -> None:
+        super().__init__()
         self.key = blake2b(zone.encode(), digest_size=16).digest()
-        self.scores: dict[str, int] = {}
-
-    def score(self, name: str) -> int:
-        """A member's place in the order: the lowest come first."""
-        score = self.scores.get(name)
-        if score is None:
-            hashed = blake2b(name.encode(), digest_size=8, key=self.key, person=b"gateway")
-            score = self.scores[name] = int.from_bytes(hashed.digest(), "big")
+
+    def __missing__(self, name: str) -> int:
+        hashed = blake2b(name.encode(), digest_size=8, key=self.key, person=b"gateway")
+        score = self[name] = int.from_bytes(hashed.digest(), "big")
         return score
 
+
+class Rendezvous:
+    """The order of a zone's members, and the digest of a set of them."""
+
+    def __init__(self, zone: str) -> None:
+        self.scores = Scores(zone)
+
     def first(self, names: Iterable[str], count: int) -> list[str]:
-        """The members that come first."""
-        return nsmallest(count, names, key=self.score)
+        """The members with the lowest hashes, the lowest first."""
+        return nsmallest(count, names, key=self.scores.__getitem__)
 
     def digest(self, names: Iterable[str]) -> int:
         """Equal for equal sets of names, in whichever order they come."""
-        return sum(map(self.score, names)) & MASK
+        return sum(map(self.scores.__getitem__, names)) & MASK
 
     def keep_only(self, names: Iterable[str]) -> None:
         """Forgets the hashes of all others."""
         kept = set(names)
-        self.scores = {name: score for name, score in self.scores.items() if name in kept}
+        for name in [name for name in self.scores if name not in kept]:
+            del self.scores[name]
