--- a/laurelspindle/lab/checkers.py
+++ b/laurelspindle/lab/checkers.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import re
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
@@ -123,7 +123,7 @@
     for name in sorted(living):
         seen = truth.view_at(name, end)
         held = {n for n, (state, _) in seen.items() if state in HELD}
-        others = living - {name}
+        others = truth.group(name, living)
         missing, extra = others - held, held - others
         late = f"{end - since:.1f} s after the last change"
         if missing:
@@ -140,6 +140,24 @@
             )
 
 
+def summaries(truth: Truth) -> Found:
+    """With membership by zone, once the plan's time has passed: every node knows each zone, with the number
+    of its nodes that run, and calls those alone lost that have none."""
+    end = truth.end
+    if not truth.by_zone or end - max([truth.go, *(at for at, _ in truth.changes)]) < truth.agree:
+        return
+    living = truth.members_at(end)
+    sizes = Counter(f"z{truth.zones[n]}" for n in living)
+    for name in sorted(living):
+        seen = truth.summaries_at(name, end)
+        for zone in sorted({f"z{z}" for z in truth.zones.values()} - {f"z{truth.zones[name]}"}):
+            state, size = seen.get(zone, ["unknown", 0])
+            if sizes[zone] and (state, size) != ("fresh", sizes[zone]):
+                yield end, name, f"holds zone {zone} {state} with {size} nodes, {sizes[zone]} run"
+            elif not sizes[zone] and state not in ("lost", "unknown"):
+                yield end, name, f"holds zone {zone} {state}, of which no node runs"
+
+
 def deaths(truth: Truth) -> Found:
     """Nobody is held dead who runs, hears and is heard; the plan's time is allowed after each change."""
     if not truth.fleet:
@@ -327,7 +345,7 @@
     f.__name__: f
     for f in (
         *(answers, attempts, drains, processes, logs, cold),
-        *(views, deaths, incarnations, duties, replacement, passes, trials),
+        *(views, summaries, deaths, incarnations, duties, replacement, passes, trials),
         *(home, left, turns),
     )
 }
--- a/laurelspindle/lab/plan.py
+++ b/laurelspindle/lab/plan.py
@@ -109,6 +109,7 @@
     probe: bool = False  # servers that are set aside are tried by one node a zone
     remeasure: Share = 0.0  # of the nodes in a minRTT pass at once; 0: as each sees fit
     near: bool = False  # calls keep to their zone, by `fleet.zones`
+    by_zone: bool = False  # membership by zone: SWIM in each zone, gateways between them
     ready_s: Over0 = 20.0  # that a process has to get ready
     join_s: Over0 = 30.0  # that the processes have at most to find one another before the clients begin
     agree_s: Over0 = 12.0  # so long after the last fault all views must agree
@@ -118,6 +119,8 @@
     mischief: list[Mischief] = field(default_factory=list)
 
 
+GROUP_WIDE = ("fleet_replace", "voters", "zone_leave")  # faults that one group over all must hear of
+
 SHIPPED = files("laurelspindle") / "lab" / "plans"
 
 
@@ -147,6 +150,8 @@
     uses = [key for key in ("probe", "remeasure") if table.get(key)]
     if uses and not table.get("voters"):
         out.append(f"voters: missing: must be 3 or 5 where {uses[0]} is")
+    if table.get("by_zone") and table.get("voters"):
+        out.append("by_zone: true: must not be with voters, who are to be of every node's own group")
     earlier = any(m["kind"] == "earlier" for m in table.get("mischief", ()))
     if earlier and not table.get("earlier"):
         out.append(
@@ -157,6 +162,10 @@
     for i, f in enumerate(table.get("fault", ())):
         if top(f.get("at_s", 3.0)) >= length:
             out.append(f"fault[{i}].at_s: {f.get('at_s', 3.0)}: must be under length_s, {length:g}")
+        if table.get("by_zone") and f["type"] in GROUP_WIDE:
+            out.append(
+                f"fault[{i}].type: {f['type']!r}: must not be with by_zone: it goes to one group alone"
+            )
         if f["type"] == "voters" and (len(f.get("voters", ())) not in (3, 5) or not table.get("voters")):
             out.append(
                 f"fault[{i}].voters: {f.get('voters', [])}: must be 3 or 5 names, in a plan with voters"
