--- a/brackenladder/fleet/federation/decisions.py
+++ b/brackenladder/fleet/federation/decisions.py
@@ -87,8 +87,7 @@
         self.counts = self.records.counts
         self.facts: dict[str, str] = {}
         self.is_gateway = False
-        self.settled_at = now + timing.settle
-        self.next_exchange = self.settled_at + int(timing.exchange_every * rng.random())
+        self.next_exchange = now + timing.settle + int(timing.exchange_every * rng.random())
         self.next_ask = now + int(timing.answer_within * rng.random())
         self.pending: PendingAsk | None = None
         self.unanswered: dict[str, int] = {}  # asks in a row, by gateway of the own zone
--- a/brackenladder/fleet/federation/settings.py
+++ b/brackenladder/fleet/federation/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from brackenladder.fleet.config import Section
@@ -13,6 +13,11 @@
 MAX_SEEDS_A_ZONE = 16
 MAX_GROUP = 400  # members of a zone's group; a larger zone is to be split
 SCOPES = ("zone", "fleet")
+SECOND = 1_000_000
+INTERVALS = (
+    *("exchange_every", "ask_every", "answer_within", "silent_for", "remake_after", "settle"),
+    *("stale_after", "lost_after"),
+)
 
 
 @dataclass(frozen=True)
@@ -40,20 +45,8 @@
 
     def scaled(self, period: int) -> FederationTiming:
         """For SWIM periods of another length."""
-        second = 1_000_000
-        return FederationTiming(
-            gateways=self.gateways,
-            exchange_every=self.exchange_every * period // second,
-            ask_every=self.ask_every * period // second,
-            answer_within=self.answer_within * period // second,
-            asks_unanswered=self.asks_unanswered,
-            silent_for=self.silent_for * period // second,
-            remake_after=self.remake_after * period // second,
-            settle=self.settle * period // second,
-            stale_after=self.stale_after * period // second,
-            lost_after=self.lost_after * period // second,
-            answers_a_second=self.answers_a_second,
-        )
+        intervals = {name: getattr(self, name) * period // SECOND for name in INTERVALS}
+        return replace(self, **intervals)
 
 
 def read_membership(section: Section, table: object) -> ZoneMembershipSettings | None:
--- a/tests/test_zone_membership.py
+++ b/tests/test_zone_membership.py
@@ -196,6 +196,15 @@
     assert there.zones["b"].age(another_clock + SEC) == 15 * SEC
 
 
+def test_the_age_of_an_own_summary_counts_from_when_it_was_made():
+    fed, _ = alone()
+    exchange = FederationMessage(FederationKind.ZONE_EXCHANGE, "x", "b")
+    ages = [
+        fed.received(START + at, ("h", 9), exchange)[0][1].summaries[0].age for at in (0, 900_000, 1_000_000)
+    ]
+    assert ages == [0, 900_000, 0]
+
+
 def test_of_one_origin_the_newer_version_holds_whatever_its_age():
     held = records()
     held.accept(START, summary(counter=5, size=5))
@@ -518,6 +527,13 @@
     assert len(read({"scope": "fleet", "zone_seeds": {}})[1]) == 1
 
 
+def test_all_intervals_go_by_the_period():
+    scaled = FederationTiming().scaled(SEC // 10)
+    for name, value in vars(FederationTiming()).items():
+        same = name in ("gateways", "asks_unanswered", "answers_a_second")
+        assert getattr(scaled, name) == (value if same else value // 10), name
+
+
 def test_without_the_table_nothing_of_the_package_is_imported():
     code = (
         "import sys; import brackenladder.fleet.host; "
