--- a/tests/test_zone_membership.py
+++ b/tests/test_zone_membership.py
@@ -268,6 +268,35 @@
     assert held.zones["b"].age(START) == SEC and held.zones["b"].version.counter == 2
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_ages_are_true_and_versions_rise_over_any_relays_between_clocks_that_differ(seed):
+    """Two origins speak for a zone; four holders with clocks of their own ask one another at random."""
+    rng = Random(seed)
+    holders = [Records("a", 30 * SEC, 60 * SEC, lambda event: None) for _ in range(4)]
+    offsets = [rng.randrange(10**12) for _ in holders]
+    made, newest, now = {}, [{} for _ in holders], START
+    for step in range(1500):
+        now += rng.randrange(SEC // 1000) * 1000
+        i, j = rng.sample(range(4), 2)
+        if rng.random() < 0.2:
+            origin = rng.choice(["b-0", "b-1"])
+            made[origin, step] = now
+            size = rng.randrange(3)
+            holders[i].accept(offsets[i] + now, summary(origin=origin, counter=step, size=size))
+        known = holders[i].known(offsets[i] + now) if rng.random() < 0.9 else ()
+        summaries, refreshes = holders[j].younger(offsets[j] + now, known, 0)
+        for copy in summaries:
+            holders[i].accept(offsets[i] + now, copy)
+        for copy in refreshes:
+            holders[i].refresh(offsets[i] + now, copy)
+        for record in holders[i].zones.values():
+            version = record.version
+            assert record.age(offsets[i] + now) == now - made[version.origin, version.counter]
+            assert version.counter >= newest[i].get(version.origin, 0)
+            newest[i][version.origin] = version.counter
+    assert all(len(n) == 2 for n in newest)
+
+
 def test_an_asker_gets_what_it_lacks_whole_and_what_it_has_in_short():
     held = records()
     for zone, age in (("b", 0), ("c", 0), ("d", 9 * SEC), ("e", 0)):
