Fleet: a part's package is imported only where the configuration has the part

Need: each process of a fleet loaded duties, probes, minRTT passes, zones and the replacement, whatever its configuration asked for; hand.py held the traffic between zones beside its own work.

--- a/brackenladder/fleet/assembly.py
+++ b/brackenladder/fleet/assembly.py
@@ -35,12 +35,9 @@
     made = FleetComponents(hand)
     if config.voters:
         from brackenladder.fleet.duties.component import DutiesComponent
-        from brackenladder.fleet.probe.decisions import PREFIX as PROBES
-        from brackenladder.fleet.remeasure.decisions import PREFIX as PASSES
         from brackenladder.fleet.replace.component import ReplacementComponent
-        from brackenladder.fleet.replace.decisions import DUTY
 
-        made.duties = DutiesComponent(runtime, reserved=DUTY, quiet=(PROBES, PASSES))
+        made.duties = DutiesComponent(runtime)
         made.replacement = ReplacementComponent(runtime, made.duties)
         made.ordered += [made.duties, made.replacement]
     if config.membership is not None:
--- a/brackenladder/fleet/duties/component.py
+++ b/brackenladder/fleet/duties/component.py
@@ -6,28 +6,23 @@
 from typing import Any
 
 from brackenladder.fleet.component import Component, Outgoing, Runtime, addressed
+from brackenladder.fleet.duties.names import FREQUENT_PREFIXES
 from brackenladder.fleet.duties.part import Duties
 from brackenladder.fleet.membership.codec import Part
 from brackenladder.fleet.membership.swim import Address
 
 
 class DutiesComponent(Component):
-    """`reserved`: the name of a duty that scripts may not ask for. `quiet`: beginnings of the names of duties
-    that are reserved and change hands too often for the log."""
+    """This process's vote, what it wants, and what it holds for scripts."""
 
-    def __init__(self, runtime: Runtime, reserved: str, quiet: tuple[str, ...]) -> None:
+    def __init__(self, runtime: Runtime) -> None:
         self.runtime = runtime
-        self.reserved = reserved
-        self.duties = Duties(runtime.config, runtime.log, quiet)
+        self.duties = Duties(runtime.config, runtime.log, FREQUENT_PREFIXES)
 
     @property
     def wires(self) -> Sequence[Part]:
         return (self.duties.wire,)
 
-    def is_reserved(self, duty: str) -> bool:
-        """Whether the fleet itself uses a duty of this name."""
-        return duty == self.reserved or duty.startswith(self.duties.quiet)
-
     def abstains(self, now: int) -> bool:
         """Whether this process is a voter that does not vote yet."""
         voter = self.duties.voter
--- a/brackenladder/fleet/operator_pages.py
+++ b/brackenladder/fleet/operator_pages.py
@@ -12,6 +12,7 @@
 from urllib.parse import parse_qs
 
 from brackenladder.fleet.component import Outgoing, Runtime
+from brackenladder.fleet.duties.names import is_reserved
 from brackenladder.fleet.hand import Hand
 from brackenladder.fleet.membership.codec import NAME_MOST
 
@@ -72,7 +73,7 @@
         duty, script = parameters(query, "duty", "script")
         if not all(0 < len(name) <= NAME_MOST for name in (duty, script)):
             return 400, b"duty, script: must be names of 1 to 64 characters\n"
-        if self.duties.is_reserved(duty):
+        if is_reserved(duty):
             return 400, b"duty: replace, probe.* and remeasure.* are the fleet's own\n"
         table, outgoing = self.duties.script_request(self.runtime.now(), duty, script, release)
         self.runtime.deliver(outgoing)
@@ -92,9 +93,10 @@
 
     def zone(self, query: bytes) -> Response:
         """`PUT /fleet/zone?do=leave|return&zone=NAME&for_s=N`."""
-        zones, orders = self.hand.zones, self.hand.orders
-        if zones is None or orders is None:
+        traffic = self.hand.zone_traffic
+        if traffic is None or traffic.zones is None or traffic.orders is None:
             return NO_ZONES
+        zones, orders = traffic.zones, traffic.orders
         verb, zone, seconds = parameters(query, "do", "zone", "for_s")
         known = sorted({zones.zone, *zones.courses})
         if zone not in known:
--- a/brackenladder/fleet/policy_component.py
+++ b/brackenladder/fleet/policy_component.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from brackenladder.fleet.component import Component, Outgoing, Runtime, addressed
-from brackenladder.fleet.duties.component import DutiesComponent
 from brackenladder.fleet.hand import Hand
 from brackenladder.fleet.membership.codec import Part
 from brackenladder.fleet.membership.swim import Address
 
+if TYPE_CHECKING:
+    from brackenladder.fleet.duties.component import DutiesComponent
+
 
 class PolicyComponent(Component):
     """`duties`: None where no voters are configured, so that there are no probes and no bound on passes."""
--- a/brackenladder/fleet/probe/decisions.py
+++ b/brackenladder/fleet/probe/decisions.py
@@ -18,13 +18,12 @@
 from typing import Any
 
 from brackenladder.fleet.duties.asker import Asker
+from brackenladder.fleet.duties.names import PROBE_PREFIX
 from brackenladder.fleet.probe.messages import MOST, ProbeKind, ProbeMessage, Trial
 from brackenladder.fleet.probe.settings import ProbeSettings
 
 Out = list[tuple[str, Any]]  # duties' messages and this part's
 
-PREFIX = "probe."
-
 
 @dataclass
 class Aside:
@@ -80,7 +79,7 @@
 
     def duty(self, server: int) -> str:
         """The zone's name may be as long as a duty's: its mark stands for it."""
-        return f"{PREFIX}{self.mark}.{server:x}"
+        return f"{PROBE_PREFIX}{self.mark}.{server:x}"
 
     def token(self, now: int, server: int) -> int | None:
         """Of the server's trial, if this node holds it now."""
--- a/brackenladder/fleet/remeasure/decisions.py
+++ b/brackenladder/fleet/remeasure/decisions.py
@@ -16,10 +16,9 @@
 from typing import Any
 
 from brackenladder.fleet.duties.asker import Asker
+from brackenladder.fleet.duties.names import REMEASURE_PREFIX
 from brackenladder.fleet.duties.voter import Out
 
-PREFIX = "remeasure."
-
 
 @dataclass(frozen=True)
 class RemeasureSettings:
@@ -59,7 +58,7 @@
         self.counts: Counter[str] = Counter()
 
     def duty(self) -> str | None:
-        return None if self.place is None else f"{PREFIX}{self.tier}.{self.place}"
+        return None if self.place is None else f"{REMEASURE_PREFIX}{self.tier}.{self.place}"
 
     def token(self, now: int) -> int | None:
         """Of the place, if one is held now."""
--- a/brackenladder/fleet/replace/component.py
+++ b/brackenladder/fleet/replace/component.py
@@ -7,9 +7,10 @@
 
 from brackenladder.fleet.component import Component, Outgoing, Runtime, addressed
 from brackenladder.fleet.duties.component import DutiesComponent
+from brackenladder.fleet.duties.names import REPLACEMENT
 from brackenladder.fleet.membership.codec import Part
 from brackenladder.fleet.membership.swim import Address
-from brackenladder.fleet.replace.decisions import DUTY, MOST, Replacement
+from brackenladder.fleet.replace.decisions import MOST, Replacement
 from brackenladder.fleet.replace.messages import ReplaceWire, State
 from brackenladder.net.lifecycle import Stage
 
@@ -52,7 +53,7 @@
     def token(self) -> int | None:
         """Of the replacement's duty, if this process holds it now."""
         asker = self.duties.duties.asker
-        return asker.holding(self.runtime.now(), DUTY) if asker is not None else None
+        return asker.holding(self.runtime.now(), REPLACEMENT) if asker is not None else None
 
     # ---- time and messages ------------------------------------------------------------------------------
 
@@ -65,9 +66,9 @@
             return []
         out: list[Outgoing] = []
         if self.replacement.wants():
-            asker.want(now, DUTY)
-        elif DUTY in asker.wanted and not self.replacement.tells:
-            out += addressed(asker.drop(now, DUTY))
+            asker.want(now, REPLACEMENT)
+        elif REPLACEMENT in asker.wanted and not self.replacement.tells:
+            out += addressed(asker.drop(now, REPLACEMENT))
         plan_before = self.replacement.plan
         out += addressed(self.replacement.tick(now, self.token()))
         plan = self.replacement.plan
--- a/brackenladder/fleet/replace/decisions.py
+++ b/brackenladder/fleet/replace/decisions.py
@@ -16,7 +16,6 @@
 
 from brackenladder.fleet.replace.messages import Plan, ReplaceKind, ReplaceMessage, State
 
-DUTY = "replace"
 EVERY = 500_000  # the holder asks all members how they stand
 FRESH = 2_000_000  # a report older than this counts as none
 TELLS = 3  # times that an operator's word is passed on by whoever got it
--- a/laurelspindle/virtual/fleet.py
+++ b/laurelspindle/virtual/fleet.py
@@ -136,8 +136,8 @@
         duties = DutySettings(lease=uses.lease, longest=uses.longest)
         lists = [Electorate(names)]
         self.hand = Hand(config, settings, self.now, lambda: self.wall() * 1000, self.arm, self.tell)
-        if uses.strict:
-            self.hand.zones_kind = StrictlyLocal
+        if uses.strict and self.hand.zone_traffic is not None:
+            self.hand.zone_traffic.zones_class = StrictlyLocal
         self.hand.verdict = self.verdict
         self.asker = Asker(self.name, seed & 0xFFFFFF, lists, duties, self.rng, self.wall)
         votes = lists if self.name in names else []
--- a/tests/test_fleet_components.py
+++ b/tests/test_fleet_components.py
@@ -1,13 +1,17 @@
 """The fleet runtime and its components: what one line gives a component, and what a fault in it ends."""
 
 import asyncio
+import json
+import os
+import subprocess
+import sys
 from dataclasses import dataclass
 from enum import IntEnum
 
 import msgspec
 import pytest
 from loopback import Bench, play, until
-from test_fleet import free_udp, section
+from test_fleet import free_udp, node_file, section
 
 from brackenladder.fleet import host
 from brackenladder.fleet.component import Component, Outgoing
@@ -228,3 +232,33 @@
 def test_no_two_components_have_one_kind(kinds):
     with pytest.raises(DuplicateKind, match="is defined twice"):
         Registry([kind(None) for kind in kinds], lambda what, error: None)
+
+
+IMPORTED = """
+import asyncio, json, os, sys
+from brackenladder.net.config import load
+from brackenladder.net.node import Node
+Node(load(os.environ), asyncio.new_event_loop())
+print(json.dumps([name for name in sys.modules if name.startswith("brackenladder.fleet.")]))
+"""
+VOTERS = {"voters": ["n0", "b", "c"]}
+
+
+@pytest.mark.parametrize(
+    ("changes", "packages"),
+    [
+        ({}, set()),
+        ({"zones": {}}, {"zones"}),
+        (VOTERS, {"duties", "replace"}),
+    ],
+)
+def test_a_component_that_is_not_asked_for_is_not_imported(tmp_path, changes, packages):
+    """Failure prevented: a node pays memory and start-up time for components that its site does not use."""
+    env = os.environ | node_file(tmp_path, fleet=section(tmp_path, **changes))
+    out = subprocess.run(
+        [sys.executable, "-c", IMPORTED], env=env, capture_output=True, text=True, check=True
+    )
+    decisions = ("duties.voter", "probe.decisions", "remeasure.decisions", "replace.decisions")
+    imported = {name.removeprefix("brackenladder.fleet.") for name in json.loads(out.stdout)}
+    loaded = {name.split(".")[0] for name in (*decisions, "zones.decisions") if name in imported}
+    assert loaded == packages
