Names: Hand is PolicyAdapter; its callbacks and methods in the field's words

Change: fleet/hand.py is fleet/policy_adapter.py, tests/test_fleet_hand.py tests/test_policy_adapter.py; Host.hand is Host.policy_adapter, verdict on_probe_result, spread on_shares, wake schedule, tell log_line, vote use_leases, ended attempt_ended, forget member_forgotten, view status. No change of behaviour.

--- a/brackenladder/fleet/assembly.py
+++ b/brackenladder/fleet/assembly.py
@@ -10,7 +10,7 @@
 
 from brackenladder.fleet.component import Component, Runtime
 from brackenladder.fleet.config import FleetConfig
-from brackenladder.fleet.hand import Hand
+from brackenladder.fleet.policy_adapter import PolicyAdapter
 from brackenladder.fleet.policy_component import PolicyComponent
 
 if TYPE_CHECKING:
@@ -23,7 +23,7 @@
     """What `components_for` makes. `ordered`: all components, in the order in which they are opened, ticked
     and shown. The others: those that the node and its operators speak to."""
 
-    hand: Hand
+    adapter: PolicyAdapter
     duties: DutiesComponent | None = None
     replacement: ReplacementComponent | None = None
     ordered: list[Component] = field(default_factory=list)
@@ -31,8 +31,10 @@
 
 def components_for(config: FleetConfig, runtime: Runtime) -> FleetComponents:
     """The components that a configuration asks for."""
-    hand = Hand(config, runtime.settings, runtime.now, runtime.wall, runtime.schedule, runtime.log.line)
-    made = FleetComponents(hand)
+    adapter = PolicyAdapter(
+        config, runtime.settings, runtime.now, runtime.wall, runtime.schedule, runtime.log.line
+    )
+    made = FleetComponents(adapter)
     if config.voters:
         from brackenladder.fleet.duties.component import DutiesComponent
         from brackenladder.fleet.replace.component import ReplacementComponent
@@ -44,5 +46,5 @@
         from brackenladder.fleet.federation.component import FederationComponent
 
         made.ordered.append(FederationComponent(runtime, config.membership))
-    made.ordered.append(PolicyComponent(runtime, hand, made.duties))
+    made.ordered.append(PolicyComponent(runtime, adapter, made.duties))
     return made
--- a/brackenladder/fleet/host.py
+++ b/brackenladder/fleet/host.py
@@ -63,10 +63,10 @@
         self.late = 0  # ticks
         self.end_requested = False
         made = components_for(config, self)
-        self.hand = made.hand
+        self.policy_adapter = made.adapter
         self.components = Registry(made.ordered, self.report)
         self.codec = Codec(list(config.keys), self.components.wires)
-        pages = OperatorPages(self, made.hand, made.duties, made.replacement)
+        pages = OperatorPages(self, made.adapter, made.duties, made.replacement)
         self.page, self.hold, self.give = pages.page, pages.hold, pages.give
         self.replace, self.zone = pages.replace, pages.zone
 
--- a/brackenladder/fleet/operator_pages.py
+++ b/brackenladder/fleet/operator_pages.py
@@ -13,8 +13,8 @@
 
 from brackenladder.fleet.component import Outgoing, Runtime
 from brackenladder.fleet.duties.names import is_reserved
-from brackenladder.fleet.hand import Hand
 from brackenladder.fleet.membership.codec import NAME_MOST
+from brackenladder.fleet.policy_adapter import PolicyAdapter
 
 if TYPE_CHECKING:
     from brackenladder.fleet.duties.component import DutiesComponent
@@ -46,12 +46,12 @@
     def __init__(
         self,
         runtime: PageRuntime,
-        hand: Hand,
+        adapter: PolicyAdapter,
         duties: DutiesComponent | None,
         replacement: ReplacementComponent | None,
     ) -> None:
         self.runtime = runtime
-        self.hand = hand
+        self.adapter = adapter
         self.duties = duties
         self.replacement = replacement
 
@@ -93,7 +93,7 @@
 
     def zone(self, query: bytes) -> Response:
         """`PUT /fleet/zone?do=leave|return&zone=NAME&for_s=N`."""
-        traffic = self.hand.zone_traffic
+        traffic = self.adapter.zone_traffic
         if traffic is None or traffic.zones is None or traffic.orders is None:
             return NO_ZONES
         zones, orders = traffic.zones, traffic.orders
--- a/brackenladder/fleet/hand.py
+++ b/brackenladder/fleet/policy_adapter.py
@@ -1,7 +1,7 @@
-"""The fleet's hand in a node's module: who passes and who tries, as far as the configuration has it.
+"""Connects a node's policy with the fleet: minRTT passes, probes of ejected servers, shares between zones.
 
-The module asks and tells through `interface.Fleet`, while it handles an event; what comes of it goes out with
-the next tick, which `wake` asks for. A part's package is imported only where the configuration has the part.
+The policy calls `interface.Fleet` while it handles an event; messages that come of it are sent by the next
+tick, which `schedule` asks for. A package is imported only where the configuration asks for what is in it.
 """
 
 from __future__ import annotations
@@ -22,10 +22,12 @@
 
 Out = list[tuple[str, Any]]  # a member's name, and a message to it
 Handler = Callable[[int, Any], Out]
+ProbeResult = Callable[[int, bool], None]  # a server that another node has probed, and whether it is well
+Shares = Callable[[dict[int, float], dict[int, int]], None]  # by zone: share, additional round-trip time
 
 
-class Hand:
-    """Implements `interface.Fleet`. Before `open` and after `close` a node does as one alone."""
+class PolicyAdapter:
+    """Implements `interface.Fleet`. Before `open` and after `close` the policy decides as on a node alone."""
 
     def __init__(
         self,
@@ -33,18 +35,18 @@
         settings: Settings,
         now: Callable[[], int],
         wall: Callable[[], int],
-        wake: Callable[[], None],
-        tell: Callable[[str], None],
+        schedule: Callable[[], None],
+        log_line: Callable[[str], None],
     ) -> None:
+        """`schedule`: to be called when the deadline has changed. The owner sets `on_probe_result` and
+        `on_shares` before `open`."""
         self.config = config
         self.settings = settings
         self.now = now
-        self.wake = wake
-        self.tell = tell  # a line for the log
-        self.verdict: Callable[[int, bool], None]  # of a server that another node tried; set by whoever hosts
-        self.spread: Callable[
-            [dict[int, float], dict[int, int]], None
-        ]  # shares and ways by zone; set with it
+        self.schedule = schedule
+        self.log_line = log_line
+        self.on_probe_result: ProbeResult
+        self.on_shares: Shares
         self.probe: Probe | None = None
         self.remeasure: Remeasure | None = None
         self.zone_traffic: ZoneTraffic | None = None
@@ -54,7 +56,7 @@
             from brackenladder.fleet.zones.traffic import ZoneTraffic
 
             self.zone_traffic = ZoneTraffic(
-                config, config.zones, settings, now, wall, wake, tell, self.publish_shares
+                config, config.zones, settings, now, wall, schedule, log_line, self.publish_shares
             )
 
     def wires(self) -> list[Part]:
@@ -71,14 +73,14 @@
         return wires
 
     def open(self, alive: Callable[[], Sequence[str]], rng: Random) -> None:
-        """A new life begins. `alive`: the other members that are held alive."""
+        """A new life begins. `alive`: names of the other members that are alive."""
         self.alive = alive
         if self.zone_traffic is not None:
             self.zone_traffic.open(alive, rng)
             self.handlers |= dict.fromkeys(self.zone_traffic.kinds, self.zone_traffic.received)
 
-    def vote(self, asker: Asker, rng: Random) -> None:
-        """There are voters: duties can be had."""
+    def use_leases(self, asker: Asker, rng: Random) -> None:
+        """There are voters: what needs leases can begin."""
         if self.config.probe:
             self.open_probe(asker, rng)
         if self.config.remeasure:
@@ -91,7 +93,7 @@
 
         config = self.config
         settings = settings_for(config.longest)
-        self.probe = Probe(config.name, config.zone, settings, asker, self.alive, self.verdict, rng)
+        self.probe = Probe(config.name, config.zone, settings, asker, self.alive, self.on_probe_result, rng)
         self.handlers |= dict.fromkeys(ProbeKind, self.probe.received)
 
     def open_remeasure(self, asker: Asker, rng: Random) -> None:
@@ -109,43 +111,44 @@
     # ---- what the node sees -----------------------------------------------------------------------------
 
     def server_list(
-        self, now: int, kind: ListKind, entries: Sequence[ServerEntry], numbers: Mapping[str, int]
+        self, now: int, kind: ListKind, entries: Sequence[ServerEntry], zone_numbers: Mapping[str, int]
     ) -> None:
-        """Discovery's news, as the module gets it; `numbers`: of the zones. `now`: by the list's clock."""
+        """Discovery's news, as the policy gets it. `now`: by discovery's clock."""
         if self.zone_traffic is not None:
-            self.zone_traffic.server_list(now, kind, entries, numbers)
+            self.zone_traffic.server_list(now, kind, entries, zone_numbers)
 
-    def ended(self, server: int, outcome: Outcome, latency: int, dial: float) -> None:
-        """An attempt has ended; `dial`: seconds that a new connection for it took, or 0."""
+    def attempt_ended(self, server: int, outcome: Outcome, latency: int, connect_seconds: float) -> None:
+        """`connect_seconds`: what a new connection for the attempt took, or 0."""
         if self.zone_traffic is not None:
-            self.zone_traffic.attempt_ended(server, outcome, latency, dial)
+            self.zone_traffic.attempt_ended(server, outcome, latency, connect_seconds)
 
     def publish_shares(self, shares: dict[int, float], round_trips: dict[int, int]) -> None:
-        self.spread(shares, round_trips)
+        self.on_shares(shares, round_trips)
 
-    # ---- what the module asks and tells -----------------------------------------------------------------
+    # ---- what the policy asks and tells -----------------------------------------------------------------
 
     def may_pass(self) -> bool:
-        r = self.remeasure
-        if r is None:
+        remeasure = self.remeasure
+        if remeasure is None:
             return True
         now = self.now()
-        before = r.since
-        may = r.may(now)
-        if may:
-            token = r.token(now)
-            place = f"place={r.place} token={token}" if token is not None else "without a place"
-            self.tell(f"fleet pass begins {place} waited={r.waited / 1e6:.1f}")
-        if may or before is None or r.place is None:
-            self.wake()
-        return may
+        asked_before = remeasure.since is not None
+        allowed = remeasure.may(now)
+        if allowed:
+            token = remeasure.token(now)
+            place = f"place={remeasure.place} token={token}" if token is not None else "without a place"
+            self.log_line(f"fleet pass begins {place} waited={remeasure.waited / 1e6:.1f}")
+        if allowed or not asked_before or remeasure.place is None:
+            self.schedule()
+        return allowed
 
     def passed(self) -> None:
-        r = self.remeasure
-        if r is not None and r.begun is not None:
-            self.tell(f"fleet pass over after={(self.now() - r.begun) / 1e6:.1f}")
-            r.passed(self.now())
-            self.wake()
+        remeasure = self.remeasure
+        if remeasure is None or remeasure.begun is None:
+            return
+        self.log_line(f"fleet pass over after={(self.now() - remeasure.begun) / 1e6:.1f}")
+        remeasure.passed(self.now())
+        self.schedule()
 
     def may_try(self, server: int) -> bool:
         if self.zone_traffic is not None and not self.zone_traffic.allows(server):
@@ -153,30 +156,30 @@
         if self.probe is None:
             return True
         now = self.now()
-        may = self.probe.may_try(now, server)
-        if may:  # the module asks for what is due alone, and sends at once
+        allowed = self.probe.may_try(now, server)
+        if allowed:  # the policy asks only for what is due, and sends at once
             token = self.probe.token(now, server)
-            self.tell(f"fleet tries server={server} " + ("alone" if token is None else f"token={token}"))
-        return may
+            self.log_line(f"fleet tries server={server} " + ("alone" if token is None else f"token={token}"))
+        return allowed
 
     def set_aside(self, server: int, wait: int) -> None:
         if self.zone_traffic is not None:
             self.zone_traffic.set_ejected(server, True)
         if self.probe is not None:
             self.probe.set_aside(self.now(), server, wait)
-            self.wake()
+            self.schedule()
 
     def back(self, server: int, well: bool) -> None:
         if self.zone_traffic is not None:
             self.zone_traffic.set_ejected(server, False)
         if self.probe is not None:
             self.probe.back(self.now(), server, well)
-            self.wake()
+            self.schedule()
 
     # ---- time and messages ------------------------------------------------------------------------------
 
     def deadline(self, now: int) -> int | None:
-        """When to `tick` next."""
+        """When `tick` is due."""
         deadlines = [part.deadline(now) for part in (self.probe, self.remeasure) if part is not None]
         if self.zone_traffic is not None:
             deadlines += self.zone_traffic.deadlines()
@@ -192,15 +195,15 @@
         handler = self.handlers.get(message.kind)
         return handler(now, message) if handler is not None else []
 
-    def forget(self, member: str) -> None:
-        """A member is gone for good."""
+    def member_forgotten(self, member: str) -> None:
+        """Membership has dropped a member."""
         if self.probe is not None:
             self.probe.forget(member)
 
     # ---- what operators see -----------------------------------------------------------------------------
 
-    def view(self, now: int) -> dict[str, Any]:
-        """Of each part that is on."""
+    def status(self, now: int) -> dict[str, Any]:
+        """A key of the page for each part that is on."""
         parts = {"probe": self.probe, "remeasure": self.remeasure}
         table = {name: part.view(now) for name, part in parts.items() if part is not None}
         return table if self.zone_traffic is None else table | self.zone_traffic.status(now)
--- a/brackenladder/fleet/policy_component.py
+++ b/brackenladder/fleet/policy_component.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING, Any
 
 from brackenladder.fleet.component import Component, Outgoing, Runtime, addressed
-from brackenladder.fleet.hand import Hand
 from brackenladder.fleet.membership.codec import Part
 from brackenladder.fleet.membership.swim import Address
+from brackenladder.fleet.policy_adapter import PolicyAdapter
 
 if TYPE_CHECKING:
     from brackenladder.fleet.duties.component import DutiesComponent
@@ -17,35 +17,35 @@
 class PolicyComponent(Component):
     """`duties`: None where no voters are configured, so that there are no probes and no bound on passes."""
 
-    def __init__(self, runtime: Runtime, hand: Hand, duties: DutiesComponent | None) -> None:
+    def __init__(self, runtime: Runtime, adapter: PolicyAdapter, duties: DutiesComponent | None) -> None:
         self.runtime = runtime
-        self.hand = hand
+        self.adapter = adapter
         self.duties = duties
 
     @property
     def wires(self) -> Sequence[Part]:
-        return self.hand.wires()
+        return self.adapter.wires()
 
     def open(self) -> None:
-        self.hand.open(self.runtime.alive, self.runtime.rng)
+        self.adapter.open(self.runtime.alive, self.runtime.rng)
         asker = self.duties.duties.asker if self.duties is not None else None
         if asker is not None:
-            self.hand.vote(asker, self.runtime.rng)
+            self.adapter.use_leases(asker, self.runtime.rng)
 
     def close(self) -> None:
-        self.hand.close()
+        self.adapter.close()
 
     def deadline(self, now: int) -> int | None:
-        return self.hand.deadline(now)
+        return self.adapter.deadline(now)
 
     def tick(self, now: int) -> list[Outgoing]:
-        return addressed(self.hand.tick(now))
+        return addressed(self.adapter.tick(now))
 
     def received(self, now: int, sender: Address, message: Any) -> list[Outgoing]:
-        return addressed(self.hand.received(now, message))
+        return addressed(self.adapter.received(now, message))
 
     def member_forgotten(self, name: str) -> None:
-        self.hand.forget(name)
+        self.adapter.member_forgotten(name)
 
     def status(self, now: int) -> dict[str, Any]:
-        return self.hand.view(now)
+        return self.adapter.status(now)
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -75,13 +75,13 @@
         self.send, self.cancel = self.requests.send, self.requests.cancel
         self.refuse, self.fail = self.requests.refuse, self.requests.fail
         self.watch, self.fetch = self.discovery.watch, self.discovery.fetch
-        hand = None if self.fleet is None else self.fleet.hand
-        self.balancer = Balancer(config.settings, config.seed, self, hand)
-        if hand is not None:
-            hand.verdict, hand.spread = self.tried, self.spread
-            self.roster.heard = hand.server_list
+        adapter = None if self.fleet is None else self.fleet.policy_adapter
+        self.balancer = Balancer(config.settings, config.seed, self, adapter)
+        if adapter is not None:
+            adapter.on_probe_result, adapter.on_shares = self.tried, self.spread
+            self.roster.heard = adapter.server_list
             if config.fleet is not None and config.fleet.zones is not None:
-                self.requests.heard = hand.ended
+                self.requests.heard = adapter.attempt_ended
         self.requests.module = self.roster.module = self.balancer
 
     async def start(self) -> None:
--- a/laurelspindle/virtual/fleet.py
+++ b/laurelspindle/virtual/fleet.py
@@ -1,6 +1,6 @@
 """A fleet on the virtual clock: the front nodes of a world with their duties between them.
 
-Voters, askers and the hand in the module are the node's own; the network between them is the world's, without
+Voters, askers and the policy adapter are the node's own; the network between them is the world's, without
 loss, and who is there is known at once. What faults do to duties, `explore/duties.py` tries.
 """
 
@@ -18,7 +18,7 @@
 from brackenladder.fleet.duties.messages import DutyMessage
 from brackenladder.fleet.duties.settings import DutySettings, Electorate
 from brackenladder.fleet.duties.voter import Voter
-from brackenladder.fleet.hand import Hand
+from brackenladder.fleet.policy_adapter import PolicyAdapter
 from brackenladder.fleet.zones.settings import ZoneSettings
 from brackenladder.interface import Actions, Events, ListKind, Outcome, ServerEntry, Settings
 from brackenladder.interface import Fleet as Hook
@@ -70,7 +70,7 @@
         self.all.append(self)
         assert fleet.world is not None
         self.clock = fleet.world.clock
-        self.hook = hook if isinstance(hook, Hand) and fleet.uses.zones is not None else None
+        self.hook = hook if isinstance(hook, PolicyAdapter) and fleet.uses.zones is not None else None
         self.world = fleet.world
         self.home = settings.zone
 
@@ -94,7 +94,7 @@
         if self.hook is not None:
             # A connection is taken to come up in a round-trip of the world's network, drawn anew.
             way = self.world.network.between(self.home, self.world.by_id[server].zone, request)
-            self.hook.ended(server, outcome, latency, 2 * way / 1e6 if request % DIALS == 0 else 0.0)
+            self.hook.attempt_ended(server, outcome, latency, 2 * way / 1e6 if request % DIALS == 0 else 0.0)
 
     def readmit(self, srv: Server, well: bool = False) -> None:
         self.notes.readmitted.append(self.clock.now)
@@ -135,19 +135,21 @@
         )  # fmt: skip
         duties = DutySettings(lease=uses.lease, longest=uses.longest)
         lists = [Electorate(names)]
-        self.hand = Hand(config, settings, self.now, lambda: self.wall() * 1000, self.arm, self.tell)
-        if uses.strict and self.hand.zone_traffic is not None:
-            self.hand.zone_traffic.zones_class = StrictlyLocal
-        self.hand.verdict = self.verdict
+        self.adapter = PolicyAdapter(
+            config, settings, self.now, lambda: self.wall() * 1000, self.arm, self.tell
+        )
+        if uses.strict and self.adapter.zone_traffic is not None:
+            self.adapter.zone_traffic.zones_class = StrictlyLocal
+        self.adapter.on_probe_result = self.verdict
         self.asker = Asker(self.name, seed & 0xFFFFFF, lists, duties, self.rng, self.wall)
         votes = lists if self.name in names else []
         self.voter = Voter(self.name, 1, votes, duties, self.now())
         if self.clock.now <= world.begin + 1_000_000:  # as the day begins, the fleet has stood for long
             self.voter.abstain_until = 0
             self.voter.recalled = dict.fromkeys(names, 0)
-        self.hand.spread = self.spread
-        self.hand.open(self.others, self.rng)
-        self.hand.vote(self.asker, self.rng)
+        self.adapter.on_shares = self.spread
+        self.adapter.open(self.others, self.rng)
+        self.adapter.use_leases(self.asker, self.rng)
 
     def now(self) -> int:
         return self.clock.now
@@ -185,7 +187,7 @@
 
     def arm(self) -> None:
         now = self.clock.now
-        dues = (self.voter.deadline(), self.asker.deadline(), self.hand.deadline(now))
+        dues = (self.voter.deadline(), self.asker.deadline(), self.adapter.deadline(now))
         due = min((d for d in dues if d is not None), default=None)
         if due is None:
             return
@@ -200,7 +202,7 @@
         self.armed = -1
         now = self.clock.now
         self.carry([*self.voter.tick(now), *self.asker.tick(now)])
-        self.carry(self.hand.tick(now))
+        self.carry(self.adapter.tick(now))
         self.arm()
 
     def carry(self, out: list[tuple[str, Any]]) -> None:
@@ -224,7 +226,7 @@
         if isinstance(message, DutyMessage):
             self.carry([*self.voter.received(now, message), *self.asker.received(now, message)])
         else:
-            self.carry(self.hand.received(now, message))
+            self.carry(self.adapter.received(now, message))
         self.arm()
 
 
@@ -244,11 +246,11 @@
         self.world = world
         if settings.tier:
             return Balancer(settings, seed, actions)
-        hand = None
+        adapter = None
         if self.on:
             process = self.processes[f"n{settings.index}"] = Process(self, world, settings, seed)
-            hand = process.hand
-        return Watched(settings, seed, actions, hand, self)
+            adapter = process.adapter
+        return Watched(settings, seed, actions, adapter, self)
 
     def runs(self, name: str) -> bool:
         """Whether a node is up."""
--- a/tests/test_fleet_hand.py
+++ b/tests/test_policy_adapter.py
@@ -1,4 +1,4 @@
-"""The fleet's hand in the module: who tries a server that is set aside, and when a minRTT pass may begin."""
+"""The policy adapter: who probes an ejected server, when a minRTT pass may begin, shares between zones."""
 
 from dataclasses import replace
 from random import Random
@@ -11,8 +11,8 @@
 from brackenladder.fleet.duties.asker import Asker
 from brackenladder.fleet.duties.settings import DutySettings, Electorate
 from brackenladder.fleet.duties.voter import Voter
-from brackenladder.fleet.hand import Hand
 from brackenladder.fleet.membership.codec import Codec
+from brackenladder.fleet.policy_adapter import PolicyAdapter
 from brackenladder.fleet.probe.decisions import Probe
 from brackenladder.fleet.probe.messages import ProbeKind, ProbeMessage, ProbeWire, Trial
 from brackenladder.fleet.probe.settings import ProbeSettings
@@ -235,39 +235,39 @@
     assert t.askers["n1"].wanted == {}
 
 
-# ---- the hand itself --------------------------------------------------------------------------------------
+# ---- the adapter itself -----------------------------------------------------------------------------------
 
 
-def hand(tmp_path, **changes):
-    """A hand on a clock fed by hand, with servers 1 to 6 in zones 0 and 1, and what it told the module."""
+def adapter(tmp_path, **changes):
+    """An adapter on a clock that the test sets, servers 1 to 6 in zones 0 and 1, and what it told."""
     key = tmp_path / "key"
     key.write_text("k" * 20)
     key.chmod(0o600)
     table = {"zone": "x", "listen": "127.0.0.1:1", "key": str(key)} | changes
     clock, told = [100 * SEC], []
-    h = Hand(
+    h = PolicyAdapter(
         read_fleet(table, "a"), BASE, lambda: clock[0], lambda: 10**15 + clock[0], lambda: None, told.append
     )
-    h.verdict = lambda server, well: told.append((server, well))
-    h.spread = lambda shares, trips: told.append((shares, trips))
+    h.on_probe_result = lambda server, well: told.append((server, well))
+    h.on_shares = lambda shares, trips: told.append((shares, trips))
     h.open(lambda: ["b"], Random(1))
     entries = [ServerEntry(i, zone=i % 2) for i in range(1, 7)]
     h.server_list(0, ListKind.FULL, entries, {"y": 0, "x": 1})
     return h, clock, told
 
 
-def test_without_its_keys_a_hand_holds_nothing_back(tmp_path):
-    h, clock, told = hand(tmp_path)
+def test_without_its_keys_an_adapter_holds_nothing_back(tmp_path):
+    h, clock, told = adapter(tmp_path)
     assert h.may_pass() and h.may_try(1) and h.tick(clock[0]) == [] and h.deadline(clock[0]) is None
     h.set_aside(1, SEC)
-    h.ended(1, Outcome.ERROR, 1000, 0.1)
+    h.attempt_ended(1, Outcome.ERROR, 1000, 0.1)
     h.back(1, True)
     h.passed()
-    assert told == [] and h.view(clock[0]) == {}
+    assert told == [] and h.status(clock[0]) == {}
 
 
 def test_the_module_hears_of_shares_and_ways_that_have_moved(tmp_path):
-    h, clock, told = hand(tmp_path, zones={})
+    h, clock, told = adapter(tmp_path, zones={})
     h.tick(clock[0])
     assert told == [({1: 1.0, 0: 0.0}, {0: 0})]
 
@@ -278,8 +278,8 @@
         return told[before:]
 
     assert later() == []
-    h.ended(1, Outcome.OK, 9000, 0.001)
-    h.ended(2, Outcome.OK, 9000, 0.021)
+    h.attempt_ended(1, Outcome.OK, 9000, 0.001)
+    h.attempt_ended(2, Outcome.OK, 9000, 0.021)
     assert later() == [({1: 1.0, 0: 0.0}, {0: 20_000})]
     for server in (1, 3):  # two of the own zone's three
         h.set_aside(server, SEC)
