Operator pages: one reading of whole numbers

The check of a number in a query stood twice, here and in the replacement's component. The same requests are taken and refused as before. test_fleet, test_fleet_components pass (37).

--- a/brackenladder/fleet/operator_pages.py
+++ b/brackenladder/fleet/operator_pages.py
@@ -85,7 +85,7 @@
         if self.replacement is None or not self.runtime.is_open:
             return NO_VOTERS
         verb, most = parameters(query, "do", "most")
-        if not self.replacement.command(verb, most or "1"):
+        if not self.replacement.command(verb, max_out=whole_number(most or "1")):
             return 400, b"do: must be begin, pause, resume or stop; most: 1 to 1000\n"
         self.runtime.deliver(self.replacement.tick(self.runtime.now()))
         self.runtime.schedule()
@@ -101,11 +101,12 @@
         known = sorted({zones.zone, *zones.courses})
         if zone not in known:
             return 400, f"zone: must be one of {', '.join(known)}\n".encode()
-        if verb == "leave" and not is_count(seconds, MAX_DIRECTIVE_SECONDS):
+        length = whole_number(seconds)
+        if verb == "leave" and not 0 < length <= MAX_DIRECTIVE_SECONDS:
             return 400, b"for_s: must be 1 to 86400\n"
         if verb not in ("leave", "return"):
             return 400, b"do: must be leave or return\n"
-        if not orders.say(zone, int(seconds) * 1_000_000 if verb == "leave" else 0):
+        if not orders.say(zone, length * 1_000_000 if verb == "leave" else 0):
             return 409, b"zone: words on too many zones hold already\n"
         self.runtime.log.line(f"fleet zone {zone}: told to {verb}")
         self.runtime.schedule()
@@ -118,9 +119,9 @@
     return tuple(values.get(name, [""])[0] for name in names)
 
 
-def is_count(text: str, maximum: int) -> bool:
-    """Whether a text is a whole number from 1 to a maximum."""
-    return text.isascii() and text.isdigit() and 0 < int(text) <= maximum
+def whole_number(text: str) -> int:
+    """The number that a text spells in digits; 0 where it spells none."""
+    return int(text) if text.isascii() and text.isdigit() else 0
 
 
 def success(body: object) -> Response:
--- a/brackenladder/fleet/replace/component.py
+++ b/brackenladder/fleet/replace/component.py
@@ -95,12 +95,12 @@
 
     # ---- what operators see and do ----------------------------------------------------------------------
 
-    def command(self, verb: str, most: str) -> bool:
-        """Begins, pauses, resumes or stops a replacement, `most` processes out at a time. False if the words
-        are not understood."""
+    def command(self, verb: str, max_out: int) -> bool:
+        """Begins, pauses, resumes or stops a replacement that takes `max_out` processes out at a time. False
+        if it is none of these."""
         assert self.replacement is not None
-        if verb == "begin" and most.isascii() and most.isdigit() and 0 < int(most) <= MOST:
-            self.replacement.begin(self.runtime.wall(), int(most))
+        if verb == "begin" and 0 < max_out <= MOST:
+            self.replacement.begin(self.runtime.wall(), max_out)
         elif verb in COMMANDS:
             self.replacement.change(COMMANDS[verb])
         else:
