Fleet runtime: what fails at a tick and stays due is tried each 0.1 s, not each ms

Need: a component (or membership) whose tick raises is due again at once: the timer then ran each millisecond, beside the requests of the node. Change: 0.1 s until the next tick after one in which something failed. A number in an operator's query has 9 digits at most: int() raises on thousands.

--- a/brackenladder/fleet/host.py
+++ b/brackenladder/fleet/host.py
@@ -29,7 +29,8 @@
 
 LOGGED_CHANGES = ("join", "suspect", "dead", "left", "alive", "refuted")
 LATE_TICK = 50_000  # microseconds: a tick so late is counted, since the process itself was slow
-MIN_WAIT = 1_000  # microseconds until the timer's next tick
+MIN_WAIT = 1_000  # microseconds until the timer's next tick...
+WAIT_AFTER_FAULT = 100_000  # ...and after one in which something failed, which stays due
 SYNC_PERIODS = 15  # between two whole exchanges: what gossip missed is known after some of them
 LEAVE_REPEATS = 3  # a datagram may be lost
 STATUS_WITHOUT_VOTERS: dict[str, Any] = {"duties": None, "replace": None}
@@ -132,12 +133,12 @@
     def end_process(self) -> None:
         self.end_requested = True
 
-    def schedule(self) -> None:
+    def schedule(self, min_wait: int = MIN_WAIT) -> None:
         """Sets the timer to the next deadline."""
         if self.timer is not None:
             self.timer.cancel()
         if self.transport is not None and self.swim is not None:
-            wait = max(MIN_WAIT, self.deadline() - self.now())
+            wait = max(min_wait, self.deadline() - self.now())
             self.timer = self.loop.call_later(wait / 1e6, self.tick)
 
     # ---- time -------------------------------------------------------------------------------------------
@@ -151,17 +152,18 @@
     def tick(self) -> None:
         """Does what is due, and sets the timer again.
 
-        Failure prevented: one fault in a component ends the process's part in the fleet for good.
+        Failure prevented: one fault in a component ends the process's part in the fleet, or takes a core.
         """
         assert self.swim is not None
         now = self.now()
+        faults = self.events["fault"]
         self.late += now - self.swim.due() > LATE_TICK
         try:
             self.send_membership(self.swim.tick(now))
         except Exception as error:
             self.report("membership.tick", error)
         self.components.each("tick", lambda component: self.deliver(component.tick(now)))
-        self.schedule()
+        self.schedule(WAIT_AFTER_FAULT if self.events["fault"] > faults else MIN_WAIT)
 
     def report(self, what: str, error: Exception) -> None:
         """Tells the event loop's exception handler of a fault."""
--- a/brackenladder/fleet/operator_pages.py
+++ b/brackenladder/fleet/operator_pages.py
@@ -22,6 +22,7 @@
 
 Response = tuple[int, bytes]
 MAX_DIRECTIVE_SECONDS = 86_400
+MAX_DIGITS = 9  # of a number in a query
 NO_VOTERS = (503, b"no voters are configured, or this process is leaving\n")
 NO_ZONES = (503, b"fleet.zones is not configured, or this process is leaving\n")
 
@@ -120,8 +121,8 @@
 
 
 def whole_number(text: str) -> int:
-    """The number that a text spells in digits; 0 where it spells none."""
-    return int(text) if text.isascii() and text.isdigit() else 0
+    """The number that a text spells in digits; 0 where it spells none, or far too great a one."""
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS else 0
 
 
 def success(body: object) -> Response:
--- a/tests/test_fleet_components.py
+++ b/tests/test_fleet_components.py
@@ -17,6 +17,7 @@
 from brackenladder.fleet.component import Component, Outgoing
 from brackenladder.fleet.membership.codec import Codec
 from brackenladder.fleet.membership.swim import Claim, Kind, Status
+from brackenladder.fleet.operator_pages import whole_number
 from brackenladder.fleet.registry import DuplicateKind, Registry
 
 PERIOD = 20_000  # microseconds
@@ -205,6 +206,45 @@
     play(scene)
 
 
+class AlwaysDue(Component):
+    """Fails at each tick, and so stays due."""
+
+    def __init__(self):
+        self.ticks = 0
+
+    def deadline(self, now):
+        return 0
+
+    def tick(self, now):
+        self.ticks += 1
+        raise RuntimeError(ON_PURPOSE)
+
+
+def test_a_component_that_fails_and_stays_due_does_not_take_the_core(tmp_path, monkeypatch):
+    """Failure prevented: a fault in the fleet's part is tried again each millisecond, beside the requests."""
+    made = with_components(monkeypatch, AlwaysDue, Toy)
+
+    async def scene():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        begun = loop.time()
+        fleet = (await node(tmp_path, "one", free_udp()).start()).node.fleet
+        failing, toy = made
+        await until(lambda: toy.ticks >= 4)
+        assert failing.ticks <= 2 + (loop.time() - begun) / 0.1
+        fleet.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ("text", "number"),
+    [("1", 1), ("086400", 86_400), ("", 0), ("-1", 0), ("1.5", 0), (" 1", 0), ("\u0663", 0), ("9" * 5000, 0)],
+)
+def test_a_number_in_a_query_is_digits_and_no_more_than_makes_sense(text, number):
+    assert whole_number(text) == number
+
+
 def test_a_kind_that_no_component_has_is_counted_and_dropped(tmp_path):
     """A later version's message is refused by the codec; one that only the codec knows is not handled."""
 
