--- a/brackenladder/fleet/duties/part.py
+++ b/brackenladder/fleet/duties/part.py
@@ -28,7 +28,7 @@
 
 
 class Duties:
-    """Stands between `host.py` and the two state machines. Open from `open` to `leave`."""
+    """Stands between `runtime.py` and the two state machines. Open from `open` to `leave`."""
 
     def __init__(self, config: FleetConfig, log: Log, quiet: tuple[str, ...] = ()) -> None:
         self.config = config
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -32,7 +32,7 @@
 from brackenladder.net.turns import Event, Turns
 
 if TYPE_CHECKING:
-    from brackenladder.fleet.host import Host
+    from brackenladder.fleet.runtime import FleetRuntime
 
 LONGEST = 3_000_000  # after SIGTERM the platform waits for the longest deadline, for so long at most...
 LAST = 500_000  # ...and 0.7 s more; so long into that, a request that came late must have its answer
@@ -123,17 +123,18 @@
                 raise
             self.loop.call_later(PEERS_RETRY, lambda: self.loop.create_task(self.open_peers()))
 
-    def fleet_part(self) -> Host | None:
+    def fleet_part(self) -> FleetRuntime | None:
         """This process's part in the fleet, if it has one."""
         if self.config.fleet is None:
             return None
-        from brackenladder.fleet.host import Host  # a node alone does without it, and without its packages
+        # A node alone does without it, and without its packages.
+        from brackenladder.fleet.runtime import FleetRuntime
 
         def end() -> None:
             os.kill(os.getpid(), signal.SIGTERM)
 
         c = self.config
-        return Host(self.config.fleet, self.loop, c.seed, self.log_lines, self.life, end, c.settings)
+        return FleetRuntime(self.config.fleet, self.loop, c.seed, self.log_lines, self.life, end, c.settings)
 
     async def open_fleet(self) -> None:
         """Joins the fleet; a port that the process before still has is tried for again."""
--- a/laurelspindle/lab/mischief.py
+++ b/laurelspindle/lab/mischief.py
@@ -18,12 +18,12 @@
 import brackenladder.__main__ as program
 import brackenladder.balance as balance
 from brackenladder.fleet.duties.asker import Asker
-from brackenladder.fleet.host import Host
 from brackenladder.fleet.membership.codec import MembershipWire
 from brackenladder.fleet.membership.swim import Claim, Kind, Message, Status, Swim
 from brackenladder.fleet.probe.decisions import Probe
 from brackenladder.fleet.remeasure.decisions import Remeasure
 from brackenladder.fleet.replace.decisions import Replacement
+from brackenladder.fleet.runtime import FleetRuntime
 from brackenladder.fleet.zones.decisions import Zones
 from brackenladder.interface import State
 from brackenladder.net.lifecycle import Lifecycle
@@ -146,7 +146,7 @@
                         Message(Kind.ACK, swim.me.name, 0, "", (lie,)),
                     )
 
-    wrap(Host, "tick", tick)
+    wrap(FleetRuntime, "tick", tick)
 
 
 def speak(host: Any, to: tuple[str, int], message: Message) -> None:
@@ -164,7 +164,7 @@
             message = Message(NEWER, self.swim.me.name)  # type: ignore[arg-type]
             speak(self, self.swim.members[name].claim.address, message)
 
-    wrap(Host, "tick", tick)
+    wrap(FleetRuntime, "tick", tick)
 
 
 def rewind() -> None:
@@ -178,7 +178,7 @@
             done.append(True)
             self.swim.me = dataclasses.replace(self.swim.me, incarnation=1)
 
-    wrap(Host, "tick", tick)
+    wrap(FleetRuntime, "tick", tick)
 
 
 def greedy() -> None:
@@ -196,7 +196,7 @@
         return go(self, *args)
 
     wrap(Replacement, "lead", lead)
-    wrap(Host, "gone", lambda go, self: [])
+    wrap(FleetRuntime, "gone", lambda go, self: [])
 
 
 def brisk() -> None:
--- a/tests/test_fleet_components.py
+++ b/tests/test_fleet_components.py
@@ -13,7 +13,7 @@
 from loopback import Bench, play, until
 from test_fleet import free_udp, node_file, section
 
-from brackenladder.fleet import host
+from brackenladder.fleet.assembly import components_for
 from brackenladder.fleet.component import Component, Outgoing
 from brackenladder.fleet.membership.codec import Codec
 from brackenladder.fleet.membership.swim import Claim, Kind, Status
@@ -134,16 +134,16 @@
 
 def with_components(monkeypatch, *kinds):
     """Adds components as a line in `components_for` would; gives the list that they are made into."""
-    original, made = host.components_for, []
+    made = []
 
-    def components_for(config, runtime):
-        found = original(config, runtime)
+    def with_new_components(config, runtime):
+        found = components_for(config, runtime)
         new = [kind(runtime) if kind is Toy else kind() for kind in kinds]
         found.ordered += new
         made.extend(new)
         return found
 
-    monkeypatch.setattr(host, "components_for", components_for)
+    monkeypatch.setattr("brackenladder.fleet.runtime.components_for", with_new_components)
     return made
 
 
