--- a/brackenladder/fleet/component.py
+++ b/brackenladder/fleet/component.py
@@ -52,9 +52,9 @@
     message: WireMessage
 
 
-def addressed(pairs: Iterable[tuple[str, WireMessage]]) -> list[Outgoing]:
-    """Messages of a state machine that returns pairs of member name and message."""
-    return [Outgoing(name, message) for name, message in pairs]
+def addressed(pairs: Iterable[tuple[str | Address, WireMessage]]) -> list[Outgoing]:
+    """Messages of a state machine that returns pairs of receiver and message."""
+    return [Outgoing(to, message) for to, message in pairs]
 
 
 class Runtime(Protocol):
