--- a/brackenladder/fleet/federation/component.py
+++ b/brackenladder/fleet/federation/component.py
@@ -5,8 +5,8 @@
 from collections.abc import Sequence
 from typing import Any
 
-from brackenladder.fleet.component import Component, Outgoing, Runtime
-from brackenladder.fleet.federation.decisions import Federation, Out
+from brackenladder.fleet.component import Component, Outgoing, Runtime, addressed
+from brackenladder.fleet.federation.decisions import Federation
 from brackenladder.fleet.federation.messages import FederationWire
 from brackenladder.fleet.federation.records import Event
 from brackenladder.fleet.federation.settings import FederationTiming, ZoneMembershipSettings
@@ -15,7 +15,10 @@
 
 
 class FederationComponent(Component):
-    """Tells the other zones of this one, and keeps what they tell."""
+    """Tells the other zones of this one, and keeps what they tell.
+
+    Its messages go to addresses: the gateways of other zones are no members of the own group.
+    """
 
     def __init__(self, runtime: Runtime, settings: ZoneMembershipSettings) -> None:
         self.runtime = runtime
@@ -52,19 +55,14 @@
         return self.federation.deadline() if self.federation is not None else None
 
     def tick(self, now: int) -> list[Outgoing]:
-        return outgoing(self.federation.tick(now)) if self.federation is not None else []
+        return addressed(self.federation.tick(now)) if self.federation is not None else []
 
     def received(self, now: int, sender: Address, message: Any) -> list[Outgoing]:
         if self.federation is None:
             return []
-        return outgoing(self.federation.received(now, sender, message))
+        return addressed(self.federation.received(now, sender, message))
 
     # ---- what operators see -----------------------------------------------------------------------------
 
     def status(self, now: int) -> dict[str, Any]:
         return {"regions": self.federation.view(now) if self.federation is not None else None}
-
-
-def outgoing(pairs: Out) -> list[Outgoing]:
-    """Messages to addresses: gateways of other zones are no members of the own group."""
-    return [Outgoing(address, message) for address, message in pairs]
--- a/tests/test_zone_membership.py
+++ b/tests/test_zone_membership.py
@@ -573,7 +573,7 @@
 
 def test_without_the_table_nothing_of_the_package_is_imported():
     code = (
-        "import sys; import brackenladder.fleet.host; "
+        "import sys; import brackenladder.fleet.runtime; "
         "sys.exit(any(m.startswith('brackenladder.fleet.federation') for m in sys.modules))"
     )
     assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
