Membership by zone: asks no more of a group's member than its claim

Cause: the tests made SWIM's own member records, whose form is changing. Change: a protocol for a member, and a record of the virtual fleet's own.

--- a/brackenladder/fleet/federation/decisions.py
+++ b/brackenladder/fleet/federation/decisions.py
@@ -28,11 +28,19 @@
 )
 from brackenladder.fleet.federation.records import Event, Freshness, Records
 from brackenladder.fleet.federation.settings import MAX_GROUP, FederationTiming, ZoneMembershipSettings
-from brackenladder.fleet.membership.swim import Address, Claim, Member
+from brackenladder.fleet.membership.swim import Address, Claim
 
 Out = list[tuple[Address, FederationMessage]]
 
 
+class GroupMember(Protocol):
+    """What is used of a member."""
+
+    @property
+    def claim(self) -> Claim:
+        """What it last said of itself, its address above all."""
+
+
 class Group(Protocol):
     """What is used of the zone's SWIM group."""
 
@@ -41,7 +49,7 @@
         """This node."""
 
     @property
-    def members(self) -> Mapping[str, Member]:
+    def members(self) -> Mapping[str, GroupMember]:
         """The others, gone ones included."""
 
     def alive(self) -> list[str]:
--- a/laurelspindle/explore/zone_members.py
+++ b/laurelspindle/explore/zone_members.py
@@ -12,7 +12,7 @@
 from brackenladder.fleet.federation.messages import FederationMessage, FederationWire
 from brackenladder.fleet.federation.records import Event, Freshness
 from brackenladder.fleet.federation.settings import FederationTiming, ZoneMembershipSettings
-from brackenladder.fleet.membership.swim import Address, Claim, Member, Send, Status, Swim
+from brackenladder.fleet.membership.swim import Address, Claim, Send, Status, Swim
 from laurelspindle.explore.regional import RegionalNetwork
 
 ZONES = 13
@@ -24,11 +24,18 @@
 HOUR = 3600.0
 
 
+@dataclass(frozen=True)
+class SharedMember:
+    """A member of a `ZoneView`."""
+
+    claim: Claim
+
+
 @dataclass
 class ZoneView:
     """A zone's members as all of its nodes see them at once, where SWIM itself is not of interest."""
 
-    members: dict[str, Member] = field(default_factory=dict)
+    members: dict[str, SharedMember] = field(default_factory=dict)
 
 
 class SharedGroup:
@@ -40,7 +47,7 @@
         self.hidden: set[str] = set()  # members that this node does not see
 
     @property
-    def members(self) -> dict[str, Member]:
+    def members(self) -> dict[str, SharedMember]:
         return self.view.members
 
     def alive(self) -> list[str]:
@@ -81,7 +88,7 @@
         if fleet.shared:
             me = Claim(self.name, self.address, Status.ALIVE, self.incarnation)
             view = fleet.views.setdefault(self.zone, ZoneView())
-            view.members[self.name] = Member(me, fleet.network.clock.now)
+            view.members[self.name] = SharedMember(me)
             return SharedGroup(me, view)
         zone = 0 if fleet.flat else self.zone
         seeds = [node_address(zone, i) for i in range(SEEDS)]
--- a/tests/test_zone_membership.py
+++ b/tests/test_zone_membership.py
@@ -33,10 +33,17 @@
     read_membership,
 )
 from brackenladder.fleet.membership.codec import Codec
-from brackenladder.fleet.membership.swim import Claim, Member, Status
+from brackenladder.fleet.membership.swim import Claim, Status
 from laurelspindle.explore import zone_cases
 from laurelspindle.explore.regional import KEY
-from laurelspindle.explore.zone_members import Fleet, SharedGroup, ZoneView, node_address, zone_name
+from laurelspindle.explore.zone_members import (
+    Fleet,
+    SharedGroup,
+    SharedMember,
+    ZoneView,
+    node_address,
+    zone_name,
+)
 
 SEC = 1_000_000
 MAX_DATAGRAM_BYTES = 1200
@@ -361,7 +368,7 @@
 
 
 def member(name, port):
-    return Member(Claim(name, ("h", port), Status.ALIVE, 1), START)
+    return SharedMember(Claim(name, ("h", port), Status.ALIVE, 1))
 
 
 def alone(seeds=None, members=()):
