Explore: a region that is alone and back, with one group over all and with a group a zone

Need: in calm one SWIM group is as flat as groups by zone now; what sets them apart is to be measured. Change: zone_costs.py partition-flat and partition-zones.

--- a/laurelspindle/explore/zone_costs.py
+++ b/laurelspindle/explore/zone_costs.py
@@ -13,6 +13,7 @@
 CALM = 20.0  # seconds over which costs are taken
 SETTLED = 40.0  # seconds after which gateways know one another
 JOIN_LIMIT = 120.0
+ALONE = 120.0
 DEATH_LIMIT = 120.0
 
 
@@ -76,20 +77,54 @@
     """Joining, costs and a death, with SWIM in the zones or in one group over all."""
     fleet = Fleet(ZONES, size // ZONES, flat=flat)
     total = len(fleet.nodes)
-
-    def complete() -> bool:
-        if flat:
-            return all(len(n.group.alive()) + 1 == len(fleet.nodes) for n in fleet.nodes.values())
-        return fleet.groups_complete() and fleet.all_know() and fleet.sizes_right()
-
-    joined = fleet.network.until(complete, JOIN_LIMIT, 0.5)
+    joined = fleet.network.until(lambda: complete(fleet), JOIN_LIMIT, 0.5)
     costs = calm_costs(fleet)
     fleet.kill(fleet.of_zone(0)[-1])
-    known = fleet.network.until(complete, DEATH_LIMIT, 0.5)
+    known = fleet.network.until(lambda: complete(fleet), DEATH_LIMIT, 0.5)
     first = f"{total} nodes: all know all after {joined:.1f} s, a death after {known:.1f} s"
     return [first, *(cost.line(role) for role, cost in costs.items())]
 
 
+def complete(fleet: Fleet) -> bool:
+    """Whether every node knows what it is to know: all others, or its zone's and each zone's size."""
+    if fleet.flat:
+        return all(len(n.group.alive()) + 1 == len(fleet.nodes) for n in fleet.nodes.values())
+    return fleet.groups_complete() and fleet.all_know() and fleet.sizes_right()
+
+
+def partition(size: int, flat: bool) -> list[str]:
+    """A region reaches no other for a while, and then does again."""
+    fleet = Fleet(ZONES, size // ZONES, flat=flat)
+    fleet.network.until(lambda: complete(fleet), JOIN_LIMIT, 0.5)
+    fleet.network.isolated = {fleet.regions - 1}
+    alone, _ = busiest(fleet, int(ALONE))
+    group = len(fleet.nodes) if flat else size // ZONES
+    missing = sum(group - 1 - len(n.group.alive()) for n in fleet.nodes.values())
+    fleet.network.isolated = set()
+    healed = seconds = size_out = 0
+    while not complete(fleet) and seconds < JOIN_LIMIT:
+        datagrams, octets = busiest(fleet, 1)
+        seconds += 1
+        healed, size_out = max(healed, datagrams), max(size_out, octets)
+    return [
+        f"{len(fleet.nodes)} nodes: after {ALONE:.0f} s {missing} pairs do not hold a living member alive",
+        f"alone: at most {alone} datagrams sent by a node in a second",
+        f"back: all know all after {seconds} s, at most {healed} datagrams and {size_out} bytes a second",
+    ]
+
+
+def busiest(fleet: Fleet, seconds: int) -> tuple[int, int]:
+    """Datagrams and bytes that one node sent at most in a second."""
+    datagrams = octets = 0
+    for _ in range(seconds):
+        before = {n: (n.endpoint.traffic.sent, n.endpoint.traffic.bytes_out) for n in fleet.nodes.values()}
+        fleet.network.run(1)
+        for node, (sent, size) in before.items():
+            datagrams = max(datagrams, node.endpoint.traffic.sent - sent)
+            octets = max(octets, node.endpoint.traffic.bytes_out - size)
+    return datagrams, octets
+
+
 def memory(size: int) -> list[str]:
     """Bytes that a federation holds, by tracemalloc: of a whole fleet over its nodes."""
     fleet = Fleet(ZONES, size // ZONES, shared=True)
@@ -108,6 +143,8 @@
 MODES: dict[str, Callable[[int], list[str]]] = {
     "flat": lambda size: whole(size, flat=True),
     "zones": lambda size: whole(size, flat=False),
+    "partition-flat": lambda size: partition(size, flat=True),
+    "partition-zones": lambda size: partition(size, flat=False),
     "federation": federation_alone,
     "memory": memory,
 }
