--- a/laurelspindle/explore/zone_cases.py
+++ b/laurelspindle/explore/zone_cases.py
@@ -189,12 +189,15 @@
 
 def main() -> None:
     """Cases by name, or all, at a number of zones and nodes a zone:
-    `python -m laurelspindle.explore.zone_cases 13 20 death zone`."""
+    `python -m laurelspindle.explore.zone_cases 13 20 death zone seed=2 loss=0.1`."""
     zones, size = (int(sys.argv[1]), int(sys.argv[2])) if len(sys.argv) > 2 else (ZONES, ZONE_SIZE)
-    for name in sys.argv[3:] or CASES:
+    options = dict(word.split("=") for word in sys.argv[3:] if "=" in word)
+    seed, loss = int(options.get("seed", 1)), float(options.get("loss", 0))
+    for name in [word for word in sys.argv[3:] if "=" not in word] or CASES:
         shared, case = CASES[name]
         old = mostly_old if name == "release" else never_old
-        print(case(Fleet(zones, size, shared=shared, old=old)).line(), flush=True)
+        fleet = Fleet(zones, size, seed, loss=loss, shared=shared, old=old)
+        print(case(fleet).line(), flush=True)
 
 
 if __name__ == "__main__":
