--- a/brackenladder/fleet/assembly.py
+++ b/brackenladder/fleet/assembly.py
@@ -42,5 +42,9 @@
         made.duties = DutiesComponent(runtime)
         made.replacement = ReplacementComponent(runtime, made.duties)
         made.ordered += [made.duties, made.replacement]
+    if config.membership is not None:
+        from brackenladder.fleet.federation.component import FederationComponent
+
+        made.ordered.append(FederationComponent(runtime, config.membership))
     made.ordered.append(PolicyComponent(runtime, adapter, made.duties))
     return made
