Tests: the lab's list of plans names by-zone

The line for an unknown plan lists what ships, and a plan has come: the test's expectation names it. As strict as before.

--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -339,7 +339,7 @@
         (["load", "127.0.0.1:1", "--class", "a:odd"], "must be NAME:"),
         (["load", "127.0.0.1:1", "--class", "a:safe:x"], "share and budget must be numbers"),
         (["emulate", "trouble"], "3 tiers, discovery push: must be one tier and push"),
-        (["lab", "run", "nowhere"], "nowhere: no such file: shipped are by-hand, calm, duties"),
+        (["lab", "run", "nowhere"], "nowhere: no such file: shipped are by-hand, by-zone, calm"),
         (["lab", "run", "calm", "--keep", "/dev/null/x"], "/dev/null/x: cannot be made: Not a directory"),
         (["fleet", "replace", "begin", "nowhere"], "nowhere: not an address of the form host:port"),
         (["fleet", "replace", "pause", "127.0.0.1:1"], "127.0.0.1:1: [Errno 111] Connection refused"),
