--- a/brackenladder/policy/slow_start.py
+++ b/brackenladder/policy/slow_start.py
@@ -8,6 +8,7 @@
 from brackenladder.policy.subset import Subset
 
 MAX_EVEN_SHARES = 2.5  # with no warm member, a cold one takes its share of so many even parts
+MAX_MULTIPLE_SHARE = 0.8  # a cold one takes its share of so much of the rules' multiple of warm ones' answers
 
 
 class SlowStart:
@@ -52,11 +53,12 @@
         their share of nothing, and sends nothing until the first is warm.
         Failure prevented: the last warm members take all calls; what they got then pushes cold ones over.
         Failure prevented: in a crowd they are sent several times what they can do, and what they turn away
-        sets the pace of cold ones. What they answer bounds it; an even part does where they hang.
+        sets the pace of cold ones. A multiple of what they answer bounds it, or an even part where they hang.
         """
         even = self.request_rate / max(1, len(self.subset.members))
         if any(m.cold_until <= now and not m.ejected for m in self.subset.members):
-            return min(self.warm_rate, max(self.served_rate, even))
+            bound = max(1.0, MAX_MULTIPLE_SHARE * self.settings.fall_multiple) * self.served_rate
+            return min(self.warm_rate, max(bound, even))
         return min(max(self.warm_rate, even), MAX_EVEN_SHARES * even)
 
     def may_send(self, now: int, srv: Server) -> bool:
--- a/tests/test_renewed_terms.py
+++ b/tests/test_renewed_terms.py
@@ -29,6 +29,7 @@
     until,
 )
 from slow_start import Fleet, Workload
+from support import balancer
 from virtual_time import FAULTS, REQUEST_FAULTS, FakeDiscovery, VirtualTimeLoop, list_response
 
 from brackenladder.interface import Outcome
@@ -421,6 +422,18 @@
         assert not fleet.idle_copies
 
 
+@pytest.mark.parametrize(
+    ("sent", "answered", "multiple", "rate"),
+    [(10, 10, 2.5, 10), (15, 10, 2.5, 15), (60, 10, 2.5, 20), (60, 10, 1.25, 10), (60, 10, 0, 10)],
+)
+def test_the_pace_of_cold_servers_uses_what_the_rules_allow_and_no_more(sent, answered, multiple, rate):
+    """Failure prevented: it is bound so closely that during a release the warm servers carry too much."""
+    node, _ = balancer(4, fall_multiple=multiple)
+    slow_start = node.slow_start
+    slow_start.warm_rate, slow_start.served_rate = float(sent), float(answered)
+    assert slow_start.fair_rate(0) == pytest.approx(rate)
+
+
 def test_cold_servers_get_their_share_while_the_warm_ones_hang():
     """Failure prevented: warm servers that answer nothing keep the cold ones, which could, from any call.
 
