Scale run: hollow members in workers, real nodes, faults, checks

Change: laurelspindle scale run. Hollow members are the fleet's own Host, components and codec on real sockets, many on one event loop, handed a loop through which datagrams are counted, processor time is split by component and a region is cut.

--- a/laurelspindle/cli/scale.py
+++ b/laurelspindle/cli/scale.py
@@ -5,6 +5,7 @@
 import click
 
 from laurelspindle.cli.scale_capacity import capacity
+from laurelspindle.cli.scale_run import run
 
 
 @click.group()
@@ -13,3 +14,4 @@
 
 
 scale.add_command(capacity)
+scale.add_command(run)
--- /dev/null
+++ b/laurelspindle/scale/hollow.py
@@ -0,0 +1,261 @@
+"""Hollow members: the fleet's own runtime, components and codec on a real datagram socket, without policy and
+HTTP, many of them on one event loop.
+
+A member is a `brackenladder.fleet.host.Host` that is handed an event loop of ours, `MemberLoop`. The member's
+socket and timers pass through it, so that datagrams are counted, time is charged to components and a cut
+between regions can be laid, while the fleet's code runs unchanged.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any, cast
+
+from brackenladder.fleet.config import read_fleet
+from brackenladder.fleet.host import Host
+from brackenladder.fleet.membership.codec import Codec
+from brackenladder.fleet.membership.swim import Address, Claim, Kind, Message, Status, Swim
+from brackenladder.interface import ClassSettings, Effect, Settings
+from brackenladder.net.lifecycle import Lifecycle, Stage
+from brackenladder.net.log import Log
+from laurelspindle.scale.group import Group, Place
+from laurelspindle.scale.messages import Traffic
+from laurelspindle.scale.meter import RUNTIME, SOCKET, Meter
+from laurelspindle.scale.plan import Defect
+
+HELD_S = 86_400.0  # a timer of a member that is held: never, in a run that is bounded in time
+CLAIMS_A_DATAGRAM = 20  # of the list that members begin with: under 1,200 bytes
+SETTINGS = Settings(classes=(ClassSettings(Effect.SAFE, aim=1_000_000, deadline=2_000_000, worth=1.0),))
+
+Changed = Callable[[str, Claim], None]
+
+
+class QuietLog(Log):
+    """A log that nobody reads."""
+
+    def __init__(self) -> None:
+        super().__init__("hollow", 0)
+
+    def line(self, text: str) -> None:
+        pass
+
+
+class Network:
+    """What lies between the members of one process and all others: the counters, and a cut of one region.
+
+    Both directions are cut at the hollow member, so a real node that stands on the other side needs to know
+    nothing of it.
+    """
+
+    def __init__(self, group: Group, meter: Meter) -> None:
+        self.meter = meter
+        self.regions = {p.address: p.region for p in group.places}
+        self.cut_region: int | None = None
+        self.traffic = Traffic()
+
+    def separated(self, region: int, other: Address) -> bool:
+        """Whether the cut lies between a member of `region` and an address."""
+        cut = self.cut_region
+        return cut is not None and (region == cut) != (self.regions.get(other) == cut)
+
+
+class MeteredTransport:
+    """A member's transport: counts what is sent, and loses what a cut takes."""
+
+    def __init__(self, loop: MemberLoop, transport: asyncio.DatagramTransport) -> None:
+        self.loop = loop
+        self.transport = transport
+
+    def sendto(self, data: bytes, to: Address) -> None:
+        """One datagram out."""
+        network = self.loop.network
+        if self.loop.held:
+            return
+        if network.separated(self.loop.place.region, to):
+            network.traffic.lost += 1
+            return
+        network.traffic.datagrams_out += 1
+        network.traffic.bytes_out += len(data)
+        network.meter.run(SOCKET, self.transport.sendto, data, to)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.transport, name)
+
+
+class MeteredProtocol(asyncio.DatagramProtocol):
+    """Stands before a member's protocol: counts what comes in, and loses what a cut takes."""
+
+    def __init__(self, loop: MemberLoop, inner: asyncio.DatagramProtocol) -> None:
+        self.loop = loop
+        self.inner = inner
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        metered = MeteredTransport(self.loop, cast(asyncio.DatagramTransport, transport))
+        self.inner.connection_made(cast(asyncio.DatagramTransport, metered))
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        loop, network = self.loop, self.loop.network
+        if loop.held or loop.deaf:
+            return
+        if network.separated(loop.place.region, (addr[0], addr[1])):
+            network.traffic.lost += 1
+            return
+        network.traffic.datagrams_in += 1
+        network.traffic.bytes_in += len(data)
+        network.meter.run(RUNTIME, self.inner.datagram_received, data, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        self.inner.error_received(exc)
+
+
+class MemberLoop:
+    """The event loop as one member sees it. While it is `held`, its timers rest and no datagram passes."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, network: Network, place: Place, held: bool, deaf: bool
+    ) -> None:
+        self.loop = loop
+        self.network = network
+        self.place = place
+        self.held = held
+        self.deaf = deaf
+        self.resting: tuple[Callable[..., Any], tuple[Any, ...]] | None = None
+
+    async def create_datagram_endpoint(
+        self, protocol_factory: Callable[[], asyncio.DatagramProtocol], **options: Any
+    ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
+        """The member's socket, with the counters between it and the member."""
+        return await self.loop.create_datagram_endpoint(
+            lambda: MeteredProtocol(self, protocol_factory()), **options
+        )
+
+    def call_later(self, delay: float, callback: Callable[..., Any], *args: Any) -> asyncio.TimerHandle:
+        """A timer whose work is charged to the runtime."""
+        if self.held:
+            self.resting = (callback, args)
+            delay = HELD_S
+        return self.loop.call_later(delay, self.network.meter.run, RUNTIME, callback, *args)
+
+    def release(self, delay: float) -> None:
+        """Lets the member begin after some seconds."""
+        self.loop.call_later(delay, self.begin)
+
+    def begin(self) -> None:
+        self.held = False
+        resting, self.resting = self.resting, None
+        if resting is not None:
+            callback, args = resting
+            self.network.meter.run(RUNTIME, callback, *args)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+
+class HollowMember:
+    """One member over all its lives."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        network: Network,
+        group: Group,
+        place: Place,
+        key: str,
+        defect: Defect | None,
+    ) -> None:
+        self.loop = loop
+        self.network = network
+        self.group = group
+        self.place = place
+        self.key = key
+        self.defect = defect
+        self.host: Host | None = None
+        self.member_loop: MemberLoop | None = None
+
+    async def open(self, changed: Changed, held: bool = False) -> None:
+        """Begins a life from nothing. `changed` hears of each change of its view."""
+        log = QuietLog()
+        life = Lifecycle(log)
+        life.move(Stage.SERVING)
+        self.member_loop = MemberLoop(self.loop, self.network, self.place, held, self.defect == "deaf")
+        config = read_fleet(self.group.fleet_table(self.place, self.key), self.place.name)
+        seed = self.group.seed * 100_003 + self.place.index
+        loop = cast(asyncio.AbstractEventLoop, self.member_loop)
+        self.host = Host(config, loop, seed, log, life, no_end, SETTINGS)
+        await self.host.open()
+        swim = self.swim
+        listen_to_changes(swim, changed)
+        if self.defect == "quadratic":
+            work_for_each_member(swim, self.host.codec)
+
+    @property
+    def swim(self) -> Swim:
+        """The state machine of its membership. The one place that knows where the runtime keeps it."""
+        assert self.host is not None and self.host.swim is not None
+        return self.host.swim
+
+    def learn(self, datagrams: list[bytes], source: Address) -> None:
+        """Takes the group's list from datagrams, as if a member had sent it, and spreads none of it."""
+        assert self.host is not None
+        for data in datagrams:
+            self.host.datagram_received(data, source)
+        self.swim.news.clear()
+
+    def release(self, rng: Random) -> None:
+        """Lets it speak, at a moment of its own within the first period: members that begin in step would
+        stay in step."""
+        assert self.member_loop is not None
+        self.member_loop.release(rng.random() * self.group.period_ms / 1000)
+
+    def kill(self) -> None:
+        """Ends as by SIGKILL: the port closes and nobody is told."""
+        if self.host is not None:
+            self.host.close()
+            self.host = None
+
+    def states(self) -> dict[str, str]:
+        """Its own view, as the operators' page has it: the state of each other member."""
+        assert self.host is not None
+        return {m["name"]: m["state"] for m in self.host.view()["members"]}
+
+
+def no_end() -> None:
+    """A hollow member isn't a process that could be ended."""
+
+
+def listen_to_changes(swim: Swim, changed: Changed) -> None:
+    """Hears of each change of a member's view before the runtime does."""
+    runtime = swim.tell
+
+    def both(what: str, claim: Claim) -> None:
+        changed(what, claim)
+        runtime(what, claim)
+
+    swim.tell = both
+
+
+def work_for_each_member(swim: Swim, codec: Codec) -> None:
+    """A defect on purpose: at each tick one datagram is encoded, and thrown away, for each member known."""
+    tick = swim.tick
+    message = Message(Kind.PING, swim.me.name)
+
+    def slow_tick(now: int) -> Any:
+        for _ in swim.alive():
+            codec.encode(message, 0)
+        return tick(now)
+
+    swim.tick = slow_tick  # type: ignore[method-assign]
+
+
+def list_datagrams(
+    group: Group, scope: Place, incarnations: dict[str, int], codec: Codec, wall: int
+) -> tuple[list[bytes], Address]:
+    """What a member like `scope` has to know, in datagrams of a member's, and that member's address."""
+    known = [p for p in group.places if group.in_scope(scope, p)]
+    sender = known[0]
+    claims = [Claim(p.name, p.address, Status.ALIVE, incarnations[p.name]) for p in known]
+    parts = [claims[i : i + CLAIMS_A_DATAGRAM] for i in range(0, len(claims), CLAIMS_A_DATAGRAM)]
+    messages = [Message(Kind.SYNC_ACK, sender.name, 0, "", tuple(part)) for part in parts]
+    return [codec.encode(m, wall) for m in messages], sender.address
