--- a/laurelspindle/scale/measurements.py
+++ b/laurelspindle/scale/measurements.py
@@ -6,6 +6,7 @@
 from statistics import median
 
 import msgspec
+import numpy as np
 from msgspec import Struct
 from rich.table import Table
 
@@ -123,6 +124,12 @@
     yield Figure(f"{name}.median", "s", median(times), spread)
 
 
+def growth(by_size: dict[int, float]) -> float:
+    """The power of the group's size that a quantity grows with: 0 where it does not, 1 in proportion."""
+    sizes = np.log(list(by_size))
+    return float(np.polyfit(sizes, np.log(list(by_size.values())), 1)[0])
+
+
 def rows(figures: list[Figure], size: int, run: RunInfo, counted: bool) -> list[Row]:
     """The figures as they are written."""
     return [
--- a/laurelspindle/scale/plan.py
+++ b/laurelspindle/scale/plan.py
@@ -25,6 +25,7 @@
 Start = Literal["together", "known"]
 Defect = Literal["deaf", "quadratic"]
 
+SETTLE_PERIODS = 3  # between the beginning and the calm that is measured
 MAX_HOLLOW = 100 * PORTS_PER_HOST
 MAX_REAL = 40
 
--- a/laurelspindle/scale/run.py
+++ b/laurelspindle/scale/run.py
@@ -39,13 +39,12 @@
     ViewFault,
 )
 from laurelspindle.scale.observer import view_fault
-from laurelspindle.scale.plan import Fault, Plan, PlanError, defects_of, group_of, victims
+from laurelspindle.scale.plan import SETTLE_PERIODS, Fault, Plan, PlanError, defects_of, group_of, victims
 from laurelspindle.scale.real import RealNodeError, RealNodes
 from laurelspindle.scale.verdict import Check, Death, Findings, checks, machine_limits
 from laurelspindle.scale.workers import WorkerError, Workers
 
 LOOK_S = 0.5  # between two looks at how far the members are
-SETTLE_PERIODS = 3  # between the beginning and the calm that is measured
 MEMBERS_PER_WORKER = 10  # fewer are not worth a process
 SPARE_CORES = 2  # for the parent, the real nodes and the machine itself
 KEY = "the key of this scale run's group only\n"
--- a/laurelspindle/scale/simulated.py
+++ b/laurelspindle/scale/simulated.py
@@ -14,7 +14,7 @@
 from laurelspindle.explore.members import Net
 from laurelspindle.scale.group import SEEDS, Group, Place
 from laurelspindle.scale.measurements import CPU_UNIT, SIMULATED, Figure
-from laurelspindle.scale.plan import Fault, Plan, victims
+from laurelspindle.scale.plan import SETTLE_PERIODS, Fault, Plan, victims
 
 INCARNATION = 1_800_000_000_000_000  # as long as one by the wall clock
 LOOK_S = 0.25
@@ -81,9 +81,9 @@
     figures = []
     if plan.start == "known":
         net.know_all()
-        net.run(group.period_ms / 1000)
     else:
         figures += joining(net, plan)
+    net.run(SETTLE_PERIODS * group.period_ms / 1000)
     figures += calm(net, plan.seconds)
     kill = next((f for f in plan.fault if f.type == "kill"), None)
     if kill is not None:
