--- a/laurelspindle/scale/hollow.py
+++ b/laurelspindle/scale/hollow.py
@@ -26,6 +26,7 @@
 from laurelspindle.scale.plan import Defect
 
 HELD_S = 86_400.0  # a timer of a member that is held: never, in a run that is bounded in time
+LIST_SENDER = "scale-run"  # no member
 CLAIMS_A_DATAGRAM = 20  # of the list that members begin with: under 1,200 bytes
 SETTINGS = Settings(classes=(ClassSettings(Effect.SAFE, aim=1_000_000, deadline=2_000_000, worth=1.0),))
 
@@ -196,11 +197,11 @@
         assert self.host is not None and self.host.swim is not None
         return self.host.swim
 
-    def learn(self, datagrams: list[bytes], source: Address) -> None:
+    def learn(self, datagrams: list[bytes]) -> None:
         """Takes the group's list from datagrams, as if a member had sent it, and spreads none of it."""
         assert self.host is not None
         for data in datagrams:
-            self.host.datagram_received(data, source)
+            self.host.datagram_received(data, self.place.address)
         self.swim.news.clear()
 
     def release(self, rng: Random) -> None:
@@ -251,11 +252,13 @@
 
 def list_datagrams(
     group: Group, scope: Place, incarnations: dict[str, int], codec: Codec, wall: int
-) -> tuple[list[bytes], Address]:
-    """What a member like `scope` has to know, in datagrams of a member's, and that member's address."""
+) -> list[bytes]:
+    """What a member like `scope` has to know, in datagrams as a member sends them.
+
+    Failure prevented: the list comes under a member's name, and that member ignores it as its own.
+    """
     known = [p for p in group.places if group.in_scope(scope, p)]
-    sender = known[0]
     claims = [Claim(p.name, p.address, Status.ALIVE, incarnations[p.name]) for p in known]
     parts = [claims[i : i + CLAIMS_A_DATAGRAM] for i in range(0, len(claims), CLAIMS_A_DATAGRAM)]
-    messages = [Message(Kind.SYNC_ACK, sender.name, 0, "", tuple(part)) for part in parts]
-    return [codec.encode(m, wall) for m in messages], sender.address
+    messages = [Message(Kind.SYNC_ACK, LIST_SENDER, 0, "", tuple(part)) for part in parts]
+    return [codec.encode(m, wall) for m in messages]
--- a/laurelspindle/scale/run.py
+++ b/laurelspindle/scale/run.py
@@ -158,7 +158,7 @@
             incarnations |= await self.real.incarnations()
             codec = Codec([read_key(self.key)])
             scope = self.real.nodes[0].place
-            datagrams, _ = list_datagrams(self.group, scope, incarnations, codec, time_ns() // 1000)
+            datagrams = list_datagrams(self.group, scope, incarnations, codec, time_ns() // 1000)
             self.real.learn(datagrams)
         await self.workers.ask_all(Learn(incarnations), Done)
         await self.workers.ask_all(Go(), Done)
@@ -278,8 +278,8 @@
         """Looks at all workers until a condition holds at each, or the time is over."""
         while True:
             standing = await self.workers.ask_all(Look(), Standing)
-            count = sum(s.incomplete_count for s in standing)
-            self.progress(f"{what}: {count} of {len(self.running)} members do not know all")
+            late = sum(s.incomplete_count for s in standing)
+            self.progress(f"{what}: {late} of {len(self.running)} members do not know all")
             if all(holds(s) for s in standing) or monotonic() > until:
                 return standing
             await self.sleep(LOOK_S)
--- a/laurelspindle/scale/worker.py
+++ b/laurelspindle/scale/worker.py
@@ -157,10 +157,10 @@
         """All members hold the whole group from now on."""
         codec = Codec([read_key(Path(self.key))])
         for scope in self.scopes():
-            datagrams, source = list_datagrams(self.group, scope, incarnations, codec, time_ns() // 1000)
+            datagrams = list_datagrams(self.group, scope, incarnations, codec, time_ns() // 1000)
             for member in self.members.values():
                 if self.group.membership == "flat" or member.place.zone == scope.zone:
-                    member.learn(datagrams, source)
+                    member.learn(datagrams)
 
     def scopes(self) -> list[Place]:
         """One member of each set of members that know each other."""
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -13,10 +13,11 @@
 import pytest
 
 from brackenladder.fleet.config import FleetFault
+from brackenladder.fleet.membership.codec import Codec
 from brackenladder.fleet.membership.swim import Claim, Status
 from laurelspindle.cli import main
 from laurelspindle.scale import run as scale_run
-from laurelspindle.scale.hollow import Network
+from laurelspindle.scale.hollow import Network, list_datagrams
 from laurelspindle.scale.measurements import Phase, Row, RunInfo, growth, phase_figures, rows, table
 from laurelspindle.scale.messages import FalseDeath, Traffic, ViewFault, Window
 from laurelspindle.scale.meter import LOOP, Meter
@@ -440,6 +441,17 @@
     assert nanoseconds["outer"] < nanoseconds["inner"] and calls == {"outer": 1, "inner": 1}
 
 
+def test_the_list_that_members_begin_with_has_all_and_is_nobody_s_own():
+    here = group(hollow=50, membership="zone")
+    codec = Codec([b"a key of the tests' own"])
+    incarnations = {p.name: 1_800_000_000_000_000 + p.index for p in here.places}
+    datagrams = list_datagrams(here, here.places[1], incarnations, codec, 1)
+    messages = [Codec([b"a key of the tests' own"]).decode(data, 1) for data in datagrams]
+    assert len(messages) == 2 and messages[0].sender not in here.by_name
+    held = {c.name: c.incarnation for message in messages for c in message.claims}
+    assert held == {p.name: incarnations[p.name] for p in here.places if p.zone == 1}
+
+
 def test_a_cut_takes_what_crosses_the_region_s_border():
     here = group()
     network = Network(here, Meter())
