Scale run: members that begin with the group do not suspect each other first

Bytes were 14 to 16% above the simulation, which the test against it showed (limit then 12%).

Change: all members answer at once and only their timers begin one after the other; real nodes get the list after that. The simulation of a small group lasts longer, so that the phase of its exchanges does not count.

The test's limit for bytes is 10%.

--- a/laurelspindle/scale/hollow.py
+++ b/laurelspindle/scale/hollow.py
@@ -140,11 +140,14 @@
         return self.loop.call_later(delay, self.network.meter.run, RUNTIME, callback, *args)
 
     def release(self, delay: float) -> None:
-        """Lets the member begin after some seconds."""
+        """Lets the member answer from now on, and its timers go on after some seconds.
+
+        Failure prevented: those that speak first ping those that do not answer yet, and suspect them.
+        """
+        self.held = False
         self.loop.call_later(delay, self.begin)
 
     def begin(self) -> None:
-        self.held = False
         resting, self.resting = self.resting, None
         if resting is not None:
             callback, args = resting
--- a/laurelspindle/scale/run.py
+++ b/laurelspindle/scale/run.py
@@ -152,17 +152,21 @@
             await self.teach(incarnations)
 
     async def teach(self, incarnations: dict[str, int]) -> None:
-        """All members begin with the whole group."""
+        """All members begin with the whole group; real nodes once the others speak.
+
+        Failure prevented: a real node pings members that do not answer yet, and its suspicions go round.
+        """
         self.progress("handing out the group")
         if self.real is not None:
             incarnations |= await self.real.incarnations()
-            codec = Codec([read_key(self.key)])
-            scope = self.real.nodes[0].place
-            datagrams = list_datagrams(self.group, scope, incarnations, codec, time_ns() // 1000)
-            self.real.learn(datagrams)
         await self.workers.ask_all(Learn(incarnations), Done)
         await self.workers.ask_all(Go(), Done)
         self.began = monotonic()
+        if self.real is not None:
+            await self.sleep(self.group.period_ms / 1000)  # by then all speak
+            codec = Codec([read_key(self.key)])
+            scope = self.real.nodes[0].place
+            self.real.learn(list_datagrams(self.group, scope, incarnations, codec, time_ns() // 1000))
 
     async def join(self) -> None:
         """Until all know all, or the time for it is over."""
--- a/laurelspindle/scale/simulated.py
+++ b/laurelspindle/scale/simulated.py
@@ -18,6 +18,9 @@
 
 INCARNATION = 1_800_000_000_000_000  # as long as one by the wall clock
 LOOK_S = 0.25
+# Of calm. Small groups begin in step with their exchanges, each 15 periods: a short window sees one of them
+# more or less than its share.
+MIN_MEMBER_PERIODS = 20_000
 SYNC_PERIODS = 15  # as `brackenladder/fleet/host.py` has it
 
 
@@ -84,7 +87,8 @@
     else:
         figures += joining(net, plan)
     net.run(SETTLE_PERIODS * group.period_ms / 1000)
-    figures += calm(net, plan.seconds)
+    least = MIN_MEMBER_PERIODS / len(net.members) * group.period_ms / 1000
+    figures += calm(net, max(plan.seconds, least))
     kill = next((f for f in plan.fault if f.type == "kill"), None)
     if kill is not None:
         figures += killing(net, plan, kill)
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -30,7 +30,7 @@
 TRIES = 4  # of a run on which the machine was the limit
 NOT_COUNTED = 3
 DATAGRAMS_WITHIN = 0.05  # of those in simulation: a ping and an ack a period, and an exchange each 15
-BYTES_WITHIN = 0.12  # an exchange is ten times as long as the others, and 60 periods see four of them
+BYTES_WITHIN = 0.1  # an exchange is ten times as long as the others, and 60 periods see four of them
 
 
 def command(*words):
