--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -17,6 +17,7 @@
 from brackenladder.fleet.membership.swim import Claim, Status
 from laurelspindle.cli import main
 from laurelspindle.scale import run as scale_run
+from laurelspindle.scale import verdict
 from laurelspindle.scale.hollow import Network, list_datagrams
 from laurelspindle.scale.measurements import Phase, Row, RunInfo, growth, phase_figures, rows, table
 from laurelspindle.scale.messages import FalseDeath, Traffic, ViewFault, Window
@@ -113,6 +114,19 @@
     )
 
 
+def test_a_run_on_which_the_machine_was_the_limit_is_not_counted(tmp_path, monkeypatch, capsys):
+    out = tmp_path / "figures.json"
+    words = ["--hollow", "4", "--workers", "1", "--period-ms", "100", "--start", "known", "--seconds", "0.2"]
+    monkeypatch.setattr(verdict, "MAX_LATENESS_P99_MS", -1.0)  # no loop is that early
+    monkeypatch.setattr(sys, "argv", ["laurelspindle", "scale", "run", *words, "--out", str(out)])
+    with pytest.raises(SystemExit) as end:
+        main()
+    told = capsys.readouterr().out
+    assert end.value.code == 3 and told.endswith("not counted\n") and "passed" not in told
+    assert "the machine was the limit: calm: worker 0: " in told
+    assert not any(row["counted"] for row in json.loads(out.read_text()))
+
+
 def children(pid):
     """Processes whose parent this is."""
     found = []
