Scale run: what a run may take of the machine is a module of its own

Need: run.py held the bounds on processes and memory beside the run's own steps, and two books of names stood beside the group's.

Change: laurelspindle/scale/machine.py; the group's by_name serves observer and worker. The simulation of a small group is shorter (8,000 member periods), since the tests have 25 s.

--- a/laurelspindle/scale/group.py
+++ b/laurelspindle/scale/group.py
@@ -78,11 +78,6 @@
         """The members by their names."""
         return {p.name: p for p in self.places}
 
-    @cached_property
-    def by_address(self) -> dict[Address, Place]:
-        """The members by where they listen."""
-        return {p.address: p for p in self.places}
-
     def in_scope(self, one: Place, other: Place) -> bool:
         """Whether `one` has to know of `other`: everybody, or everybody of its zone."""
         return self.membership == "flat" or one.zone == other.zone
--- a/laurelspindle/scale/observer.py
+++ b/laurelspindle/scale/observer.py
@@ -24,7 +24,6 @@
 
     def __init__(self, group: Group) -> None:
         self.group = group
-        self.index_of = {p.name: p.index for p in group.places}
         self.running = [True] * len(group.places)
         self.ended_at = [0.0] * len(group.places)
         self.life_from = [0] * len(group.places)  # lowest incarnation of the present life
@@ -132,9 +131,10 @@
 
     def changed(self, what: str, claim: Claim) -> None:
         """The member's view has changed."""
-        index = self.truth.index_of.get(claim.name)
-        if index is None:
+        about = self.truth.group.by_name.get(claim.name)
+        if about is None:
             return
+        index = about.index
         held = self.held[index]
         if what in HELD and not held:
             self.held[index] = 1
--- a/laurelspindle/scale/run.py
+++ b/laurelspindle/scale/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import shutil
 import signal
 import tempfile
@@ -20,6 +19,7 @@
 from laurelspindle.live.places import Places
 from laurelspindle.scale.group import Group, Place
 from laurelspindle.scale.hollow import list_datagrams
+from laurelspindle.scale.machine import check_memory_need, default_workers, memory_limit, resident
 from laurelspindle.scale.measurements import CALM, FAULT, JOIN, Figure, Phase, phase_figures, time_figures
 from laurelspindle.scale.messages import (
     Assign,
@@ -45,11 +45,7 @@
 from laurelspindle.scale.workers import WorkerError, Workers
 
 LOOK_S = 0.5  # between two looks at how far the members are
-MEMBERS_PER_WORKER = 10  # fewer are not worth a process
-SPARE_CORES = 2  # for the parent, the real nodes and the machine itself
 KEY = "the key of this scale run's group only\n"
-BYTES_PER_ENTRY = 800  # one member's knowledge of another, roughly: for the bound on memory
-BYTES_PER_MEMBER = 100_000
 
 Progress = Callable[[str], None]
 
@@ -118,7 +114,7 @@
         self.killed: dict[str, int] = {}  # victims, and how many members have to notice
         self.taken: dict[int, list[Place]] = {}  # by the fault's number
         self.real_cpu: list[float] = []
-        self.memory_limit = physical_memory() // 2
+        self.memory_limit = memory_limit()
 
     async def play(self) -> None:
         """The whole plan."""
@@ -365,37 +361,6 @@
     return sorted(found, key=lambda a: a.at_s)
 
 
-def default_workers(hollow: int) -> int:
-    """As many as the cores bear and the members are worth."""
-    cores = len(os.sched_getaffinity(0))
-    return max(1, min(cores - SPARE_CORES, hollow // MEMBERS_PER_WORKER))
-
-
-def physical_memory() -> int:
-    return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
-
-
-def resident(pid: int) -> int:
-    """Bytes of a process; 0 once it is gone."""
-    try:
-        return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
-    except (OSError, IndexError):
-        return 0
-
-
-def check_memory_need(plan: Plan) -> None:
-    """Refuses a group that would take more than half of the machine's memory. PlanError."""
-    members = plan.hollow + plan.real
-    known = members if plan.membership == "flat" else members // plan.zones + 1
-    need = plan.hollow * (known * BYTES_PER_ENTRY + BYTES_PER_MEMBER)
-    limit = physical_memory() // 2
-    if need > limit:
-        raise PlanError(
-            f"hollow: {plan.hollow}: would take some {need >> 20} MB:"
-            f" must fit in half of this machine's memory, {limit >> 20} MB"
-        )
-
-
 def check_membership(group: Group, key: str) -> None:
     """Refuses a membership that this program's configuration does not know. PlanError."""
     try:
--- a/laurelspindle/scale/simulated.py
+++ b/laurelspindle/scale/simulated.py
@@ -20,7 +20,7 @@
 LOOK_S = 0.25
 # Of calm. Small groups begin in step with their exchanges, each 15 periods: a short window sees one of them
 # more or less than its share.
-MIN_MEMBER_PERIODS = 20_000
+MIN_MEMBER_PERIODS = 8_000
 SYNC_PERIODS = 15  # as `brackenladder/fleet/host.py` has it
 
 
--- a/laurelspindle/scale/worker.py
+++ b/laurelspindle/scale/worker.py
@@ -22,6 +22,7 @@
 from brackenladder.fleet.membership.codec import Codec, read_key
 from laurelspindle.scale.group import Group, Place
 from laurelspindle.scale.hollow import HollowMember, Network, list_datagrams
+from laurelspindle.scale.machine import resident
 from laurelspindle.scale.messages import (
     LENGTH,
     Assign,
@@ -48,7 +49,6 @@
 from laurelspindle.scale.observer import MAX_NAMES, Truth, view_fault
 
 SAMPLE_S = 0.02  # between two looks at how late the loop is
-PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
 class Lateness:
@@ -93,7 +93,7 @@
             {k: v - before.calls.get(k, 0) for k, v in self.calls.items()},
             self.traffic.since(before.traffic),
             *lateness,
-            resident_bytes=int(Path("/proc/self/statm").read_text().split()[1]) * PAGE,
+            resident_bytes=resident(os.getpid()),
         )
 
 
@@ -181,13 +181,13 @@
 
     def stop(self, names: list[str]) -> None:
         for name in names:
-            self.truth.stop(self.truth.index_of[name])
+            self.truth.stop(self.group.by_name[name].index)
             if name in self.members:
                 self.members[name].kill()
 
     async def restart(self, request: Restart) -> None:
         for name in request.names:
-            self.truth.restart(self.truth.index_of[name], request.wall)
+            self.truth.restart(self.group.by_name[name].index, request.wall)
         for name in request.names:
             if name in self.members:
                 await self.begin(self.members[name], held=False)
