--- a/laurelspindle/scale/measurements.py
+++ b/laurelspindle/scale/measurements.py
@@ -106,9 +106,10 @@
     )
 
 
-def time_figures(findings: Findings) -> Iterator[Figure]:
-    """When the members had joined, knew of each end, and agreed again after a cut."""
-    if findings.joined_s and len(findings.joined_s) >= findings.join_expected:
+def time_figures(findings: Findings, joined: bool) -> Iterator[Figure]:
+    """When the members had joined, knew of each end, and agreed again after a cut. `joined`: they found one
+    another, and did not begin with the whole group."""
+    if joined and findings.joined_s and len(findings.joined_s) >= findings.join_expected:
         yield from spread_times("join", findings.joined_s)
     known = [d for d in findings.deaths if d.known_s and len(d.known_s) >= d.expected]
     if known and len(known) == len(findings.deaths):
--- a/laurelspindle/scale/run.py
+++ b/laurelspindle/scale/run.py
@@ -329,7 +329,7 @@
     def figures(self) -> list[Figure]:
         """All of the run."""
         out = [f for phase in self.phases for f in phase_figures(phase, self.group.period_ms / 1000)]
-        out += time_figures(self.findings)
+        out += time_figures(self.findings, self.plan.start == "together")
         if self.real_cpu:
             cpu = [share * 1e6 for share in self.real_cpu]
             memory = [megabytes * (1 << 20) for _, megabytes in self.real_usage()]
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -20,7 +20,16 @@
 from laurelspindle.scale import run as scale_run
 from laurelspindle.scale.hollow import Network, list_datagrams
 from laurelspindle.scale.machine import check_memory_need
-from laurelspindle.scale.measurements import Phase, Row, RunInfo, growth, phase_figures, rows, table
+from laurelspindle.scale.measurements import (
+    Phase,
+    Row,
+    RunInfo,
+    growth,
+    phase_figures,
+    rows,
+    table,
+    time_figures,
+)
 from laurelspindle.scale.messages import FalseDeath, Traffic, ViewFault, Window
 from laurelspindle.scale.meter import LOOP, Meter
 from laurelspindle.scale.observer import Truth, view_fault
@@ -436,6 +445,26 @@
     assert table(made).row_count == len(made)
 
 
+def test_times_are_given_where_all_know():
+    joined = Findings(joined_s=[1.0, 2.0, 6.0], join_expected=3)
+    assert [(f.quantity, f.value, f.spread) for f in time_figures(joined, True)] == [
+        ("join.all", 6.0, (1.0, 6.0)),
+        ("join.median", 2.0, (1.0, 6.0)),
+    ]
+    assert not list(time_figures(joined, False))  # members that began with the whole group
+    joined.join_expected = 4
+    assert not list(time_figures(joined, True))
+    known = Findings(deaths=[Death("h0001", 2, [3.0, 5.0])], healed_s=[1.0])
+    assert [f.quantity for f in time_figures(known, True)] == [
+        "death.all",
+        "death.median",
+        "heal.all",
+        "heal.median",
+    ]
+    known.deaths.append(Death("h0002", 2, [3.0]))
+    assert [f.quantity for f in time_figures(known, True)] == ["heal.all", "heal.median"]
+
+
 def test_growth_is_the_power_of_the_size():
     assert growth({10: 3.0, 20: 6.0, 40: 12.0}) == pytest.approx(1.0)
     assert growth({10: 3.0, 20: 12.0, 40: 48.0}) == pytest.approx(2.0)
