Scale run: starts the fleet runtime of earlier and later revisions alike

Change: laurelspindle/scale/program.py alone knows these names, old and new, and types what a run uses.

--- a/laurelspindle/scale/hollow.py
+++ b/laurelspindle/scale/hollow.py
@@ -1,9 +1,9 @@
 """Hollow members: the fleet's own runtime, components and codec on a real datagram socket, without policy and
 HTTP, many of them on one event loop.
 
-A member is a `brackenladder.fleet.host.Host` that is handed an event loop of ours, `MemberLoop`. The member's
-socket and timers pass through it, so that datagrams are counted, time is charged to components and a cut
-between regions can be laid, while the fleet's code runs unchanged.
+A member is the fleet runtime of the program, handed an event loop of ours. Its socket and timers pass
+through that, so that datagrams are counted, time is charged to components and a cut between regions can be
+laid, while the code of the fleet runs unchanged.
 """
 
 from __future__ import annotations
@@ -14,7 +14,6 @@
 from typing import Any, cast
 
 from brackenladder.fleet.config import read_fleet
-from brackenladder.fleet.host import Host
 from brackenladder.fleet.membership.codec import Codec
 from brackenladder.fleet.membership.swim import Address, Claim, Kind, Message, Status, Swim
 from brackenladder.interface import ClassSettings, Effect, Settings
@@ -24,14 +23,13 @@
 from laurelspindle.scale.messages import Traffic
 from laurelspindle.scale.meter import RUNTIME, SOCKET, Meter
 from laurelspindle.scale.plan import Defect
+from laurelspindle.scale.program import Changed, Runtime, drop_updates, listen_to_changes, make_runtime
 
 HELD_S = 86_400.0  # a timer of a member that is held: never, in a run that is bounded in time
 LIST_SENDER = "scale-run"  # no member
 CLAIMS_A_DATAGRAM = 20  # of the list that members begin with: under 1,200 bytes
 SETTINGS = Settings(classes=(ClassSettings(Effect.SAFE, aim=1_000_000, deadline=2_000_000, worth=1.0),))
 
-Changed = Callable[[str, Claim], None]
-
 
 class QuietLog(Log):
     """A log that nobody reads."""
@@ -175,7 +173,7 @@
         self.place = place
         self.key = key
         self.defect = defect
-        self.host: Host | None = None
+        self.host: Runtime | None = None
         self.member_loop: MemberLoop | None = None
 
     async def open(self, changed: Changed, held: bool = False) -> None:
@@ -187,7 +185,7 @@
         config = read_fleet(self.group.fleet_table(self.place, self.key), self.place.name)
         seed = self.group.seed * 100_003 + self.place.index
         loop = cast(asyncio.AbstractEventLoop, self.member_loop)
-        self.host = Host(config, loop, seed, log, life, no_end, SETTINGS)
+        self.host = make_runtime(config, loop, seed, log, life, no_end, SETTINGS)
         await self.host.open()
         swim = self.swim
         listen_to_changes(swim, changed)
@@ -196,7 +194,7 @@
 
     @property
     def swim(self) -> Swim:
-        """The state machine of its membership. The one place that knows where the runtime keeps it."""
+        """The state machine of its membership."""
         assert self.host is not None and self.host.swim is not None
         return self.host.swim
 
@@ -205,7 +203,7 @@
         assert self.host is not None
         for data in datagrams:
             self.host.datagram_received(data, self.place.address)
-        self.swim.news.clear()
+        drop_updates(self.swim)
 
     def release(self, rng: Random) -> None:
         """Lets it speak, at a moment of its own within the first period: members that begin in step would
@@ -229,17 +227,6 @@
     """A hollow member isn't a process that could be ended."""
 
 
-def listen_to_changes(swim: Swim, changed: Changed) -> None:
-    """Hears of each change of a member's view before the runtime does."""
-    runtime = swim.tell
-
-    def both(what: str, claim: Claim) -> None:
-        changed(what, claim)
-        runtime(what, claim)
-
-    swim.tell = both
-
-
 def work_for_each_member(swim: Swim, codec: Codec) -> None:
     """A defect on purpose: at each tick one datagram is encoded, and thrown away, for each member known."""
     tick = swim.tick
--- a/laurelspindle/scale/meter.py
+++ b/laurelspindle/scale/meter.py
@@ -17,7 +17,7 @@
 from brackenladder.fleet.membership.swim import Swim
 
 LOOP = "loop"
-RUNTIME = "runtime"  # what `brackenladder/fleet/host.py` does around its components
+RUNTIME = "runtime"  # what the fleet runtime does around its components
 SOCKET = "socket"  # sending system calls
 COMPONENTS: dict[str, tuple[tuple[type, tuple[str, ...]], ...]] = {
     "membership": ((Swim, ("tick", "receive", "due")),),
--- /dev/null
+++ b/laurelspindle/scale/program.py
@@ -0,0 +1,82 @@
+"""The program under measurement: the names by which its revisions have what a run takes hold of.
+
+Before and after a change are measured by the same run, so it must be able to start the fleet runtime of
+earlier revisions too. Nothing else of the run knows where the program keeps these.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from importlib import import_module
+from typing import Any, Protocol
+
+from brackenladder.fleet.config import FleetConfig
+from brackenladder.fleet.membership.codec import Codec
+from brackenladder.fleet.membership.swim import Swim
+from brackenladder.interface import Settings
+from brackenladder.net.lifecycle import Lifecycle
+from brackenladder.net.log import Log
+
+RUNTIMES = (("brackenladder.fleet.runtime", "FleetRuntime"), ("brackenladder.fleet.host", "Host"))
+SUBSCRIBERS = ("publish", "tell")  # a `Swim`'s callback for changes of what it holds true
+UPDATES = ("updates", "news")  # a `Swim`'s updates that still ride on messages
+
+Changed = Callable[[str, Any], None]
+
+
+class Runtime(Protocol):
+    """What a run uses of the fleet runtime."""
+
+    swim: Swim | None
+    codec: Codec
+
+    async def open(self) -> None:
+        """Takes the port and joins."""
+
+    def close(self) -> None:
+        """Lets the port go, without a word."""
+
+    def view(self) -> dict[str, Any]:
+        """The operators' page."""
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        """One datagram in."""
+
+
+def make_runtime(
+    config: FleetConfig,
+    loop: asyncio.AbstractEventLoop,
+    seed: int,
+    log: Log,
+    life: Lifecycle,
+    end: Callable[[], None],
+    settings: Settings,
+) -> Runtime:
+    """The program's fleet runtime for one member."""
+    for module, name in RUNTIMES:
+        try:
+            found = getattr(import_module(module), name)
+        except ModuleNotFoundError:
+            continue
+        made: Runtime = found(config, loop, seed, log, life, end, settings)
+        return made
+    raise ModuleNotFoundError(f"none of {', '.join(module for module, _ in RUNTIMES)}")
+
+
+def listen_to_changes(swim: Swim, changed: Changed) -> None:
+    """Hears of each change of a member's view before the runtime does."""
+    name = next(n for n in SUBSCRIBERS if hasattr(swim, n))
+    runtime = getattr(swim, name)
+
+    def both(what: str, claim: Any) -> None:
+        changed(what, claim)
+        runtime(what, claim)
+
+    setattr(swim, name, both)
+
+
+def drop_updates(swim: Swim) -> None:
+    """A member passes on nothing of what it has learned so far."""
+    name = next(n for n in UPDATES if hasattr(swim, n))
+    setattr(swim, name, type(getattr(swim, name))())
--- a/laurelspindle/scale/simulated.py
+++ b/laurelspindle/scale/simulated.py
@@ -15,13 +15,14 @@
 from laurelspindle.scale.group import SEEDS, Group, Place
 from laurelspindle.scale.measurements import CPU_UNIT, SIMULATED, Figure
 from laurelspindle.scale.plan import SETTLE_PERIODS, Fault, Plan, victims
+from laurelspindle.scale.program import drop_updates
 
 INCARNATION = 1_800_000_000_000_000  # as long as one by the wall clock
 LOOK_S = 0.25
 # Of calm. Small groups begin in step with their exchanges, each 15 periods: a short window sees one of them
 # more or less than its share.
 MIN_MEMBER_PERIODS = 8_000
-SYNC_PERIODS = 15  # as `brackenladder/fleet/host.py` has it
+SYNC_PERIODS = 15  # as the fleet runtime has it
 
 
 class SimulatedGroup(Net):
@@ -75,7 +76,7 @@
         for swim in self.members.values():
             for claim in claims:
                 swim.accept(self.clock.now, claim)
-            swim.news.clear()
+            drop_updates(swim)
 
 
 def simulate(plan: Plan, group: Group) -> list[Figure]:
