--- a/laurelspindle/scale/group.py
+++ b/laurelspindle/scale/group.py
@@ -59,12 +59,12 @@
     def places(self) -> Sequence[Place]:
         """All members in order."""
         hollow = [
-            self.place(i, f"h{i:04d}", i % self.zones, hollow_address(self.block, i))
+            self.place(i, f"h{i:05d}", i % self.zones, hollow_address(self.block, i))
             for i in range(self.hollow)
         ]
         real = [
             self.place(
-                self.hollow + i, f"r{i:03d}", REAL_ZONE, (f"{self.block}.{REAL_FIRST_HOST + i}", PORT), False
+                self.hollow + i, f"r{i:05d}", REAL_ZONE, (f"{self.block}.{REAL_FIRST_HOST + i}", PORT), False
             )
             for i in range(self.real)
         ]
--- a/laurelspindle/scale/plan.py
+++ b/laurelspindle/scale/plan.py
@@ -165,6 +165,6 @@
     last = plan.hollow
     for defect in plan.defect:
         first = max(0, last - defect.count)
-        found.update({f"h{i:04d}": defect.kind for i in range(first, last)})
+        found.update({f"h{i:05d}": defect.kind for i in range(first, last)})
         last = first
     return found
--- a/laurelspindle/scale/run.py
+++ b/laurelspindle/scale/run.py
@@ -74,10 +74,6 @@
         return whole and not any(check.failures for check in self.checks)
 
 
-class Stopped(Exception):
-    """Ctrl-C."""
-
-
 class MemoryLimit(Exception):
     """The workers have taken half of the machine's memory: one line."""
 
@@ -107,7 +103,6 @@
         self.workers = Workers()
         self.worker_count = plan.workers or default_workers(plan.hollow)
         self.real: RealNodes | None = None
-        self.stop = asyncio.Event()
         self.running: list[Place] = list(self.group.places)
         self.findings = Findings(members=len(self.group.places))
         self.phases: list[Phase] = []
@@ -140,7 +135,6 @@
         if self.group.real:
             self.real = RealNodes(self.group, self.places, self.folder, str(self.key))
             await self.real.start()
-        self.check_stopped()
         self.began = monotonic()
         opened = await self.workers.ask_all(Open(), Opened)
         if self.plan.start == "known":
@@ -290,22 +284,11 @@
             await self.sleep(seconds)
 
     async def sleep(self, seconds: float) -> None:
-        """Waits, and looks now and then for a reason to end the run. Stopped, MemoryLimit."""
+        """Waits, and looks at the workers' memory now and then. MemoryLimit."""
         end = monotonic() + seconds
-        while True:
-            self.check_stopped()
+        while (left := end - monotonic()) > 0:
+            await asyncio.sleep(min(left, 1.0))
             self.check_memory()
-            left = end - monotonic()
-            if left <= 0:
-                return
-            try:
-                await asyncio.wait_for(self.stop.wait(), min(left, 1.0))
-            except TimeoutError:
-                continue
-
-    def check_stopped(self) -> None:
-        if self.stop.is_set():
-            raise Stopped
 
     def check_memory(self) -> None:
         taken = sum(resident(w.process.pid) for w in self.workers.processes)
@@ -377,13 +360,15 @@
 
     async def played() -> None:
         scale_run = ScaleRun(plan, folder, progress)
-        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        assert task is not None
         for number in (signal.SIGINT, signal.SIGTERM):
-            loop.add_signal_handler(number, scale_run.stop.set)
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             await scale_run.play()
             out.checks = checks(scale_run.findings)
-        except Stopped:
+        except asyncio.CancelledError:
+            task.uncancel()
             out.stopped = True
         except MemoryLimit as e:
             out.limits.append(str(e))
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -118,9 +118,9 @@
     words = ("--plan", plan, "--hollow", 8, "--period-ms", 100, "--join-s", 1, "--seconds", 0.2)
     done = ended(*words)
     assert done.returncode == 1 and done.stdout.rstrip().endswith("failed")
-    assert "views: failed\n  h0007: holds 0 of 7 alive, misses h0000, h0001" in done.stdout
+    assert "views: failed\n  h00007: holds 0 of 7 alive, misses h00000, h00001" in done.stdout
     assert (
-        "join: failed" in done.stdout and "h0007" in done.stdout.partition("join: failed")[2].splitlines()[1]
+        "join: failed" in done.stdout and "h00007" in done.stdout.partition("join: failed")[2].splitlines()[1]
     )
 
 
@@ -316,10 +316,10 @@
         return [p.name for p in victims(kill, list(group.places), Random(7))]
 
     assert len(taken(part=0.1)) == 4 and taken(part=0.1) == taken(part=0.1)
-    assert taken(zone=1) == [f"h{i:04d}" for i in range(1, 40, 4)]
+    assert taken(zone=1) == [f"h{i:05d}" for i in range(1, 40, 4)]
     assert len(taken(count=39)) == 39
     two = plan_of({"hollow": 9, "defect": [{"kind": "deaf"}, {"kind": "quadratic", "count": 2}]})
-    assert defects_of(two) == {"h0008": "deaf", "h0007": "quadratic", "h0006": "quadratic"}
+    assert defects_of(two) == {"h00008": "deaf", "h00007": "quadratic", "h00006": "quadratic"}
 
 
 def test_faults_begin_and_end_in_the_order_of_time():
@@ -346,9 +346,9 @@
         truth = Truth(here)
         watch = truth.watch(here.places[0])
         for index in wanted:
-            assert not watch.complete and truth.incomplete() == ["h0000"]
+            assert not watch.complete and truth.incomplete() == ["h00000"]
             watch.changed("join", claim(here, index))
-        assert watch.complete and list(truth.joined_s) == ["h0000"]
+        assert watch.complete and list(truth.joined_s) == ["h00000"]
 
 
 def test_ends_and_false_deaths_are_told_apart():
@@ -358,12 +358,12 @@
     for index in range(1, 6):
         watch.changed("join", claim(here, index))
     truth.stop(3)
-    assert truth.ignorant() == ["h0000"] and watch.complete
+    assert truth.ignorant() == ["h00000"] and watch.complete
     watch.changed("dead", claim(here, 3))
-    assert not truth.ignorant() and len(truth.death_known_s["h0003"]) == 1 and not truth.false_death_count
+    assert not truth.ignorant() and len(truth.death_known_s["h00003"]) == 1 and not truth.false_death_count
     watch.changed("dead", claim(here, 4))
     assert truth.false_death_count == 1 and not watch.complete
-    assert (truth.false_deaths[0].victim, truth.false_deaths[0].holder) == ("h0004", "h0000")
+    assert (truth.false_deaths[0].victim, truth.false_deaths[0].holder) == ("h00004", "h00000")
     watch.changed("alive", claim(here, 4))
     truth.restart(3, wall=100)
     assert not watch.complete
@@ -376,16 +376,16 @@
     truth.cut(None)
     watch.changed("alive", claim(here, 3, 100))
     watch.changed("alive", claim(here, 5))
-    assert watch.complete and list(truth.healed_s) == ["h0000"]
+    assert watch.complete and list(truth.healed_s) == ["h00000"]
 
 
 def test_a_whole_view_is_compared_by_name():
     here = group()
-    states = {"h0001": "alive", "h0002": "suspect", "h0003": "dead", "h0005": "alive"}
-    names = {p.name for p in here.places} - {"h0005"}
+    states = {"h00001": "alive", "h00002": "suspect", "h00003": "dead", "h00005": "alive"}
+    names = {p.name for p in here.places} - {"h00005"}
     found = view_fault(here, here.places[0], states, names)
-    assert found == ViewFault("h0000", 2, 4, ["h0003", "h0004"], 2, ["h0005"], 1)
-    whole = {f"h000{i}": "alive" for i in range(1, 5)} | {"h0005": "dead"}
+    assert found == ViewFault("h00000", 2, 4, ["h00003", "h00004"], 2, ["h00005"], 1)
+    whole = {f"h0000{i}": "alive" for i in range(1, 5)} | {"h00005": "dead"}
     assert view_fault(here, here.places[0], whole, names) is None
 
 
@@ -394,17 +394,17 @@
         members=4,
         joined_s=[1.0, 2.0],
         join_expected=4,
-        join_faults=["h0002", "h0003"],
-        deaths=[Death("h0001", 3, [1.0, 2.0]), Death("h0000", 1, [1.0])],
-        false_deaths=[FalseDeath("h0002", "h0003", 4.25)],
+        join_faults=["h00002", "h00003"],
+        deaths=[Death("h00001", 3, [1.0, 2.0]), Death("h00000", 1, [1.0])],
+        false_deaths=[FalseDeath("h00002", "h00003", 4.25)],
         false_death_count=1,
-        view_faults=[ViewFault("h0003", 1, 3, ["h0000"], 2, ["h0001"], 1)],
+        view_faults=[ViewFault("h00003", 1, 3, ["h00000"], 2, ["h00001"], 1)],
     )
     assert {c.name: c.failures for c in checks(found)} == {
-        "join": ["2 of 4 members did not know all in time: h0002, h0003"],
-        "views": ["h0003: holds 1 of 3 alive, misses h0000 and 1 more, holds alive who ended: h0001"],
-        "deaths": ["h0001: its end is known to 2 of 3"],
-        "false deaths": ["h0002: runs, but 1 held it dead, first h0003 at 4.2 s"],
+        "join": ["2 of 4 members did not know all in time: h00002, h00003"],
+        "views": ["h00003: holds 1 of 3 alive, misses h00000 and 1 more, holds alive who ended: h00001"],
+        "deaths": ["h00001: its end is known to 2 of 3"],
+        "false deaths": ["h00002: runs, but 1 held it dead, first h00003 at 4.2 s"],
     }
     assert not any(c.failures for c in checks(Findings()))
 
@@ -454,14 +454,14 @@
     assert not list(time_figures(joined, False))  # members that began with the whole group
     joined.join_expected = 4
     assert not list(time_figures(joined, True))
-    known = Findings(deaths=[Death("h0001", 2, [3.0, 5.0])], healed_s=[1.0])
+    known = Findings(deaths=[Death("h00001", 2, [3.0, 5.0])], healed_s=[1.0])
     assert [f.quantity for f in time_figures(known, True)] == [
         "death.all",
         "death.median",
         "heal.all",
         "heal.median",
     ]
-    known.deaths.append(Death("h0002", 2, [3.0]))
+    known.deaths.append(Death("h00002", 2, [3.0]))
     assert [f.quantity for f in time_figures(known, True)] == ["heal.all", "heal.median"]
 
 
