Scale run: who has not joined is who never knew all, not who does not at that moment

Cause: the joining's failure counted members that had never known all and named those that did not then; a member that suspects a deaf one again was named, and the deaf one not.

Change: workers tell both apart.

--- a/laurelspindle/scale/messages.py
+++ b/laurelspindle/scale/messages.py
@@ -110,10 +110,10 @@
     """How far a worker's members are."""
 
     running: int
-    incomplete: list[str]  # members that do not yet know all they should, the first few
-    incomplete_count: int
-    ignorant: list[str]  # members that still hold a dead one alive, the first few
-    ignorant_count: int
+    unjoined: list[str]  # members that have not yet known all they should, the first few
+    unjoined_count: int
+    incomplete_count: int  # members that do not know all they should now
+    ignorant_count: int  # members that hold one alive who has ended
     window: Window | None = None
 
 
--- a/laurelspindle/scale/observer.py
+++ b/laurelspindle/scale/observer.py
@@ -85,6 +85,10 @@
             if len(self.false_deaths) < MAX_FALSE_DEATHS:
                 self.false_deaths.append(FalseDeath(victim, holder.name, now - self.started_at))
 
+    def unjoined(self) -> list[str]:
+        """Members of this worker that have not known all they should since the start."""
+        return [name for w in self.watches.values() if (name := w.place.name) not in self.joined_s]
+
     def incomplete(self) -> list[str]:
         """Members of this worker that do not know all they should."""
         return [w.place.name for w in self.watches.values() if not w.complete]
--- a/laurelspindle/scale/run.py
+++ b/laurelspindle/scale/run.py
@@ -162,8 +162,8 @@
         """Until all know all, or the time for it is over."""
         await self.window()  # what the opening has cost is not of the joining
         until = self.began + self.plan.join_s
-        standing = await self.wait_for("joining", until, lambda s: not s.incomplete_count)
-        names = [name for s in standing for name in s.incomplete]
+        standing = await self.wait_for("joining", until, lambda s: not s.unjoined_count)
+        names = [name for s in standing for name in s.unjoined]
         self.findings.join_faults = names
         self.findings.join_expected = self.group.hollow
         if self.real is not None:
--- a/laurelspindle/scale/worker.py
+++ b/laurelspindle/scale/worker.py
@@ -195,13 +195,14 @@
     # ---- figures ----------------------------------------------------------------------------------------
 
     def look(self, window: bool) -> Standing:
-        incomplete, ignorant = self.truth.incomplete(), self.truth.ignorant()
+        truth = self.truth
+        unjoined = truth.unjoined()
         found = Standing(
-            len(self.truth.watches),
-            incomplete[:MAX_NAMES],
-            len(incomplete),
-            ignorant[:MAX_NAMES],
-            len(ignorant),
+            len(truth.watches),
+            unjoined[:MAX_NAMES],
+            len(unjoined),
+            len(truth.incomplete()),
+            len(truth.ignorant()),
         )
         if window:
             now = Counters(self.meter, self.network)
