Scale run: zone_seeds name other zones alone; a federation's time is a component's

A group that joins within a period gave costs of the opening alone.

Change: the own zone's addresses stand in fleet.seeds alone; components that some revisions have are timed where they are there; costs of a joining shorter than a period are left out.

--- a/laurelspindle/scale/group.py
+++ b/laurelspindle/scale/group.py
@@ -94,9 +94,10 @@
         }
         if self.membership == "flat":
             return table | {"seeds": [spelled(p.address) for p in self.places[:SEEDS]]}
+        others = {zone: seeds for zone, seeds in self.zone_seeds.items() if zone != place.zone_name}
         return table | {
             "seeds": self.zone_seeds[place.zone_name],
-            "membership": {"scope": "zone", "zone_seeds": self.zone_seeds},
+            "membership": {"scope": "zone", "zone_seeds": others},
         }
 
     @cached_property
--- a/laurelspindle/scale/meter.py
+++ b/laurelspindle/scale/meter.py
@@ -15,13 +15,15 @@
 
 from brackenladder.fleet.membership.codec import Codec
 from brackenladder.fleet.membership.swim import Swim
+from laurelspindle.scale.program import further_components
 
 LOOP = "loop"
 RUNTIME = "runtime"  # what the fleet runtime does around its components
 SOCKET = "socket"  # sending system calls
-COMPONENTS: dict[str, tuple[tuple[type, tuple[str, ...]], ...]] = {
-    "membership": ((Swim, ("tick", "receive", "due")),),
-    "codec": ((Codec, ("encode", "decode")),),
+COMPONENTS: dict[str, tuple[type, tuple[str, ...]]] = {
+    "membership": (Swim, ("tick", "receive", "due")),
+    "codec": (Codec, ("encode", "decode")),
+    **further_components(),
 }
 
 
@@ -57,10 +59,9 @@
 
     def wrap_components(self) -> None:
         """Measures all members of this process from now on. For a process of its own: classes are changed."""
-        for component, classes in COMPONENTS.items():
-            for owner, names in classes:
-                for name in names:
-                    setattr(owner, name, self.measured(component, getattr(owner, name)))
+        for component, (owner, names) in COMPONENTS.items():
+            for name in names:
+                setattr(owner, name, self.measured(component, getattr(owner, name)))
 
     def measured(self, component: str, function: Callable[..., Any]) -> Callable[..., Any]:
         """The function, with its time charged to a component."""
--- a/laurelspindle/scale/program.py
+++ b/laurelspindle/scale/program.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 from importlib import import_module
+from importlib.util import find_spec
 from typing import Any, Protocol
 
 from brackenladder.fleet.config import FleetConfig
@@ -22,6 +23,10 @@
 SUBSCRIBERS = ("publish", "tell")  # a `Swim`'s callback for changes of what it holds true
 UPDATES = ("updates", "news")  # a `Swim`'s updates that still ride on messages
 
+# Components beside membership and codec that some revisions have: name, module, class, calls that are timed.
+FEDERATION = "brackenladder.fleet.federation.decisions"
+FURTHER_COMPONENTS = (("federation", FEDERATION, "Federation", ("tick", "received", "deadline")),)
+
 Changed = Callable[[str, Any], None]
 
 
@@ -54,14 +59,26 @@
     settings: Settings,
 ) -> Runtime:
     """The program's fleet runtime for one member."""
-    for module, name in RUNTIMES:
-        try:
-            found = getattr(import_module(module), name)
-        except ModuleNotFoundError:
-            continue
-        made: Runtime = found(config, loop, seed, log, life, end, settings)
-        return made
-    raise ModuleNotFoundError(f"none of {', '.join(module for module, _ in RUNTIMES)}")
+    module, name = next(r for r in RUNTIMES if find_module(r[0]))
+    made: Runtime = getattr(import_module(module), name)(config, loop, seed, log, life, end, settings)
+    return made
+
+
+def further_components() -> dict[str, tuple[type, tuple[str, ...]]]:
+    """Those that this revision has, by name: the class and the calls that are timed."""
+    found: dict[str, tuple[type, tuple[str, ...]]] = {}
+    for name, module, owner, calls in FURTHER_COMPONENTS:
+        if find_module(module):
+            found[name] = (getattr(import_module(module), owner), calls)
+    return found
+
+
+def find_module(name: str) -> bool:
+    """Whether this revision has a module."""
+    try:
+        return find_spec(name) is not None
+    except ModuleNotFoundError:  # nor its package
+        return False
 
 
 def listen_to_changes(swim: Swim, changed: Changed) -> None:
--- a/laurelspindle/scale/run.py
+++ b/laurelspindle/scale/run.py
@@ -168,8 +168,9 @@
         self.findings.join_expected = self.group.hollow
         if self.real is not None:
             await self.real_joined(until)
-        if self.plan.start == "together":
-            self.phases.append(await self.window(JOIN))
+        phase = await self.window(JOIN)
+        if self.plan.start == "together" and phase.idle.seconds * 1000 >= self.group.period_ms:
+            self.phases.append(phase)  # what is shorter than a period shows the opening alone
 
     async def real_joined(self, until: float) -> None:
         assert self.real is not None
