Command line: the group scale

Need: the scale run and the capacity table share one command group. Change: laurelspindle scale, with capacity as a subcommand that prints nothing yet.

--- a/laurelspindle/cli/__init__.py
+++ b/laurelspindle/cli/__init__.py
@@ -13,6 +13,7 @@
 from laurelspindle.cli.fleet import fleet
 from laurelspindle.cli.lab import lab
 from laurelspindle.cli.load import load
+from laurelspindle.cli.scale import scale
 from laurelspindle.cli.scenario import scenario
 from laurelspindle.cli.simulate import simulate
 
@@ -30,6 +31,7 @@
 cli.add_command(fleet)
 cli.add_command(load)
 cli.add_command(emulate)
+cli.add_command(scale)
 
 
 def main() -> None:
--- /dev/null
+++ b/laurelspindle/cli/scale.py
@@ -0,0 +1,15 @@
+"""`laurelspindle scale`: what the fleet costs at sizes larger than one machine holds."""
+
+from __future__ import annotations
+
+import click
+
+from laurelspindle.cli.scale_capacity import capacity
+
+
+@click.group()
+def scale() -> None:
+    """Cost of the fleet at a target size, from measured slopes."""
+
+
+scale.add_command(capacity)
