Cost of a membership group by its size, on the virtual network

Change: python -m laurelspindle.scale.membership SCENARIO SIZES runs a group in calm, with a backlog of news, from a joint start, through a thirteenth lost and back, and through a fifth cut off for 150 s.

--- /dev/null
+++ b/laurelspindle/scale/membership.py
@@ -0,0 +1,246 @@
+"""Cost of one flat membership group by its size, on the virtual network.
+
+    python -m laurelspindle.scale.membership SCENARIO SIZES... [--seed N]...
+
+Single process, simulated time, fixed seeds. Every datagram is encoded and decoded by the fleet's own codec.
+The processor time is that of the state machine and of the codec, measured around each call; the simulator's
+own heap is left out.
+
+Scenarios:
+
+* `calm`: all members know each other and no news is under way; then one of them dies.
+* `backlog`: all members know each other and each still spreads the news of all others.
+* `join`: all members start at once and know the three seeds.
+* `batch`: in a calm group one member in thirteen dies at one instant, and comes back cold 60 s after the
+  last survivor knew of it, as a zone does.
+* `region`: in a calm group one member in five is cut off from the others for 150 s, past the time for which
+  the dead are remembered.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import process_time_ns
+
+import click
+import msgspec
+
+from brackenladder.fleet.membership.codec import Codec
+from brackenladder.fleet.membership.swim import Address, Message, Send, Status, Swim
+from laurelspindle.explore.members import DELAY, KEY, Net
+
+WARM_UP_S = 5.0
+CALM_S = 20.0  # window in which rates are measured
+DEATH_LIMIT_S = 180.0
+JOIN_LIMIT_S = 400.0
+PARTITION_S = 150.0
+RETURN_AFTER_S = 60.0
+ZONES = 13
+REGIONS = 5
+BACKLOG_S = 20.0
+
+
+@dataclass
+class Spent:
+    """Processor nanoseconds by component, and traffic, since the last reset."""
+
+    tick: int = 0
+    receive: int = 0
+    encode: int = 0
+    decode: int = 0
+    datagrams: int = 0
+    bytes: int = 0
+
+
+class MeteredNet(Net):
+    """The virtual network with processor time counted by component and every datagram through the codec."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.spent = Spent()
+        self.wire = Codec([KEY])
+        super().__init__(count, 0.0, seed)
+
+    def wake(self, what: tuple[Address, Swim]) -> None:
+        address, swim = what
+        if self.members.get(address) is not swim:
+            return
+        begun = process_time_ns()
+        sends = swim.tick(self.clock.now)
+        due = swim.due()
+        self.spent.tick += process_time_ns() - begun
+        self.carry(address, sends)
+        self.clock.call_at(max(self.clock.now + 1, due), self.wake, what)
+
+    def carry(self, source: Address, sends: list[Send]) -> None:
+        for send in sends:
+            begun = process_time_ns()
+            data = self.wire.encode(send.message, self.clock.now)
+            self.spent.encode += process_time_ns() - begun
+            self.spent.datagrams += 1
+            self.spent.bytes += len(data)
+            if (source in self.cut) == (send.to in self.cut):
+                at = self.clock.now + int(DELAY * (0.5 + self.rng.random()))
+                self.clock.call_at(at, self.arrive_encoded, (source, send.to, data))
+
+    def arrive_encoded(self, what: tuple[Address, Address, bytes]) -> None:
+        source, to, data = what
+        swim = self.members.get(to)
+        if swim is None:
+            return
+        begun = process_time_ns()
+        message: Message | None = self.wire.decode(data, self.clock.now)
+        self.spent.decode += process_time_ns() - begun
+        if message is None:
+            raise RuntimeError(f"the codec refused a datagram of its own: {dict(self.wire.dropped)}")
+        begun = process_time_ns()
+        sends = swim.receive(self.clock.now, source, message)
+        self.spent.receive += process_time_ns() - begun
+        self.carry(to, sends)
+
+    def introduce_all(self, keep_news: bool = False) -> None:
+        """Every member knows every other. `keep_news`: and still spreads each of them as new."""
+        claims = [s.me for s in self.members.values()]
+        for swim in self.members.values():
+            for claim in claims:
+                swim.accept(self.clock.now, claim)
+            if not keep_news:
+                swim.news.clear()
+
+    def measure(self, seconds: float) -> Spent:
+        """What the whole group spends in a window of simulated time."""
+        self.spent = Spent()
+        self.run(seconds)
+        return self.spent
+
+    def knows_gone(self, names: set[str]) -> bool:
+        """Whether no member that runs holds any of these members alive."""
+        return all(
+            not any(s.status(name) in (Status.ALIVE, Status.SUSPECT) for name in names)
+            for s in self.members.values()
+        )
+
+    def complete(self) -> bool:
+        """Whether every member holds every other alive or suspect, and nobody else."""
+        wanted = len(self.members) - 1
+        return all(len(s.alive()) == wanted for s in self.members.values())
+
+
+@dataclass(frozen=True)
+class Row:
+    """One measured value; `limit`: the condition had not come true by then, so the value is a lower bound."""
+
+    name: str
+    size: int
+    seed: int
+    value: float
+    limit: bool = False
+
+
+def rates(prefix: str, net: MeteredNet, size: int, seed: int, seconds: float) -> list[Row]:
+    """Processor time, datagrams and bytes a member and second."""
+    spent = net.measure(seconds)
+    scale = size * seconds
+    total = spent.tick + spent.receive + spent.encode + spent.decode
+    values = {
+        "cpu_us": total / 1000 / scale,
+        "tick_us": spent.tick / 1000 / scale,
+        "receive_us": spent.receive / 1000 / scale,
+        "codec_us": (spent.encode + spent.decode) / 1000 / scale,
+        "datagrams": spent.datagrams / scale,
+        "bytes": spent.bytes / scale,
+        "codec_us_a_datagram": (spent.encode + spent.decode) / 1000 / spent.datagrams,
+    }
+    return [Row(f"{prefix}.{name}", size, seed, value) for name, value in values.items()]
+
+
+def timed(name: str, net: MeteredNet, size: int, seed: int, holds: Callable[[], bool], limit: float) -> Row:
+    """Seconds until a condition holds."""
+    passed = net.until(holds, limit)
+    return Row(name, size, seed, passed, limit=not holds())
+
+
+def calm(size: int, seed: int) -> list[Row]:
+    """Rates without news, then the time for a death to be known to all."""
+    net = MeteredNet(size, seed)
+    net.introduce_all()
+    net.run(WARM_UP_S)
+    rows = rates("membership.calm", net, size, seed, CALM_S)
+    gone = {net.kill(("10.0.0.1", size))}
+    rows.append(timed("membership.death_s", net, size, seed, lambda: net.knows_gone(gone), DEATH_LIMIT_S))
+    return rows
+
+
+def backlog(size: int, seed: int) -> list[Row]:
+    """Rates while each member still spreads the news of every other, as after a start of the whole group."""
+    net = MeteredNet(size, seed)
+    net.introduce_all(keep_news=True)
+    net.run(WARM_UP_S)
+    return rates("membership.backlog", net, size, seed, BACKLOG_S)
+
+
+def join(size: int, seed: int) -> list[Row]:
+    """Time until a group that starts at once knows itself."""
+    net = MeteredNet(size, seed)
+    return [timed("membership.join_s", net, size, seed, net.complete, JOIN_LIMIT_S)]
+
+
+def restarted(net: MeteredNet, addresses: list[Address]) -> None:
+    """Members come back cold, each with a higher incarnation, knowing the seeds alone."""
+    seeds = [("10.0.0.1", i + 1) for i in range(3)]
+    for address in addresses:
+        net.add(address, seeds, incarnation=2)
+
+
+def batch(size: int, seed: int) -> list[Row]:
+    """A thirteenth of the group dies at one instant and comes back cold."""
+    net = MeteredNet(size, seed)
+    net.introduce_all()
+    net.run(WARM_UP_S)
+    count = max(1, size // ZONES)
+    lost = [("10.0.0.1", size - i) for i in range(count)]
+    gone = {net.kill(address) for address in lost}
+    rows = [
+        timed("membership.zone_lost_s", net, size, seed, lambda: net.knows_gone(gone), DEATH_LIMIT_S),
+    ]
+    net.run(RETURN_AFTER_S)
+    restarted(net, lost)
+    rows.append(timed("membership.zone_back_s", net, size, seed, net.complete, JOIN_LIMIT_S))
+    return rows
+
+
+def region(size: int, seed: int) -> list[Row]:
+    """A fifth of the group is cut off until both sides have forgotten each other, then the cut heals."""
+    net = MeteredNet(size, seed)
+    net.introduce_all()
+    net.run(WARM_UP_S)
+    # Members with the highest numbers: the seeds stay on the larger side.
+    net.cut = {("10.0.0.1", size - i) for i in range(max(1, size // REGIONS))}
+    net.run(PARTITION_S)
+    net.cut = set()
+    return [timed("membership.region_back_s", net, size, seed, net.complete, JOIN_LIMIT_S)]
+
+
+SCENARIOS: dict[str, Callable[[int, int], list[Row]]] = {
+    "calm": calm,
+    "backlog": backlog,
+    "join": join,
+    "batch": batch,
+    "region": region,
+}
+
+
+@click.command()
+@click.argument("scenario", type=click.Choice(list(SCENARIOS)))
+@click.argument("sizes", type=click.IntRange(4, 5000), nargs=-1, required=True)
+@click.option("--seed", "seeds", type=click.IntRange(0), multiple=True, default=(1,), show_default=True)
+def main(scenario: str, sizes: tuple[int, ...], seeds: tuple[int, ...]) -> None:
+    """Run SCENARIO at each of SIZES members and print a JSON line for each value."""
+    for size in sizes:
+        for seed in seeds:
+            for row in SCENARIOS[scenario](size, seed):
+                click.echo(msgspec.json.encode(row).decode())
+
+
+if __name__ == "__main__":
+    main()
