--- /dev/null
+++ b/laurelspindle/scale/leader.py
@@ -0,0 +1,82 @@
+"""What leading a replacement of the fleet costs its leader: `python -m laurelspindle.scale.leader SIZES...`.
+
+The leader asks all members how they stand each half second, and each answers. Measured are the decisions and
+the codec, for datagrams out and in; the event loop and the kernel are left out.
+"""
+
+from __future__ import annotations
+
+import click
+import msgspec
+
+from brackenladder.fleet.membership.codec import Codec
+from brackenladder.fleet.replace.decisions import EVERY, Replacement
+from brackenladder.fleet.replace.messages import ReplaceKind, ReplaceMessage, ReplaceWire
+from laurelspindle.explore.members import KEY
+from laurelspindle.scale.member import Stopwatch
+from laurelspindle.scale.membership import Row
+
+ROUNDS = 8
+SECOND_US = 1_000_000
+NOW_US = 10 * SECOND_US
+TOKEN = 7
+
+
+class Group:
+    """Membership as the leader sees it: all are there, all serve."""
+
+    def __init__(self, size: int) -> None:
+        self.names = [f"n{i}" for i in range(2, size + 1)]
+
+    def serving(self) -> bool:
+        return True
+
+    def alive(self) -> list[str]:
+        return self.names
+
+    def gone(self) -> list[str]:
+        return []
+
+
+def measure(size: int) -> list[Row]:
+    """Processor time, datagrams and bytes a second of a leader."""
+    group = Group(size)
+    leader = Replacement("n1", "z0", 1, group, NOW_US)
+    plan = leader.begin(2, 1)
+    outgoing, incoming = Codec([KEY], [ReplaceWire()]), Codec([KEY], [ReplaceWire()])
+    watch = Stopwatch()
+    datagrams = traffic = 0
+    now = NOW_US
+    for _ in range(ROUNDS):
+        for _, message in watch.time("decisions", leader.tick, now, TOKEN):
+            data = watch.time("codec", outgoing.encode, message, now)
+            datagrams, traffic = datagrams + 1, traffic + len(data)
+        for name in group.names:
+            report = ReplaceMessage(ReplaceKind.REPORT, name, plan, 1, 0, True, "z0")
+            data = incoming.encode(report, now)
+            decoded = watch.time("codec", outgoing.decode, data, now)
+            watch.time("decisions", leader.received, now, decoded)
+            datagrams, traffic = datagrams + 1, traffic + len(data)
+        now += EVERY
+    seconds = ROUNDS * EVERY / SECOND_US
+    values = {
+        "cpu_us": (watch.microseconds("decisions") + watch.microseconds("codec")) / seconds,
+        "datagrams": datagrams / seconds,
+        "bytes": traffic / seconds,
+    }
+    return [Row(f"leader.{name}", size, 0, value) for name, value in values.items()]
+
+
+@click.command()
+@click.argument("sizes", type=click.IntRange(4, 20_000), nargs=-1, required=True)
+@click.option("--repeats", type=click.IntRange(1, 20), default=3, show_default=True)
+def main(sizes: tuple[int, ...], repeats: int) -> None:
+    """Measure a leader of groups of SIZES and print a JSON line for each value."""
+    for size in sizes:
+        for _ in range(repeats):
+            for row in measure(size):
+                click.echo(msgspec.json.encode(row).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/laurelspindle/scale/member.py
+++ b/laurelspindle/scale/member.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from random import Random
 from time import process_time_ns
-from typing import TypeVar
+from typing import ParamSpec, TypeVar
 
 import click
 import msgspec
@@ -28,6 +28,7 @@
 FIRST_PERIODS = 3  # not measured
 DUE_CALLS = 2  # of the node's fleet host: before and after a datagram, at a tick and to set the timer
 T = TypeVar("T")
+P = ParamSpec("P")
 
 
 class Stopwatch:
@@ -36,9 +37,9 @@
     def __init__(self) -> None:
         self.spent_ns: dict[str, int] = {}
 
-    def time(self, component: str, call: Callable[[], T]) -> T:
+    def time(self, component: str, call: Callable[P, T], *args: P.args, **kwargs: P.kwargs) -> T:
         begun = process_time_ns()
-        result = call()
+        result = call(*args, **kwargs)
         self.spent_ns[component] = self.spent_ns.get(component, 0) + process_time_ns() - begun
         return result
 
@@ -88,7 +89,7 @@
             if self.now == ends:
                 break
             self.watch.time("due", self.swim.due)
-            sends = self.watch.time("tick", lambda: self.swim.tick(self.now))
+            sends = self.watch.time("tick", self.swim.tick, self.now)
             sent += self.put(sends)
         return sent
 
@@ -96,7 +97,7 @@
         """Encodes what the member sends; those pinged answer at once."""
         for send in sends:
             message = send.message
-            self.watch.time("codec", lambda m=message: self.outgoing.encode(m, self.now))  # type: ignore[misc]
+            self.watch.time("codec", self.outgoing.encode, message, self.now)
             if message.kind == Kind.PING:
                 self.take(Message(Kind.ACK, f"n{send.to[1]}", message.seq))
         return len(sends)
@@ -104,11 +105,11 @@
     def take(self, message: Message) -> int:
         """A datagram comes in; what it makes the member send goes out."""
         data = self.incoming.encode(message, self.now)
-        decoded = self.watch.time("codec", lambda: self.outgoing.decode(data, self.now))
+        decoded = self.watch.time("codec", self.outgoing.decode, data, self.now)
         assert decoded is not None
         for _ in range(DUE_CALLS):
             self.watch.time("due", self.swim.due)
-        sends = self.watch.time("receive", lambda: self.swim.receive(self.now, ("10.0.0.1", 2), decoded))
+        sends = self.watch.time("receive", self.swim.receive, self.now, ("10.0.0.1", 2), decoded)
         return self.put(sends)
 
 
--- a/laurelspindle/scale/membership.py
+++ b/laurelspindle/scale/membership.py
@@ -10,6 +10,8 @@
 
 * `calm`: all members know each other and no news is under way; then one of them dies.
 * `backlog`: all members know each other and each still spreads the news of all others.
+* `news`: in a calm group one member takes a new incarnation, as after a quick restart; until all hold it.
+* `news_busy`: the same while each member still spreads the news of all others.
 * `join`: all members start at once and know the three seeds.
 * `batch`: in a calm group one member in thirteen dies at one instant, and comes back cold 60 s after the
   last survivor knew of it, as a zone does.
@@ -27,7 +29,7 @@
 import msgspec
 
 from brackenladder.fleet.membership.codec import Codec
-from brackenladder.fleet.membership.swim import Address, Message, Send, Status, Swim
+from brackenladder.fleet.membership.swim import Address, Claim, Message, Send, Status, Swim
 from laurelspindle.explore.members import DELAY, KEY, Net
 
 WARM_UP_S = 5.0
@@ -179,6 +181,34 @@
     return rates("membership.backlog", net, size, seed, BACKLOG_S)
 
 
+def time_of_news(name: str, size: int, seed: int, busy: bool) -> list[Row]:
+    """Seconds until all hold a member's new incarnation, which it tells one other about."""
+    net = MeteredNet(size, seed)
+    net.introduce_all(keep_news=busy)
+    net.run(WARM_UP_S)
+    changed = net.members[("10.0.0.1", size)]
+    first = net.members[("10.0.0.1", 1)]
+    claim = Claim(changed.me.name, changed.me.address, Status.ALIVE, changed.me.incarnation + 1)
+    changed.me = claim
+    first.accept(net.clock.now, claim)
+
+    def all_hold() -> bool:
+        others = [s for s in net.members.values() if s is not changed]
+        return all(s.members[claim.name].claim.incarnation == claim.incarnation for s in others)
+
+    return [timed(name, net, size, seed, all_hold, JOIN_LIMIT_S)]
+
+
+def news(size: int, seed: int) -> list[Row]:
+    """One change in a group in calm."""
+    return time_of_news("membership.news_s", size, seed, busy=False)
+
+
+def news_busy(size: int, seed: int) -> list[Row]:
+    """One change while the group is busy with the news of all its members."""
+    return time_of_news("membership.news_busy_s", size, seed, busy=True)
+
+
 def join(size: int, seed: int) -> list[Row]:
     """Time until a group that starts at once knows itself."""
     net = MeteredNet(size, seed)
@@ -224,6 +254,8 @@
 SCENARIOS: dict[str, Callable[[int, int], list[Row]]] = {
     "calm": calm,
     "backlog": backlog,
+    "news": news,
+    "news_busy": news_busy,
     "join": join,
     "batch": batch,
     "region": region,
