--- /dev/null
+++ b/laurelspindle/scale/collect.py
@@ -0,0 +1,201 @@
+"""Rows of the slopes file from measured values: `python -m laurelspindle.scale.collect FILES... > rows.toml`.
+
+FILES hold the JSON lines that the measuring programs print. Values of one name and size become a point, with
+the spread between their runs.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import fmean, stdev
+from typing import Any
+
+import click
+import msgspec
+import tomli_w
+
+from laurelspindle.scale.membership import Row
+from laurelspindle.scale.slopes import FitKind
+
+MEMBERS = "members of a group"
+CALLS = "calls a second"
+NODE_SECOND = "us/s a member"
+GROUP = "python -m laurelspindle.scale.membership"
+ONE = "python -m laurelspindle.scale.member"
+LEADER = "python -m laurelspindle.scale.leader"
+LATENCY = "python -m laurelspindle.scale.latency"
+
+
+@dataclass(frozen=True)
+class Kind:
+    """What a measured name means."""
+
+    what: str
+    unit: str
+    fit: FitKind
+    run: str
+    per: str = MEMBERS
+
+
+KINDS: dict[str, Kind] = {
+    "member.cpu_us": Kind("processor time of a member in calm", NODE_SECOND, "linear", ONE),
+    "member.tick_us": Kind("its timers", NODE_SECOND, "linear", ONE),
+    "member.due_us": Kind("looking for the next due time", NODE_SECOND, "linear", ONE),
+    "member.receive_us": Kind("datagrams taken in", NODE_SECOND, "linear", ONE),
+    "member.codec_us": Kind("the codec", NODE_SECOND, "linear", ONE),
+    "member.datagrams": Kind("datagrams sent by a member in calm", "1/s", "constant", ONE),
+    "member.table_bytes": Kind("memory of a member's table", "bytes", "linear", ONE),
+    "membership.calm.cpu_us": Kind(
+        "processor time in calm, whole group", NODE_SECOND, "linear", f"{GROUP} calm"
+    ),
+    "membership.calm.datagrams": Kind("datagrams sent in calm", "1/s a member", "constant", f"{GROUP} calm"),
+    "membership.calm.bytes": Kind("bytes sent in calm", "bytes/s a member", "constant", f"{GROUP} calm"),
+    "membership.calm.codec_us_a_datagram": Kind(
+        "codec, out and in, in calm", "us a datagram", "constant", f"{GROUP} calm"
+    ),
+    "membership.death_s": Kind("until a death is known to all", "s", "log", f"{GROUP} calm"),
+    "membership.backlog.cpu_us": Kind(
+        "processor time while all are news", NODE_SECOND, "linear", f"{GROUP} backlog"
+    ),
+    "membership.backlog.bytes": Kind(
+        "bytes sent while all are news", "bytes/s a member", "constant", f"{GROUP} backlog"
+    ),
+    "membership.news_s": Kind("until one change is known to all, in calm", "s", "log", f"{GROUP} news"),
+    "membership.news_busy_s": Kind(
+        "until one change is known to all, while all are news", "s", "power", f"{GROUP} news_busy"
+    ),
+    "membership.join_s": Kind(
+        "until a group that starts at once knows itself", "s", "power", f"{GROUP} join"
+    ),
+    "membership.zone_lost_s": Kind(
+        "until a thirteenth that dies is known dead to all", "s", "log", f"{GROUP} batch"
+    ),
+    "membership.zone_back_s": Kind(
+        "until a thirteenth that comes back cold and all others know each other",
+        "s",
+        "power",
+        f"{GROUP} batch",
+    ),
+    "membership.region_back_s": Kind(
+        "until a fifth that was cut off for 150 s and all others know each other",
+        "s",
+        "power",
+        f"{GROUP} region",
+    ),
+    "leader.cpu_us": Kind("processor time of a replacement's leader", "us/s", "linear", LEADER),
+    "leader.datagrams": Kind("its datagrams, out and in", "1/s", "linear", LEADER),
+    "leader.bytes": Kind("its bytes, out and in", "bytes/s", "linear", LEADER),
+}
+LATENCY_FIELDS: dict[str, tuple[str, str]] = {
+    "added_p50_us": ("added to a call, median", "us"),
+    "added_p99_us": ("added to a call, 99 in 100", "us"),
+    "to_server_p50_us": ("added before the server has the request, median", "us"),
+    "to_server_p99_us": ("added before the server has the request, 99 in 100", "us"),
+    "to_client_p50_us": ("added after the server's answer, median", "us"),
+    "to_client_p99_us": ("added after the server's answer, 99 in 100", "us"),
+    "hop_p99888_us": ("added to a call, at the quantile each of nine hops needs", "us"),
+    "chain_p50_us": ("added to a call nine deep, median", "us"),
+    "chain_p99_us": ("added to a call nine deep, 99 in 100", "us"),
+    "node_cpu_us_a_call": ("the node's processor time", "us a call"),
+    "node_run_queue_us_a_call": ("the node's wait for a core", "us a call"),
+}
+KINDS |= {
+    f"latency.{name}": Kind(what, unit, "linear", LATENCY, CALLS)
+    for name, (what, unit) in LATENCY_FIELDS.items()
+}
+IDLE_NODES = {"plain": "no fleet section", "fleet": "fleet section, no peers"}
+IDLE_FIELDS = {"cpu_us_a_second": ("processor time", "us/s"), "resident_mb": ("memory", "MB")}
+KINDS |= {
+    f"node.{kind}.{name}": Kind(
+        f"{what} of a node that nobody calls, {text}", unit, "constant", f"{LATENCY} --idle", "nodes"
+    )
+    for kind, text in IDLE_NODES.items()
+    for name, (what, unit) in IDLE_FIELDS.items()
+}
+
+
+def rows_of(line: bytes) -> list[Row]:
+    """The values of one printed line; none of a latency round that does not count."""
+    table = msgspec.json.decode(line)
+    if "name" in table:
+        return [msgspec.convert(table, Row)]
+    if "fleet" in table:
+        kind = "fleet" if table["fleet"] else "plain"
+        return [Row(f"node.{kind}.{name}", 1, table["repeat"], table[name]) for name in IDLE_FIELDS]
+    if not table["counts"]:
+        return []
+    rate, repeat = round(table["rate"]), table["repeat"]
+    return [Row(f"latency.{name}", rate, repeat, table[name]) for name in LATENCY_FIELDS]
+
+
+def points(rows: list[Row]) -> list[dict[str, Any]]:
+    """A point for each size."""
+    sizes: dict[int, list[Row]] = defaultdict(list)
+    for row in rows:
+        sizes[row.size].append(row)
+    return [point_of(size, runs) for size, runs in sorted(sizes.items())]
+
+
+def point_of(size: int, runs: list[Row]) -> dict[str, Any]:
+    """Mean and spread of the runs at one size."""
+    values = [run.value for run in runs]
+    point: dict[str, Any] = {"size": size, "value": rounded(fmean(values)), "runs": len(values)}
+    if len(values) > 1:
+        point["spread"] = rounded(stdev(values))
+    if any(run.limit for run in runs):
+        point["lower_bound"] = True
+    return point
+
+
+def rounded(value: float) -> float:
+    """Four significant figures."""
+    return float(f"{value:.4g}")
+
+
+def collected(rows: list[Row], commit: str, machine: str, note: str) -> list[dict[str, Any]]:
+    """Rows of the slopes file."""
+    names: dict[str, list[Row]] = defaultdict(list)
+    for measured in rows:
+        names[measured.name].append(measured)
+    out = []
+    for name, kind in KINDS.items():
+        if name not in names:
+            continue
+        own = names[name]
+        row: dict[str, Any] = {
+            "name": name,
+            "what": kind.what,
+            "unit": kind.unit,
+            "per": kind.per,
+            "fit": kind.fit,
+            "run": kind.run,
+            "seeds": sorted({r.seed for r in own}),
+            "commit": commit,
+            "machine": machine,
+            "points": points(own),
+        }
+        if note:
+            row["note"] = note
+        out.append(row)
+    return out
+
+
+@click.command()
+@click.argument(
+    "files", type=click.Path(exists=True, dir_okay=False, path_type=Path), nargs=-1, required=True
+)
+@click.option("--commit", required=True, help="Whose program was measured.")
+@click.option("--machine", required=True, help="In plain words, such as '8 cores'.")
+@click.option("--note", default="")
+def main(files: tuple[Path, ...], commit: str, machine: str, note: str) -> None:
+    """Print rows of the slopes file for the values in FILES."""
+    rows = [
+        row for f in files for line in f.read_bytes().splitlines() if line.strip() for row in rows_of(line)
+    ]
+    click.echo(tomli_w.dumps({"slope": collected(rows, commit, machine, note)}), nl=False)
+
+
+if __name__ == "__main__":
+    main()
--- a/laurelspindle/scale/leader.py
+++ b/laurelspindle/scale/leader.py
@@ -55,6 +55,7 @@
             report = ReplaceMessage(ReplaceKind.REPORT, name, plan, 1, 0, True, "z0")
             data = incoming.encode(report, now)
             decoded = watch.time("codec", outgoing.decode, data, now)
+            assert isinstance(decoded, ReplaceMessage)
             watch.time("decisions", leader.received, now, decoded)
             datagrams, traffic = datagrams + 1, traffic + len(data)
         now += EVERY
--- a/laurelspindle/scale/membership.py
+++ b/laurelspindle/scale/membership.py
@@ -61,8 +61,13 @@
     def __init__(self, count: int, seed: int) -> None:
         self.spent = Spent()
         self.wire = Codec([KEY])
+        self.readers: dict[Address, Codec] = {}  # each member keeps its own window against replays
         super().__init__(count, 0.0, seed)
 
+    def add(self, address: Address, seeds: list[Address], incarnation: int = 1) -> Swim:
+        self.readers[address] = Codec([KEY])
+        return super().add(address, seeds, incarnation)
+
     def wake(self, what: tuple[Address, Swim]) -> None:
         address, swim = what
         if self.members.get(address) is not swim:
@@ -90,11 +95,12 @@
         swim = self.members.get(to)
         if swim is None:
             return
+        reader = self.readers[to]
         begun = process_time_ns()
-        message: Message | None = self.wire.decode(data, self.clock.now)
+        message: Message | None = reader.decode(data, self.clock.now)
         self.spent.decode += process_time_ns() - begun
         if message is None:
-            raise RuntimeError(f"the codec refused a datagram of its own: {dict(self.wire.dropped)}")
+            raise RuntimeError(f"the codec refused a datagram of its own: {dict(reader.dropped)}")
         begun = process_time_ns()
         sends = swim.receive(self.clock.now, source, message)
         self.spent.receive += process_time_ns() - begun
--- /dev/null
+++ b/laurelspindle/scale/table.py
@@ -0,0 +1,136 @@
+"""The capacity table as text for a terminal or as Markdown for the page."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from math import isinf, isnan
+
+from laurelspindle.scale.capacity import Capacity, Row
+from laurelspindle.scale.slopes import MIN_POINTS, Quantity, Slope, Slopes
+
+HEAD = ("who or what", "cost", "value", "95% interval", "unit", "budget", "of it", "carried by", "from")
+SLOPE_HEAD = ("slope", "unit", "points (size: mean ± spread, runs)", "fit", "run", "commit, machine")
+
+
+def number(value: float) -> str:
+    """Three significant figures, thousands kept whole."""
+    if isinf(value):
+        return "inf"
+    if abs(value) >= 1000:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def value_cell(quantity: Quantity | None, mechanism_missing: bool) -> str:
+    if quantity is None:
+        return "missing" if mechanism_missing else "not measured"
+    text = ("over " if quantity.at_least else "") + number(quantity.value)
+    return text + (" (estimate)" if quantity.estimate else "")
+
+
+def interval_cell(quantity: Quantity | None) -> str:
+    if quantity is None or isnan(quantity.low) or quantity.low == quantity.high:
+        return "-"
+    return f"{number(quantity.low)} to {number(quantity.high)}"
+
+
+def carrier_cell(row: Row) -> str:
+    if not row.missing:
+        return row.mechanism.name
+    return f"missing: {row.mechanism.name}"
+
+
+def source_cell(row: Row) -> str:
+    if row.quantity is None:
+        return row.note or "-"
+    parts = [", ".join(sorted(row.quantity.sources))]
+    parts += sorted(row.quantity.doubts)
+    parts += [row.note] if row.note else []
+    return "; ".join(parts)
+
+
+def cells(row: Row) -> tuple[str, ...]:
+    share = row.share
+    return (
+        row.subject.value,
+        row.what,
+        value_cell(row.quantity, row.missing),
+        interval_cell(row.quantity),
+        row.unit or "-",
+        "-" if row.budget is None else number(row.budget),
+        "-" if share is None else f"{100 * share:,.0f}%",
+        carrier_cell(row),
+        source_cell(row),
+    )
+
+
+def markdown(head: Sequence[str], rows: Sequence[Sequence[str]]) -> list[str]:
+    return [
+        "| " + " | ".join(head) + " |",
+        "| " + " | ".join("---" for _ in head) + " |",
+        *("| " + " | ".join(row) + " |" for row in rows),
+    ]
+
+
+def plain(head: Sequence[str], rows: Sequence[Sequence[str]]) -> list[str]:
+    """Columns of even width; the last one runs on."""
+    widths = [max(len(r[i]) for r in (head, *rows)) for i in range(len(head) - 1)]
+    return [
+        "  ".join([*(cell.ljust(width) for cell, width in zip(row, widths, strict=False)), row[-1]])
+        for row in (head, *rows)
+    ]
+
+
+def conclusion(capacity: Capacity) -> list[str]:
+    """What is farthest beyond its budget, what is missing, and on what most rests."""
+    farthest = capacity.farthest()
+    share = farthest.share or 0.0
+    lines = [
+        f"Farthest beyond its budget: {farthest.subject.value}, {farthest.what}:"
+        f" {value_cell(farthest.quantity, False)} {farthest.unit} against {number(farthest.budget or 0.0)},"
+        f" {share:,.1f} times ({farthest.note or farthest.mechanism.name}).",
+        "Rows that rest on each missing mechanism, directly or through another:",
+    ]
+    ranked = sorted(capacity.resting().items(), key=lambda item: (-item[1], item[0].name))
+    lines += [f"- {mechanism.name}: {count} of {len(capacity.rows)}" for mechanism, count in ranked]
+    return lines
+
+
+def report(capacity: Capacity, form: str) -> str:
+    """The whole table. `form`: text or markdown."""
+    draw = markdown if form == "markdown" else plain
+    lines: list[str] = []
+    for title, rows in (("By role", capacity.roles), ("By event", capacity.events)):
+        lines += [f"### {title}" if form == "markdown" else title.upper(), ""]
+        lines += [*draw(HEAD, [cells(r) for r in rows]), ""]
+    lines += ["### What comes first" if form == "markdown" else "WHAT COMES FIRST", "", *conclusion(capacity)]
+    return "\n".join(lines) + "\n"
+
+
+def point_cell(slope: Slope) -> str:
+    parts = []
+    for point in slope.points:
+        over = "over " if point.lower_bound else ""
+        runs = f"± {number(point.spread)}, {point.runs}" if point.runs > 1 else "1"
+        parts.append(f"{point.size:g}: {over}{number(point.value)} ({runs})")
+    return "; ".join(parts)
+
+
+def slope_cells(slope: Slope) -> tuple[str, ...]:
+    few = f", {len(slope.points)} points" if len(slope.points) < MIN_POINTS else ""
+    seeds = f", seeds {', '.join(map(str, slope.seeds))}" if slope.seeds else ""
+    origin = f"{slope.commit}, {slope.machine}" + (f"; {slope.note}" if slope.note else "")
+    return (
+        f"`{slope.name}`: {slope.what}",
+        slope.unit,
+        point_cell(slope),
+        f"{slope.fit} in {slope.per}{few}",
+        f"`{slope.run}`{seeds}",
+        origin,
+    )
+
+
+def slopes_table(slopes: Slopes) -> str:
+    """All slopes, as Markdown."""
+    rows = [slope_cells(s) for _, s in sorted(slopes.by_name.items())]
+    return "\n".join(markdown(SLOPE_HEAD, rows)) + "\n"
