Capacity: first slopes, the page and its test

Need: a capacity page whose every figure is a measured slope times a count, and that cannot drift from it.

--- a/laurelspindle/scale/latency.py
+++ b/laurelspindle/scale/latency.py
@@ -1,13 +1,12 @@
 """Time that a real node adds to a call, on loopback: `python -m laurelspindle.scale.latency`.
 
-Three processes: this one sends requests, a stand-in server answers at once, a node stands between them. Half
-of the rounds go through the node, half straight to the server. Requests go out when they are due (gaps drawn
-from an exponential distribution), whatever became of those before, and are timed from when they were due. The
-sender polls instead of sleeping, since the timers of its event loop are as coarse as a millisecond; it needs
-a core of its own.
+Half of the rounds go through the node, half straight to the server. Requests go out when they are due (gaps
+drawn from an exponential distribution), whatever became of those before, and are timed from when they were
+due. The sender polls instead of sleeping, since the timers of its event loop are as coarse as a millisecond;
+it needs a core of its own.
 
 The server's answer carries the monotonic times at which the request came and the answer left, so that both
-ways are known for each request. All processes read one clock, since they share a machine. The node's own time
+ways are known for each request: all processes read one clock, since they share a machine. The node's own time
 is not seen directly: it is the time through the node less the time straight to the server.
 """
 
@@ -16,12 +15,7 @@
 import asyncio
 import json
 import os
-import subprocess
-import sys
-import tempfile
 from collections import Counter
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -34,223 +28,13 @@
 import uvloop
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
-from laurelspindle.live.agent import Agent
-from laurelspindle.live.http import Lines, Reply, ServerSide, answer_bytes, request_bytes
-from laurelspindle.live.places import CALLS, PAGES, Places
-from laurelspindle.live.starter import tied
+from laurelspindle.live.http import Lines, Reply, request_bytes
+from laurelspindle.scale.loopback import Bench, bench, serve, usage
+from laurelspindle.scale.target import DEEPEST_CALL
 
 MIN_US, MAX_US, DIGITS = 1, 10_000_000, 3
 BUDGET_MS = 2000
 DRAIN_S = 2.0  # after the last request
-START_S = 10.0  # that a process may take until it answers
-SERVER_PORT = 7000
-BACKLOG = 64
-KEY = b"the key of the latency measurement only\n"
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-
-
-class MeasurementError(Exception):
-    """A measurement that cannot be made or does not count: one line."""
-
-
-# ---- the stand-in server --------------------------------------------------------------------------------
-
-
-class EchoTimes(ServerSide):
-    """Answers at once with the monotonic nanoseconds at which the request came and the answer left."""
-
-    def data_received(self, data: bytes) -> None:
-        self.came = monotonic_ns()
-        super().data_received(data)
-
-    def asked(self, method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes) -> None:
-        times = b"%020d%020d" % (self.came, monotonic_ns())
-        self.transport.write(answer_bytes(200, times))
-
-
-async def serve(host: str, port: int) -> None:
-    """Serves until the process is ended."""
-    loop = asyncio.get_running_loop()
-    server = await loop.create_server(EchoTimes, host, port, backlog=BACKLOG)
-    await server.serve_forever()
-
-
-# ---- the node -------------------------------------------------------------------------------------------
-
-
-def settings_table() -> dict[str, Any]:
-    """Settings of one tier with one class of safe requests."""
-    second = 1_000_000
-    return {
-        "classes": [
-            {
-                "name": "view",
-                "effect": "free",
-                "group": "all",
-                "goal_time": 1 * second,
-                "hard_limit": 2 * second,
-                "late_value": 0.2,
-                "window": 10 * second,
-                "worth": 1.0,
-            }
-        ],
-        "tenants": [],
-        "layers": ["front"],
-        "dcs": ["a"],
-        "kinds": ["std"],
-        "group_size": 1,
-        "self_index": 0,
-        "tick": 5000,
-        "discovery": "push",
-        "policy_limits": {
-            "max_attempts": 3,
-            "cancel": True,
-            "probing": False,
-            "peers": False,
-            "retry_after": True,
-            "max_retry_after": 2 * second,
-            "connect_timeout": 1 * second,
-            "conn_idle": 30 * second,
-        },
-        "rules": {"cold": 0, "start_capacity": 1.0, "fall_multiple": 3.0, "tip_after": 0},
-    }
-
-
-def server_entry(address: tuple[str, int]) -> dict[str, Any]:
-    """The stand-in server as discovery tells of it."""
-    return {
-        "id": "s0",
-        "addr": f"{address[0]}:{address[1]}",
-        "zone": "a",
-        "kind": "std",
-        "cell": 0,
-        "state": "ready",
-        "weight": 1.0,
-        "started_ms": 0,
-    }
-
-
-def node_table(places: Places, folder: Path, fleet: bool) -> dict[str, Any]:
-    """The node's configuration."""
-    here = places.node(0)
-    agent = places.agent(0)
-    table: dict[str, Any] = {
-        "name": "n0",
-        "listen": f"{here}:{CALLS}",
-        "management": f"{here}:{PAGES}",
-        "discovery": f"{agent[0]}:{agent[1]}",
-        "seed": "1",
-        "limits": {"sockets": 256, "memory_mb": 32},
-        "known": {"version": 1, "full": True, "servers": [server_entry((places.servers, SERVER_PORT))]},
-        "settings": settings_table(),
-    }
-    if fleet:
-        key = folder / "key"
-        key.write_bytes(KEY)
-        key.chmod(0o600)
-        table["fleet"] = {"zone": "a", "listen": f"{here}:7400", "seeds": [], "key": str(key)}
-    return table
-
-
-class ListAgent(Agent):
-    """Discovery with a fixed list of one server."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, line: dict[str, Any]) -> None:
-        super().__init__(loop, lambda entry: line, lambda lines: None)
-        self.version = 1
-        self.lines = {line["id"]: line}
-        self.since = {line["id"]: 1}
-
-
-@dataclass
-class Usage:
-    """What a process has used so far."""
-
-    cpu_ns: int
-    run_queue_ns: int  # runnable, but waiting for a core
-    resident_bytes: int
-
-
-def usage(pid: int) -> Usage:
-    """From the kernel's own accounts. MeasurementError once the process has ended."""
-    try:
-        cpu, waited, _ = Path(f"/proc/{pid}/schedstat").read_text().split()
-        pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-    except (OSError, ValueError) as e:
-        raise MeasurementError(f"process {pid}: {e}") from None
-    return Usage(int(cpu), int(waited), pages * PAGE_BYTES)
-
-
-@dataclass
-class Bench:
-    """The processes of a measurement, running."""
-
-    places: Places
-    node: subprocess.Popen[bytes]
-    server: subprocess.Popen[bytes]
-
-    def address(self, through_node: bool) -> tuple[str, int]:
-        return (self.places.node(0), CALLS) if through_node else (self.places.servers, SERVER_PORT)
-
-
-async def answers(host: str, port: int) -> None:
-    """Returns when something listens there. MeasurementError after a while."""
-    loop = asyncio.get_running_loop()
-    ends = loop.time() + START_S
-    while loop.time() < ends:
-        try:
-            _, writer = await asyncio.open_connection(host, port)
-        except OSError:
-            await asyncio.sleep(0.02)
-            continue
-        writer.close()
-        return
-    raise MeasurementError(f"{host}:{port}: nothing listens after {START_S:g} s")
-
-
-def ended(process: subprocess.Popen[bytes]) -> None:
-    """Ends a process of ours and waits for it; a node writes its profile first."""
-    process.terminate()
-    try:
-        process.wait(5)
-    except subprocess.TimeoutExpired:
-        process.kill()
-        process.wait()
-
-
-@asynccontextmanager
-async def bench(fleet: bool = False, profile: Path | None = None) -> AsyncIterator[Bench]:
-    """Starts server and node and ends them; the kernel ends them too if this process dies."""
-    loop = asyncio.get_running_loop()
-    places = Places()
-    with tempfile.TemporaryDirectory(prefix="latency-") as name:
-        folder = Path(name)
-        config = folder / "config.json"
-        config.write_text(json.dumps(node_table(places, folder, fleet)))
-        env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
-        env |= {"LB_CONFIG": str(config), "TMPDIR": name}
-        python = [sys.executable, "-m"]
-        profiler = ["cProfile", "-o", str(profile)] if profile else []
-        runner = [*python, *profiler, *(["-m"] if profile else []), "brackenladder"]
-        serving = [*python, "laurelspindle.scale.latency", "--serve", f"{places.servers}:{SERVER_PORT}"]
-        agent = ListAgent(loop, server_entry((places.servers, SERVER_PORT)))
-        agent.start(places.agent(0))
-        quiet: dict[str, Any] = {"stdin": subprocess.DEVNULL, "stdout": subprocess.DEVNULL}
-        server = subprocess.Popen(tied(serving), **quiet)
-        try:
-            with (folder / "log").open("wb") as log:
-                node = subprocess.Popen(tied(runner), env=env, stderr=log, **quiet)
-            try:
-                await answers(places.servers, SERVER_PORT)
-                await answers(places.node(0), CALLS)
-                yield Bench(places, node, server)
-            finally:
-                ended(node)
-        finally:
-            ended(server)
-            agent.close()
-            places.close()
 
 
 # ---- the load -------------------------------------------------------------------------------------------
@@ -314,8 +98,7 @@
 
 # ---- figures --------------------------------------------------------------------------------------------
 
-HOPS = 9
-HOP_PERCENT = 100 * 0.99 ** (1 / HOPS)
+HOP_PERCENT = 100 * 0.99 ** (1 / DEEPEST_CALL)
 # Beyond either of these the machine had no core free for one of the processes: the round does not count.
 MAX_DIRECT_P99_US = 800.0
 MAX_RUN_QUEUE_US_A_CALL = 60.0
@@ -400,8 +183,8 @@
                 others={k: n for k, n in through.outcomes.items() if k != "served"},
                 load_average=os.getloadavg()[0],
                 hop_p99888_us=quantile(through.samples, HOP_PERCENT) - direct_median,
-                chain_p50_us=chain(added, HOPS, 50.0),
-                chain_p99_us=chain(added, HOPS, 99.0),
+                chain_p50_us=chain(added, DEEPEST_CALL, 50.0),
+                chain_p99_us=chain(added, DEEPEST_CALL, 99.0),
                 counts=run_queue <= MAX_RUN_QUEUE_US_A_CALL and direct_p99 <= MAX_DIRECT_P99_US,
             )
         )
--- /dev/null
+++ b/laurelspindle/scale/page.py
@@ -0,0 +1,45 @@
+"""The generated parts of docs/CAPACITY.md: `python -m laurelspindle.scale.page docs/CAPACITY.md`."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from pathlib import Path
+
+import click
+
+from laurelspindle.scale.capacity import capacity
+from laurelspindle.scale.slopes import read_slopes
+from laurelspindle.scale.table import sections
+from laurelspindle.scale.target import target_of
+
+PART = re.compile(r"(<!-- generated: (\w+) -->\n).*?(<!-- end -->\n)", re.DOTALL)
+
+
+class PageError(Exception):
+    """A page whose markers do not fit the model's parts: one line."""
+
+
+def rendered(text: str, parts: Mapping[str, str]) -> str:
+    """The page with every generated part as the model has it now. PageError."""
+    found = [name for _, name, _ in PART.findall(text)]
+    if sorted(found) != sorted(parts):
+        raise PageError(f"markers: {', '.join(found) or 'none'}: must be {', '.join(parts)}, each once")
+    return PART.sub(lambda match: match[1] + parts[match[2]] + match[3], text)
+
+
+def current_parts() -> dict[str, str]:
+    """The parts at the default target, from the shipped slopes."""
+    slopes = read_slopes()
+    return sections(capacity(target_of(), slopes), slopes)
+
+
+@click.command()
+@click.argument("page", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def main(page: Path) -> None:
+    """Write the generated parts of PAGE anew."""
+    page.write_text(rendered(page.read_text(), current_parts()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/laurelspindle/scale/roles.py
@@ -0,0 +1,182 @@
+"""What each role spends at the target size."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from laurelspindle.scale import mechanisms as m
+from laurelspindle.scale.mechanisms import Mechanism
+from laurelspindle.scale.rows import Role, Row
+from laurelspindle.scale.slopes import UNMEASURED, Quantity, Slopes
+from laurelspindle.scale.target import DEEPEST_CALL, Target
+
+US_A_SECOND_AS_PERCENT = 1e-4  # of a core
+BOTH_WAYS = 2.0  # what one member sends another receives
+MEGABYTE = 1 << 20
+
+
+def roles(target: Target, slopes: Slopes) -> Iterator[Row]:
+    """All rows by role."""
+    yield from node(target, slopes)
+    yield from gateway(target, slopes)
+    yield from control(target, slopes)
+    yield from operator(target, slopes)
+
+
+def arithmetic(value: float) -> Quantity:
+    """A figure that follows from the target alone."""
+    return Quantity(value, value, value, frozenset({"target"}))
+
+
+def node(t: Target, s: Slopes) -> Iterator[Row]:
+    """What each node spends."""
+    for size, mechanism, text in (
+        (float(t.nodes), m.FLAT_MEMBERSHIP, f"one group of {t.nodes:,}"),
+        (t.zone_nodes, m.ZONE_MEMBERSHIP, f"a group a zone, {t.zone_nodes:.0f}"),
+    ):
+        yield from membership_of_node(t, s, size, mechanism, text)
+    yield Row(
+        Role.NODE,
+        "leases: one that all nodes ask for",
+        "datagrams/s",
+        m.VOTERS,
+        s.at("leases.asker_datagrams", t.nodes),
+    )
+    yield Row(Role.NODE, "leases of its zone while its region is alone", "", m.SCOPED_LEASES)
+    yield Row(
+        Role.NODE,
+        "configuration: changes to take in",
+        "1/s",
+        m.CONFIGURATION,
+        arithmetic(1 / t.change_every_s),
+        note="count alone: nothing distributes them",
+    )
+    yield Row(Role.NODE, "configuration: state, processor time, bytes", "", m.CONFIGURATION)
+    yield from calls_of_node(t, s)
+
+
+def membership_of_node(t: Target, s: Slopes, size: float, mechanism: Mechanism, text: str) -> Iterator[Row]:
+    """Membership's cost in a group of a size."""
+    calm = s.at("member.cpu_us", size).times(US_A_SECOND_AS_PERCENT)
+    busy = s.at("membership.backlog.cpu_us", size).times(US_A_SECOND_AS_PERCENT)
+    memory = s.at("node.fleet.resident_mb").plus(s.at("member.table_bytes", size).times(1 / MEGABYTE))
+    yield Row(
+        Role.NODE,
+        f"membership, {text}: processor time in calm",
+        "% of a core",
+        mechanism,
+        calm,
+        t.cpu_percent,
+        "state machine and codec; sockets and loop not in it",
+    )
+    yield Row(
+        Role.NODE,
+        f"membership, {text}: processor time while all are news",
+        "% of a core",
+        mechanism,
+        busy,
+        t.cpu_percent,
+        "state machine and codec; sockets and loop not in it",
+    )
+    for name, word in (("calm", "in calm"), ("backlog", "while all are news")):
+        sent = s.at(f"membership.{name}.bytes", size).times(BOTH_WAYS)
+        yield Row(
+            Role.NODE, f"membership, {text}: bytes {word}, out and in", "bytes/s", mechanism, sent, t.bytes_s
+        )
+    datagrams = s.at("member.datagrams", size).times(BOTH_WAYS)
+    yield Row(Role.NODE, f"membership, {text}: datagrams, out and in", "1/s", mechanism, datagrams)
+    yield Row(Role.NODE, f"memory of the process with {text}", "MB", mechanism, memory, t.memory_mb)
+
+
+def calls_of_node(t: Target, s: Slopes) -> Iterator[Row]:
+    """The request path at the mean rate; no part of the control budget."""
+    rate = t.calls_a_node_s
+    budget_us = t.added_ms * 1000
+    cpu = s.at("latency.node_cpu_us_a_call", rate).times(rate * US_A_SECOND_AS_PERCENT)
+    yield Row(
+        Role.NODE,
+        f"calls, {rate:.0f} a second: processor time",
+        "% of a core",
+        m.REQUEST_PATH,
+        cpu,
+        note="not control: no budget was given",
+    )
+    for name, text in (("p50", "median"), ("p99", f"{t.added_percent:g} in 100")):
+        added = s.at(f"latency.added_{name}_us", rate)
+        budget = budget_us if name == "p99" else None
+        yield Row(Role.NODE, f"added to a call of one hop, {text}", "us", m.REQUEST_PATH, added, budget)
+    chain = s.at("latency.chain_p99_us", rate) if t.depth == DEEPEST_CALL else UNMEASURED
+    yield Row(
+        Role.NODE,
+        f"added to a call {t.depth} deep, {t.added_percent:g} in 100",
+        "us",
+        m.REQUEST_PATH,
+        chain,
+        budget_us,
+        f"if the bound holds for the whole call; convolution of {DEEPEST_CALL} equal hops",
+    )
+
+
+def gateway(t: Target, s: Slopes) -> Iterator[Row]:
+    """What a zone's gateway would spend beside its own node's cost."""
+    count = t.zones * t.gateways_a_zone
+    calm = s.at("member.cpu_us", count).times(US_A_SECOND_AS_PERCENT)
+    sent = s.at("membership.calm.bytes", count).times(BOTH_WAYS)
+    text = f"if all {count} gateways are one group"
+    yield Row(Role.GATEWAY, f"{text}: processor time", "% of a core", m.GATEWAYS, calm, t.cpu_percent)
+    yield Row(Role.GATEWAY, f"{text}: bytes, out and in", "bytes/s", m.GATEWAYS, sent, t.bytes_s)
+    yield Row(Role.GATEWAY, "summaries of a zone: state, messages, processor time", "", m.GATEWAYS)
+    yield Row(Role.GATEWAY, "versions in force in its zone", "", m.VERSIONS_IN_FORCE)
+
+
+def control(t: Target, s: Slopes) -> Iterator[Row]:
+    """What each machine that is set aside spends."""
+    asked = s.at("leases.voter_datagrams", t.nodes)
+    codec = s.at("membership.calm.codec_us_a_datagram")
+    yield Row(
+        Role.CONTROL,
+        f"leases: one that all {t.nodes:,} ask for, datagrams out of a voter",
+        "1/s",
+        m.VOTERS,
+        asked,
+    )
+    yield Row(
+        Role.CONTROL,
+        "leases: processor time of that",
+        "% of a core",
+        m.VOTERS,
+        asked.by(codec).times(US_A_SECOND_AS_PERCENT),
+        note="the codec alone, out and in",
+    )
+    yield Row(Role.CONTROL, "leases of zones", "", m.SCOPED_LEASES)
+    told = t.nodes / t.change_every_s / t.control_machines
+    yield Row(
+        Role.CONTROL,
+        "configuration: changes told to nodes",
+        "1/s",
+        m.CONFIGURATION,
+        arithmetic(told),
+        note="count alone: nothing distributes them",
+    )
+    yield Row(Role.CONTROL, "configuration: log, snapshots, processor time, memory", "", m.CONFIGURATION)
+
+
+def operator(t: Target, s: Slopes) -> Iterator[Row]:
+    """What an operator's command costs whom it asks."""
+    note = "only while a replacement runs; the leader is a node"
+    for name, what, unit, factor, budget in (
+        ("cpu_us", "processor time", "% of a core", US_A_SECOND_AS_PERCENT, t.cpu_percent),
+        ("datagrams", "datagrams, out and in", "1/s", 1.0, None),
+        ("bytes", "bytes, out and in", "bytes/s", 1.0, t.bytes_s),
+    ):
+        yield Row(
+            Role.OPERATOR,
+            f"leading a replacement: {what}",
+            unit,
+            m.REPLACEMENT,
+            s.at(f"leader.{name}", t.nodes).times(factor),
+            budget,
+            note,
+            m.REPLACEMENT_BY_ZONE,
+        )
+    yield Row(Role.OPERATOR, "which version is in force everywhere, and who lags", "", m.VERSIONS_IN_FORCE)
--- a/laurelspindle/scale/slopes.py
+++ b/laurelspindle/scale/slopes.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from importlib.resources import files
-from math import exp, inf, log, nan, sqrt
+from math import exp, inf, isnan, log, nan, sqrt
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
@@ -84,6 +84,10 @@
     def estimate(self) -> bool:
         return bool(self.doubts)
 
+    @property
+    def measured(self) -> bool:
+        return not isnan(self.value)
+
     def times(self, factor: float) -> Quantity:
         """The same, so many times."""
         return Quantity(
@@ -114,6 +118,9 @@
         )
 
 
+UNMEASURED = Quantity(nan)
+
+
 def same(x: float) -> float:
     return x
 
@@ -141,7 +148,8 @@
         raise ValueError(f"{slope.name}: its fit is {slope.fit}: a size is needed")
     else:
         value, low, high = line(slope.points, size, *AXES[slope.fit])
-    return Quantity(value, low, high, frozenset({slope.name}), doubts, at_least)
+    # Nothing that is measured here can be negative.
+    return Quantity(value, max(0.0, low), max(0.0, high), frozenset({slope.name}), doubts, at_least)
 
 
 def doubts_of(slope: Slope, size: float | None) -> frozenset[str]:
@@ -200,15 +208,10 @@
     def __init__(self, slopes: list[Slope]) -> None:
         self.by_name = {s.name: s for s in slopes}
 
-    def __contains__(self, name: str) -> bool:
-        return name in self.by_name
-
     def at(self, name: str, size: float | None = None) -> Quantity:
-        """A quantity's value at a size. SlopesError where it was never measured."""
+        """A quantity's value at a size; one without a value where it was never measured."""
         slope = self.by_name.get(name)
-        if slope is None:
-            raise SlopesError(f"{name}: no such slope in the file")
-        return value_at(slope, size)
+        return UNMEASURED if slope is None else value_at(slope, size)
 
 
 def faults_of(table: dict[str, Any], source: str) -> list[str]:
--- a/laurelspindle/scale/table.py
+++ b/laurelspindle/scale/table.py
@@ -3,45 +3,45 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from math import isinf, isnan
+from math import isnan
 
-from laurelspindle.scale.capacity import Capacity, Row
+from laurelspindle.scale.rows import Capacity, Row
 from laurelspindle.scale.slopes import MIN_POINTS, Quantity, Slope, Slopes
 
+MILLION = 1e6
 HEAD = ("who or what", "cost", "value", "95% interval", "unit", "budget", "of it", "carried by", "from")
 SLOPE_HEAD = ("slope", "unit", "points (size: mean ± spread, runs)", "fit", "run", "commit, machine")
 
 
 def number(value: float) -> str:
-    """Three significant figures, thousands kept whole."""
-    if isinf(value):
-        return "inf"
-    if abs(value) >= 1000:
+    """Three significant figures; thousands whole, up to a million."""
+    if 1000 <= abs(value) < MILLION:
         return f"{value:,.0f}"
     return f"{value:.3g}"
 
 
 def value_cell(quantity: Quantity | None, mechanism_missing: bool) -> str:
-    if quantity is None:
-        return "missing" if mechanism_missing else "not measured"
+    if quantity is None and mechanism_missing:
+        return "missing"
+    if quantity is None or not quantity.measured:
+        return "not measured"
     text = ("over " if quantity.at_least else "") + number(quantity.value)
     return text + (" (estimate)" if quantity.estimate else "")
 
 
 def interval_cell(quantity: Quantity | None) -> str:
-    if quantity is None or isnan(quantity.low) or quantity.low == quantity.high:
+    if quantity is None or isnan(quantity.low) or isnan(quantity.value) or quantity.low == quantity.high:
         return "-"
     return f"{number(quantity.low)} to {number(quantity.high)}"
 
 
 def carrier_cell(row: Row) -> str:
-    if not row.missing:
-        return row.mechanism.name
-    return f"missing: {row.mechanism.name}"
+    now = f"missing: {row.mechanism.name}" if row.missing else row.mechanism.name
+    return now if row.wanted is None else f"{now}; wanted: {row.wanted.name}, missing"
 
 
 def source_cell(row: Row) -> str:
-    if row.quantity is None:
+    if row.quantity is None or not row.quantity.measured:
         return row.note or "-"
     parts = [", ".join(sorted(row.quantity.sources))]
     parts += sorted(row.quantity.doubts)
@@ -96,6 +96,20 @@
     return lines
 
 
+def sections(capacity: Capacity, slopes: Slopes) -> dict[str, str]:
+    """The page's generated parts, by the names of their markers."""
+    return {
+        "roles": joined(markdown(HEAD, [cells(r) for r in capacity.roles])),
+        "events": joined(markdown(HEAD, [cells(r) for r in capacity.events])),
+        "first": joined(conclusion(capacity)),
+        "slopes": slopes_table(slopes),
+    }
+
+
+def joined(lines: Sequence[str]) -> str:
+    return "\n".join(lines) + "\n"
+
+
 def report(capacity: Capacity, form: str) -> str:
     """The whole table. `form`: text or markdown."""
     draw = markdown if form == "markdown" else plain
@@ -104,7 +118,7 @@
         lines += [f"### {title}" if form == "markdown" else title.upper(), ""]
         lines += [*draw(HEAD, [cells(r) for r in rows]), ""]
     lines += ["### What comes first" if form == "markdown" else "WHAT COMES FIRST", "", *conclusion(capacity)]
-    return "\n".join(lines) + "\n"
+    return joined(lines)
 
 
 def point_cell(slope: Slope) -> str:
@@ -133,4 +147,4 @@
 def slopes_table(slopes: Slopes) -> str:
     """All slopes, as Markdown."""
     rows = [slope_cells(s) for _, s in sorted(slopes.by_name.items())]
-    return "\n".join(markdown(SLOPE_HEAD, rows)) + "\n"
+    return joined(markdown(SLOPE_HEAD, rows))
--- a/laurelspindle/scale/target.py
+++ b/laurelspindle/scale/target.py
@@ -10,6 +10,7 @@
 from laurelspindle.scenario.check import type_faults
 
 SECONDS_A_DAY = 86_400
+DEEPEST_CALL = 9  # hops
 
 Count = Annotated[int, Meta(extra_json_schema={"minimum": 1, "maximum": 1_000_000})]
 Rate = Annotated[float, Meta(extra_json_schema={"exclusiveMinimum": 0, "maximum": 1e9})]
@@ -29,7 +30,7 @@
     regions: Count = 5
     control_machines: Count = 6
     calls_s: Rate = 490_000.0
-    depth: Count = 9  # hops of the deepest call
+    depth: Count = DEEPEST_CALL
     added_ms: Rate = 1.1  # added to a call
     added_percent: Percent = 99.0  # of the calls that the bound holds for
     changes_day: Rate = 8_100.0  # of configuration
