--- a/laurelspindle/scale/collect.py
+++ b/laurelspindle/scale/collect.py
@@ -99,6 +99,7 @@
     "chain_p50_us": ("added to a call nine deep, median", "us"),
     "chain_p99_us": ("added to a call nine deep, 99 in 100", "us"),
     "node_cpu_us_a_call": ("the node's processor time", "us a call"),
+    "node_system_share": ("part of the node's processor time in the kernel", "1"),
     "node_run_queue_us_a_call": ("the node's wait for a core", "us a call"),
 }
 KINDS |= {
--- a/laurelspindle/scale/latency.py
+++ b/laurelspindle/scale/latency.py
@@ -29,7 +29,7 @@
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
 from laurelspindle.live.http import Lines, Reply, request_bytes
-from laurelspindle.scale.loopback import Bench, bench, serve, usage
+from laurelspindle.scale.loopback import Bench, Usage, bench, serve, usage
 from laurelspindle.scale.target import DEEPEST_CALL
 
 MIN_US, MAX_US, DIGITS = 1, 10_000_000, 3
@@ -122,6 +122,7 @@
     node_cpu_us_a_call: float
     node_run_queue_us_a_call: float
     node_core_share: float
+    node_system_share: float  # of its processor time, in the kernel
     node_resident_mb: float
     served: int
     others: dict[str, int]
@@ -178,6 +179,7 @@
                 node_cpu_us_a_call=cpu / 1000 / calls,
                 node_run_queue_us_a_call=run_queue,
                 node_core_share=cpu / passed,
+                node_system_share=system_share(before, after),
                 node_resident_mb=after.resident_bytes / (1 << 20),
                 served=through.outcomes["served"],
                 others={k: n for k, n in through.outcomes.items() if k != "served"},
@@ -191,6 +193,12 @@
     return found
 
 
+def system_share(before: Usage, after: Usage) -> float:
+    """Part of the processor time between two looks that was spent in the kernel."""
+    user, system = after.user_s - before.user_s, after.system_s - before.system_s
+    return system / (user + system) if user + system else 0.0
+
+
 def chain(samples_us: list[int], hops: int, percent: float) -> float:
     """A quantile of the sum of so many independent draws, by convolution of the measured distribution."""
     width = 10  # microseconds of a bin
--- a/laurelspindle/scale/loopback.py
+++ b/laurelspindle/scale/loopback.py
@@ -25,6 +25,7 @@
 FLEET_PORT = 7400
 BACKLOG = 64
 KEY = b"the key of the latency measurement only\n"
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -148,16 +149,20 @@
     cpu_ns: int
     run_queue_ns: int  # runnable, but waiting for a core
     resident_bytes: int
+    user_s: float  # in steps of the kernel's clock, some 10 ms
+    system_s: float
 
 
 def usage(pid: int) -> Usage:
     """From the kernel's own accounts. MeasurementError once the process has ended."""
     try:
         cpu, waited, _ = Path(f"/proc/{pid}/schedstat").read_text().split()
+        stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
         pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
     except (OSError, ValueError) as e:
         raise MeasurementError(f"process {pid}: {e}") from None
-    return Usage(int(cpu), int(waited), pages * PAGE_BYTES)
+    user, system = (int(ticks) / TICKS_PER_S for ticks in stat[11:13])
+    return Usage(int(cpu), int(waited), pages * PAGE_BYTES, user, system)
 
 
 @dataclass
