--- a/laurelspindle/scale/latency.py
+++ b/laurelspindle/scale/latency.py
@@ -1,13 +1,14 @@
 """Time that a real node adds to a call, on loopback: `python -m laurelspindle.scale.latency`.
 
-Half of the rounds go through the node, half straight to the server. Requests go out when they are due (gaps
-drawn from an exponential distribution), whatever became of those before, and are timed from when they were
-due. The sender polls instead of sleeping, since the timers of its event loop are as coarse as a millisecond;
-it needs a core of its own.
+Requests go through the node at a rate, and others straight to the stand-in server between them, so that both
+meet the same machine. They go out when they are due (gaps drawn from an exponential distribution), whatever
+became of those before, and are timed from when they were due. The sender polls before each, since the timers
+of its event loop are as coarse as a millisecond.
 
 The server's answer carries the monotonic times at which the request came and the answer left, so that both
 ways are known for each request: all processes read one clock, since they share a machine. The node's own time
-is not seen directly: it is the time through the node less the time straight to the server.
+is not seen directly: it is the time through the node less the time straight to the server, quantile by
+quantile. Rounds are short, and those count in which the machine had a core for each of the processes.
 """
 
 from __future__ import annotations
@@ -17,7 +18,6 @@
 import os
 from collections import Counter
 from dataclasses import dataclass, field
-from pathlib import Path
 from random import Random
 from time import monotonic_ns
 from typing import Any
@@ -34,7 +34,15 @@
 
 MIN_US, MAX_US, DIGITS = 1, 10_000_000, 3
 BUDGET_MS = 2000
+POLLED_S = 0.002  # before a request is due
 DRAIN_S = 2.0  # after the last request
+WARM_UP_S = 3.0
+DIRECT_RATE = 150.0  # requests a second straight to the server, at the most
+HOP_PERCENT = 100 * 0.99 ** (1 / DEEPEST_CALL)
+MIN_SAMPLES = 1000  # of the rounds that count together
+# Beyond either of these the machine had no core free for one of the processes: the round does not count.
+MAX_DIRECT_P99_US = 800.0
+MAX_RUN_QUEUE_US_A_CALL = 60.0
 
 
 # ---- the load -------------------------------------------------------------------------------------------
@@ -45,15 +53,14 @@
 
 
 @dataclass
-class Round:
-    """What one round of requests showed; times in microseconds."""
+class Stream:
+    """What the requests of one round showed that took one way; times in microseconds."""
 
-    total: Any = field(default_factory=histogram)  # from due to the answer
     request_way: Any = field(default_factory=histogram)  # from due until the server has the request
     answer_way: Any = field(default_factory=histogram)  # from the server's answer until the client has it
-    sender_late: Any = field(default_factory=histogram)
-    samples: list[int] = field(default_factory=list)  # both ways together
+    both_ways: list[int] = field(default_factory=list)  # their sum, request by request
     outcomes: Counter[str] = field(default_factory=Counter)
+    asked: int = 0
 
     def record(self, due: int, reply: Reply) -> None:
         """Takes one answer in."""
@@ -62,54 +69,123 @@
         if reply.status != 200:
             return
         came, left = int(reply.body[:20]), int(reply.body[20:])
-        both = (came - due) + (now - left)
-        self.total.record_value(max(MIN_US, (now - due) // 1000))
         self.request_way.record_value(max(MIN_US, (came - due) // 1000))
         self.answer_way.record_value(max(MIN_US, (now - left) // 1000))
-        self.samples.append(both // 1000)
+        self.both_ways.append((came - due + now - left) // 1000)
 
+    def add(self, other: Stream) -> None:
+        """Takes another round's in."""
+        self.request_way.add(other.request_way)
+        self.answer_way.add(other.answer_way)
+        self.both_ways += other.both_ways
+        self.outcomes += other.outcomes
+        self.asked += other.asked
+
+    @property
+    def open(self) -> int:
+        return self.asked - sum(self.outcomes.values())
+
+
+@dataclass
+class Round:
+    """Some seconds of both streams, and what the node used meanwhile."""
 
-async def play(address: tuple[str, int], rate: float, seconds: float, rng: Random) -> Round:
-    """One round of open-loop load at an address."""
+    through: Stream = field(default_factory=Stream)
+    direct: Stream = field(default_factory=Stream)
+    sender_late: Any = field(default_factory=histogram)
+    seconds: float = 0.0
+    cpu_ns: int = 0
+    run_queue_ns: int = 0
+    user_s: float = 0.0
+    system_s: float = 0.0
+
+    def used(self, before: Usage, after: Usage) -> None:
+        """Adds what the node used between two looks."""
+        self.cpu_ns += after.cpu_ns - before.cpu_ns
+        self.run_queue_ns += after.run_queue_ns - before.run_queue_ns
+        self.user_s += after.user_s - before.user_s
+        self.system_s += after.system_s - before.system_s
+
+    def add(self, other: Round) -> None:
+        """Takes another round in."""
+        self.through.add(other.through)
+        self.direct.add(other.direct)
+        self.sender_late.add(other.sender_late)
+        self.seconds += other.seconds
+        self.cpu_ns += other.cpu_ns
+        self.run_queue_ns += other.run_queue_ns
+        self.user_s += other.user_s
+        self.system_s += other.system_s
+
+    @property
+    def run_queue_us_a_call(self) -> float:
+        return self.run_queue_ns / 1000 / max(1, self.through.asked)
+
+    @property
+    def counts(self) -> bool:
+        """Whether the machine had a core for each of the processes."""
+        if not self.direct.both_ways or self.run_queue_us_a_call > MAX_RUN_QUEUE_US_A_CALL:
+            return False
+        return quantile(self.direct.both_ways, 99.0) <= MAX_DIRECT_P99_US
+
+
+async def until(due: int) -> None:
+    """Sleeps as far as the loop's timers are exact enough for, and polls for the rest."""
+    spare = (due - monotonic_ns()) / 1e9 - POLLED_S
+    if spare > 0:
+        await asyncio.sleep(spare)
+    while monotonic_ns() < due:
+        await asyncio.sleep(0)
+
+
+def ask(lines: Lines, stream: Stream, due: int, number: int) -> None:
+    """Sends one request."""
+    data = request_bytes("view", "safe", number & 0xFFFF, number, BUDGET_MS, b"%016x" % number)
+    stream.asked += 1
+    lines.ask(data, lambda reply: stream.record(due, reply))
+
+
+async def play(stand: Bench, rate: float, seconds: float, rng: Random) -> Round:
+    """One round: requests through the node at a rate, and others straight to the server between them."""
     loop = asyncio.get_running_loop()
-    lines = Lines(loop, *address)
-    found = Round()
-    asked = 0
-    begun = monotonic_ns()
-    due = begun + int(rng.expovariate(rate) * 1e9)
-    while due < begun + int(seconds * 1e9):
-        while monotonic_ns() < due:
-            await asyncio.sleep(0)
-        asked += 1
-        number = rng.getrandbits(63)
-        data = request_bytes("view", "safe", number & 0xFFFF, number, BUDGET_MS, b"%016x" % number)
+    ways = [Lines(loop, *stand.address(through)) for through in (True, False)]
+    rates = (rate, min(rate, DIRECT_RATE))
+    found = Round(seconds=seconds)
+    streams = (found.through, found.direct)
+    before = usage(stand.node.pid)
+    due = monotonic_ns()
+    ends = due + int(seconds * 1e9)
+    while (due := due + int(rng.expovariate(sum(rates)) * 1e9)) < ends:
+        await until(due)
         found.sender_late.record_value(max(MIN_US, (monotonic_ns() - due) // 1000))
-        lines.ask(data, lambda reply, due=due: found.record(due, reply))  # type: ignore[misc]
-        due += int(rng.expovariate(rate) * 1e9)
-    ends = loop.time() + DRAIN_S
-    while sum(found.outcomes.values()) < asked and loop.time() < ends:
-        await asyncio.sleep(0)
-    missing = asked - sum(found.outcomes.values())
-    if missing:
-        found.outcomes["no answer"] += missing
-    lines.close()
+        way = 0 if rng.random() < rate / sum(rates) else 1
+        ask(ways[way], streams[way], due, rng.getrandbits(63))
+    last = loop.time() + DRAIN_S
+    while any(s.open for s in streams) and loop.time() < last:
+        await asyncio.sleep(POLLED_S)
+    found.used(before, usage(stand.node.pid))
+    for stream in streams:
+        stream.outcomes["no answer"] += stream.open
+    for lines in ways:
+        lines.close()
     return found
 
 
 # ---- figures --------------------------------------------------------------------------------------------
 
-HOP_PERCENT = 100 * 0.99 ** (1 / DEEPEST_CALL)
-# Beyond either of these the machine had no core free for one of the processes: the round does not count.
-MAX_DIRECT_P99_US = 800.0
-MAX_RUN_QUEUE_US_A_CALL = 60.0
-
 
 @dataclass
-class Repeat:
-    """One pair of rounds at a rate: through the node and straight to the server."""
+class Figures:
+    """What the counted rounds of one sitting at a rate showed together."""
 
     rate: float
     repeat: int
+    counts: bool  # false: the machine was the limit in nearly all rounds; all of them are in the figures then
+    rounds: int
+    rounds_counted: int
+    served: int
+    others: dict[str, int]
+    load_average: float
     added_p50_us: float
     added_p99_us: float
     to_server_p50_us: float
@@ -119,22 +195,17 @@
     direct_p50_us: float
     direct_p99_us: float
     sender_late_p99_us: float
+    hop_p99888_us: float  # the quantile that each of nine hops needs for 99 in 100 of the whole chain
+    chain_p50_us: float
+    chain_p99_us: float
     node_cpu_us_a_call: float
     node_run_queue_us_a_call: float
     node_core_share: float
     node_system_share: float  # of its processor time, in the kernel
-    node_resident_mb: float
-    served: int
-    others: dict[str, int]
-    load_average: float
-    hop_p99888_us: float  # the quantile that each of nine hops needs for 99 in 100 of the whole chain
-    chain_p50_us: float
-    chain_p99_us: float
-    counts: bool  # false: the machine was the limit
 
 
 def quantile(values: list[int], percent: float) -> float:
-    return float(np.percentile(np.array(values), percent)) if values else float("nan")
+    return float(np.percentile(np.array(values), percent))
 
 
 def difference(through: Any, direct: Any, percent: float) -> float:
@@ -142,61 +213,43 @@
     return float(through.get_value_at_percentile(percent) - direct.get_value_at_percentile(percent))
 
 
-async def measure_rate(
-    stand: Bench, rate: float, seconds: float, repeats: int, warm_up: float, seed: int
-) -> list[Repeat]:
-    """Repeats of a rate, each through the node and direct, after a warm-up that does not count."""
-    rng = Random(seed)
-    await play(stand.address(True), rate, warm_up, rng)
-    await play(stand.address(False), rate, min(1.0, warm_up), rng)
-    found = []
-    for repeat in range(repeats):
-        before = usage(stand.node.pid)
-        begun = monotonic_ns()
-        through = await play(stand.address(True), rate, seconds, rng)
-        passed = monotonic_ns() - begun
-        after = usage(stand.node.pid)
-        direct = await play(stand.address(False), rate, seconds, rng)
-        calls = sum(through.outcomes.values())
-        cpu = after.cpu_ns - before.cpu_ns
-        run_queue = (after.run_queue_ns - before.run_queue_ns) / 1000 / calls
-        direct_median = quantile(direct.samples, 50.0)
-        direct_p99 = quantile(direct.samples, 99.0)
-        added = [int(s - direct_median) for s in through.samples]
-        found.append(
-            Repeat(
-                rate=rate,
-                repeat=repeat,
-                added_p50_us=quantile(through.samples, 50.0) - direct_median,
-                added_p99_us=quantile(through.samples, 99.0) - direct_p99,
-                to_server_p50_us=difference(through.request_way, direct.request_way, 50.0),
-                to_server_p99_us=difference(through.request_way, direct.request_way, 99.0),
-                to_client_p50_us=difference(through.answer_way, direct.answer_way, 50.0),
-                to_client_p99_us=difference(through.answer_way, direct.answer_way, 99.0),
-                direct_p50_us=direct_median,
-                direct_p99_us=direct_p99,
-                sender_late_p99_us=float(through.sender_late.get_value_at_percentile(99.0)),
-                node_cpu_us_a_call=cpu / 1000 / calls,
-                node_run_queue_us_a_call=run_queue,
-                node_core_share=cpu / passed,
-                node_system_share=system_share(before, after),
-                node_resident_mb=after.resident_bytes / (1 << 20),
-                served=through.outcomes["served"],
-                others={k: n for k, n in through.outcomes.items() if k != "served"},
-                load_average=os.getloadavg()[0],
-                hop_p99888_us=quantile(through.samples, HOP_PERCENT) - direct_median,
-                chain_p50_us=chain(added, DEEPEST_CALL, 50.0),
-                chain_p99_us=chain(added, DEEPEST_CALL, 99.0),
-                counts=run_queue <= MAX_RUN_QUEUE_US_A_CALL and direct_p99 <= MAX_DIRECT_P99_US,
-            )
-        )
-    return found
-
-
-def system_share(before: Usage, after: Usage) -> float:
-    """Part of the processor time between two looks that was spent in the kernel."""
-    user, system = after.user_s - before.user_s, after.system_s - before.system_s
-    return system / (user + system) if user + system else 0.0
+def figures(rate: float, repeat: int, rounds: list[Round]) -> Figures:
+    """The rounds that count taken together; all of them where too few do."""
+    counted = [r for r in rounds if r.counts]
+    enough = sum(len(r.through.both_ways) for r in counted) >= MIN_SAMPLES
+    whole = Round()
+    for one in counted if enough else rounds:
+        whole.add(one)
+    through, direct = whole.through, whole.direct
+    direct_median = quantile(direct.both_ways, 50.0)
+    added = [int(sample - direct_median) for sample in through.both_ways]
+    ticks = whole.user_s + whole.system_s
+    return Figures(
+        rate=rate,
+        repeat=repeat,
+        counts=enough,
+        rounds=len(rounds),
+        rounds_counted=len(counted),
+        served=through.outcomes["served"],
+        others={k: n for k, n in through.outcomes.items() if k != "served" and n},
+        load_average=os.getloadavg()[0],
+        added_p50_us=quantile(added, 50.0),
+        added_p99_us=quantile(through.both_ways, 99.0) - quantile(direct.both_ways, 99.0),
+        to_server_p50_us=difference(through.request_way, direct.request_way, 50.0),
+        to_server_p99_us=difference(through.request_way, direct.request_way, 99.0),
+        to_client_p50_us=difference(through.answer_way, direct.answer_way, 50.0),
+        to_client_p99_us=difference(through.answer_way, direct.answer_way, 99.0),
+        direct_p50_us=direct_median,
+        direct_p99_us=quantile(direct.both_ways, 99.0),
+        sender_late_p99_us=float(whole.sender_late.get_value_at_percentile(99.0)),
+        hop_p99888_us=quantile(added, HOP_PERCENT),
+        chain_p50_us=chain(added, DEEPEST_CALL, 50.0),
+        chain_p99_us=chain(added, DEEPEST_CALL, 99.0),
+        node_cpu_us_a_call=whole.cpu_ns / 1000 / through.asked,
+        node_run_queue_us_a_call=whole.run_queue_us_a_call,
+        node_core_share=whole.cpu_ns / 1e9 / whole.seconds,
+        node_system_share=whole.system_s / ticks if ticks else 0.0,
+    )
 
 
 def chain(samples_us: list[int], hops: int, percent: float) -> float:
@@ -229,13 +282,13 @@
 # ---- the command ----------------------------------------------------------------------------------------
 
 
-async def run_rates(
-    rates: tuple[float, ...], seconds: float, repeats: int, seed: int, fleet: bool, profile: Path | None
-) -> None:
-    async with bench(fleet, profile) as stand:
+async def run_rates(rates: tuple[float, ...], seconds: float, rounds: int, seed: int, fleet: bool) -> None:
+    async with bench(fleet) as stand:
         for rate in rates:
-            for row in await measure_rate(stand, rate, seconds, repeats, 3.0, seed):
-                click.echo(msgspec.json.encode(row).decode())
+            rng = Random(seed)
+            await play(stand, rate, WARM_UP_S, rng)
+            played = [await play(stand, rate, seconds, rng) for _ in range(rounds)]
+            click.echo(msgspec.json.encode(figures(rate, seed, played)).decode())
 
 
 async def run_idle(seconds: float, repeats: int, fleet: bool) -> None:
@@ -247,12 +300,17 @@
 
 @click.command()
 @click.option("--rate", "rates", type=click.FloatRange(1, 5000), multiple=True, default=(150.0,))
-@click.option("--seconds", type=click.FloatRange(0.5, 60), default=10.0, help="Of each round.")
-@click.option("--repeats", type=click.IntRange(1, 20), default=3, help="Pairs of rounds at each rate.")
+@click.option("--seconds", type=click.FloatRange(0.5, 60), default=3.0, show_default=True, help="Of a round.")
+@click.option(
+    "--repeats",
+    type=click.IntRange(1, 60),
+    default=18,
+    show_default=True,
+    help="Rounds; of --idle, processes.",
+)
 @click.option("--seed", type=click.IntRange(0), default=1)
 @click.option("--fleet", is_flag=True, help="The node has a fleet section, and no peers.")
 @click.option("--idle", "only_idle", is_flag=True, help="No calls: processor time and memory alone.")
-@click.option("--profile", type=click.Path(path_type=Path), help="Run the node under cProfile, into a file.")
 @click.option("--serve", "address", hidden=True, help="Be the stand-in server at HOST:PORT.")
 def main(
     rates: tuple[float, ...],
@@ -261,17 +319,16 @@
     seed: int,
     fleet: bool,
     only_idle: bool,
-    profile: Path | None,
     address: str | None,
 ) -> None:
-    """Measure the time that a node adds to a call, and print a JSON line for each pair of rounds."""
+    """Measure the time that a node adds to a call, and print a JSON line for each rate."""
     if address:
         host, _, port = address.rpartition(":")
         uvloop.run(serve(host, int(port)))
     elif only_idle:
         uvloop.run(run_idle(seconds, repeats, fleet))
     else:
-        uvloop.run(run_rates(rates, seconds, repeats, seed, fleet, profile))
+        uvloop.run(run_rates(rates, seconds, repeats, seed, fleet))
 
 
 if __name__ == "__main__":
--- a/laurelspindle/scale/roles.py
+++ b/laurelspindle/scale/roles.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import replace
+from math import nan
 
 from laurelspindle.scale import mechanisms as m
 from laurelspindle.scale.mechanisms import Mechanism
@@ -105,6 +107,14 @@
         added = s.at(f"latency.added_{name}_us", rate)
         budget = budget_us if name == "p99" else None
         yield Row(Role.NODE, f"added to a call of one hop, {text}", "us", m.REQUEST_PATH, added, budget)
+    yield Row(
+        Role.NODE,
+        f"share of a core at which one hop keeps {t.added_ms:g} ms",
+        "% of a core",
+        m.REQUEST_PATH,
+        core_share(s.at("latency.node_cpu_us_a_call", rate), s.at("latency.added_p99_us", rate), budget_us),
+        note="calls alone, while they are in work; without other work on the core",
+    )
     chain = s.at("latency.chain_p99_us", rate) if t.depth == DEEPEST_CALL else UNMEASURED
     yield Row(
         Role.NODE,
@@ -117,6 +127,19 @@
     )
 
 
+def core_share(cpu_us: Quantity, added_us: Quantity, budget_us: float) -> Quantity:
+    """Per cent of a core at which a call's added time meets a budget.
+
+    Closed form: the processor time of a call stretches as the share shrinks, the rest of the added time does
+    not. Over 100 where a whole core is too little; no value where the rest alone is over the budget.
+    """
+    rest = added_us.value - cpu_us.value
+    share = 100 * cpu_us.value / (budget_us - rest) if rest < budget_us else nan
+    doubt = "closed form: the processor time alone stretches"
+    both = cpu_us.joined(added_us, share, nan, nan)
+    return replace(both, doubts=both.doubts | {doubt})
+
+
 def gateway(t: Target, s: Slopes) -> Iterator[Row]:
     """What a zone's gateway would spend beside its own node's cost."""
     count = t.zones * t.gateways_a_zone
--- a/laurelspindle/scale/table.py
+++ b/laurelspindle/scale/table.py
@@ -6,13 +6,28 @@
 from math import isnan
 
 from laurelspindle.scale.rows import Capacity, Row
-from laurelspindle.scale.slopes import MIN_POINTS, Quantity, Slope, Slopes
+from laurelspindle.scale.slopes import MIN_POINTS, Point, Quantity, Slope, Slopes
 
 MILLION = 1e6
 HEAD = ("who or what", "cost", "value", "95% interval", "unit", "budget", "of it", "carried by", "from")
 SLOPE_HEAD = ("slope", "unit", "points (size: mean ± spread, runs)", "fit", "run", "commit, machine")
 
 
+LATENCY_COLUMNS = {
+    "added_p50_us": "added, median",
+    "added_p99_us": "added, 99 in 100",
+    "to_server_p50_us": "to the server, median",
+    "to_server_p99_us": "to the server, 99 in 100",
+    "to_client_p50_us": "to the client, median",
+    "to_client_p99_us": "to the client, 99 in 100",
+    "hop_p99888_us": "99.888 in 100",
+    "chain_p50_us": "nine hops, median",
+    "chain_p99_us": "nine hops, 99 in 100",
+    "node_cpu_us_a_call": "processor time a call",
+    "node_run_queue_us_a_call": "wait for a core a call",
+}
+
+
 def number(value: float) -> str:
     """Three significant figures; thousands whole, up to a million."""
     if 1000 <= abs(value) < MILLION:
@@ -102,6 +117,7 @@
         "roles": joined(markdown(HEAD, [cells(r) for r in capacity.roles])),
         "events": joined(markdown(HEAD, [cells(r) for r in capacity.events])),
         "first": joined(conclusion(capacity)),
+        "latency": latency_table(slopes),
         "slopes": slopes_table(slopes),
     }
 
@@ -121,6 +137,25 @@
     return joined(lines)
 
 
+def latency_table(slopes: Slopes) -> str:
+    """Added time by rate of calls: mean and spread of the rounds that count, in microseconds."""
+    found = {name: slopes.by_name.get(f"latency.{name}") for name in LATENCY_COLUMNS}
+    rates = sorted({point.size for slope in found.values() if slope for point in slope.points})
+    head = ("calls a second", "rounds", *LATENCY_COLUMNS.values())
+    rows = []
+    for rate in rates:
+        points = [next((p for p in s.points if p.size == rate), None) if s else None for s in found.values()]
+        runs = max((p.runs for p in points if p), default=0)
+        rows.append((f"{rate:g}", str(runs), *(spread_cell(p) for p in points)))
+    return joined(markdown(head, rows))
+
+
+def spread_cell(point: Point | None) -> str:
+    if point is None:
+        return "-"
+    return number(point.value) + (f" ± {number(point.spread)}" if point.runs > 1 else "")
+
+
 def point_cell(slope: Slope) -> str:
     parts = []
     for point in slope.points:
