Capacity: rows of a scale run are taken in as they are written; no cost is counted twice

Need: the scale run's figures on sockets come later and must not need a change of code. Change: scale/collect.py reads a scale run's list of rows; the table has rows for them, 'not measured' until they come. What rests on a missing mechanism is counted over costs, not over their alternatives.

--- a/laurelspindle/scale/collect.py
+++ b/laurelspindle/scale/collect.py
@@ -1,7 +1,7 @@
 """Rows of the slopes file from measured values: `python -m laurelspindle.scale.collect FILES... > rows.toml`.
 
-FILES hold the JSON lines that the measuring programs print. Values of one name and size become a point, with
-the spread between their runs.
+FILES hold the JSON lines that the measuring programs print, or the list of rows that a scale run writes.
+Values of one name and size become a point, with the spread between their runs.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 import click
 import msgspec
 import tomli_w
+from msgspec import Struct
 
 from laurelspindle.scale.membership import Row
 from laurelspindle.scale.slopes import FitKind
@@ -117,6 +118,62 @@
 }
 
 
+class RunOrigin(Struct, frozen=True):
+    """Which run a scale run's row comes from."""
+
+    command: str
+    seed: int
+    commit: str
+    cores: int
+
+
+class ScaleRow(Struct, frozen=True, kw_only=True):
+    """A row as a scale run writes it. `counted` false: the machine was the limit."""
+
+    quantity: str
+    unit: str
+    size: int
+    value: float
+    run: RunOrigin
+    spread: tuple[float, float] | None = None
+    counted: bool = True
+
+
+SOCKETS = "sockets."
+LEFT_OUT = ("simulated.", "worker.", "calls.")  # of a scale run: not what a member costs
+FITS_BY_UNIT: dict[str, FitKind] = {"us/member/s": "linear", "B/member": "linear", "s": "power"}
+
+
+def scale_slopes(rows: list[ScaleRow]) -> list[dict[str, Any]]:
+    """Rows of the slopes file from a scale run's, by quantity and commit; the last commit's holds."""
+    names: dict[str, list[ScaleRow]] = defaultdict(list)
+    for row in rows:
+        if row.counted and not row.quantity.startswith(LEFT_OUT):
+            names[row.quantity].append(row)
+    return [scale_slope(quantity, own) for quantity, own in names.items()]
+
+
+def scale_slope(quantity: str, rows: list[ScaleRow]) -> dict[str, Any]:
+    """One quantity of a scale run at its sizes."""
+    measured = [Row(quantity, row.size, row.run.seed, row.value) for row in rows]
+    commits = sorted({row.run.commit for row in rows})
+    cores = max(row.run.cores for row in rows)
+    fit = FITS_BY_UNIT.get(rows[0].unit, "constant")
+    return {
+        "name": f"{SOCKETS}{quantity}",
+        "what": f"{quantity} of a scale run",
+        "unit": rows[0].unit,
+        "per": MEMBERS,
+        "fit": fit if len({row.size for row in rows}) > 1 else "constant",
+        "run": rows[0].run.command,
+        "seeds": sorted({row.run.seed for row in rows}),
+        "commit": ", ".join(commits),
+        "machine": f"{cores} cores shared with other work",
+        "points": points(measured),
+        "note": "real datagram sockets on loopback",
+    }
+
+
 def rows_of(line: bytes) -> list[Row]:
     """The values of one printed line; none of a latency round that does not count."""
     table = msgspec.json.decode(line)
@@ -187,8 +244,8 @@
 @click.argument(
     "files", type=click.Path(exists=True, dir_okay=False, path_type=Path), nargs=-1, required=True
 )
-@click.option("--commit", required=True, help="Whose program was measured.")
-@click.option("--machine", required=True, help="In plain words, such as '8 cores'.")
+@click.option("--commit", default="", help="Whose program was measured; a scale run's rows say it.")
+@click.option("--machine", default="", help="In plain words, such as '8 cores'; likewise.")
 @click.option("--note", default="")
 def main(files: tuple[Path, ...], commit: str, machine: str, note: str) -> None:
     """Print rows of the slopes file for the values in FILES."""
--- a/laurelspindle/scale/events.py
+++ b/laurelspindle/scale/events.py
@@ -64,6 +64,8 @@
             "cut for 150 s: the dead are forgotten after 60 s, so an hour is taken to be the same",
         ),
         Timed(Event.WHOLE, f"{t.nodes:,} start at once until all know all", "membership.join_s", everyone),
+        Timed(Event.WHOLE, "the same on sockets, from the start of all", "sockets.join.all", everyone),
+        Timed(Event.RESTART, "a death known to all, on sockets", "sockets.death.all", everyone),
     )
     by_zone = (
         Timed(Event.RESTART, "until a death without a word is known", "membership.death_s", t.zone_nodes),
@@ -83,7 +85,7 @@
     for row in by_zone:
         text = f"a group a zone, {t.zone_nodes:.0f}: {row.what}"
         quantity = s.at(row.slope, row.size)
-        yield Row(row.event, text, "s", m.ZONE_MEMBERSHIP, quantity, note=row.note)
+        yield Row(row.event, text, "s", m.ZONE_MEMBERSHIP, quantity, note=row.note, alternative=True)
     yield release(t, s)
     yield Row(Event.ZONE_LOST, "leases of the lost zone", "", m.SCOPED_LEASES)
     yield Row(Event.REGION, "leases inside it for the hour", "", m.SCOPED_LEASES)
--- a/laurelspindle/scale/roles.py
+++ b/laurelspindle/scale/roles.py
@@ -15,6 +15,7 @@
 US_A_SECOND_AS_PERCENT = 1e-4  # of a core
 BOTH_WAYS = 2.0  # what one member sends another receives
 MEGABYTE = 1 << 20
+NO_SOCKETS = "state machine and codec; sockets and loop not in it"
 
 
 def roles(target: Target, slopes: Slopes) -> Iterator[Row]:
@@ -32,11 +33,11 @@
 
 def node(t: Target, s: Slopes) -> Iterator[Row]:
     """What each node spends."""
-    for size, mechanism, text in (
-        (float(t.nodes), m.FLAT_MEMBERSHIP, f"one group of {t.nodes:,}"),
-        (t.zone_nodes, m.ZONE_MEMBERSHIP, f"a group a zone, {t.zone_nodes:.0f}"),
+    yield from membership_of_node(t, s, float(t.nodes), m.FLAT_MEMBERSHIP, f"one group of {t.nodes:,}")
+    for row in membership_of_node(
+        t, s, t.zone_nodes, m.ZONE_MEMBERSHIP, f"a group a zone, {t.zone_nodes:.0f}"
     ):
-        yield from membership_of_node(t, s, size, mechanism, text)
+        yield replace(row, alternative=True)
     yield Row(
         Role.NODE,
         "leases: one that all nodes ask for",
@@ -59,34 +60,35 @@
 
 def membership_of_node(t: Target, s: Slopes, size: float, mechanism: Mechanism, text: str) -> Iterator[Row]:
     """Membership's cost in a group of a size."""
-    calm = s.at("member.cpu_us", size).times(US_A_SECOND_AS_PERCENT)
-    busy = s.at("membership.backlog.cpu_us", size).times(US_A_SECOND_AS_PERCENT)
-    memory = s.at("node.fleet.resident_mb").plus(s.at("member.table_bytes", size).times(1 / MEGABYTE))
-    yield Row(
-        Role.NODE,
-        f"membership, {text}: processor time in calm",
-        "% of a core",
-        mechanism,
-        calm,
-        t.cpu_percent,
-        "state machine and codec; sockets and loop not in it",
-    )
-    yield Row(
-        Role.NODE,
-        f"membership, {text}: processor time while all are news",
-        "% of a core",
-        mechanism,
-        busy,
-        t.cpu_percent,
-        "state machine and codec; sockets and loop not in it",
-    )
-    for name, word in (("calm", "in calm"), ("backlog", "while all are news")):
-        sent = s.at(f"membership.{name}.bytes", size).times(BOTH_WAYS)
+    for what, slope, note in (
+        ("in calm", "member.cpu_us", NO_SOCKETS),
+        ("while all are news", "membership.backlog.cpu_us", NO_SOCKETS),
+        ("in calm, on sockets", "sockets.cpu", "a hollow process's whole processor time over its members"),
+    ):
         yield Row(
-            Role.NODE, f"membership, {text}: bytes {word}, out and in", "bytes/s", mechanism, sent, t.bytes_s
+            Role.NODE,
+            f"membership, {text}: processor time {what}",
+            "% of a core",
+            mechanism,
+            s.at(slope, size).times(US_A_SECOND_AS_PERCENT),
+            t.cpu_percent,
+            note,
+        )
+    for what, slope in (
+        ("in calm", "membership.calm.bytes"),
+        ("while all are news", "membership.backlog.bytes"),
+    ):
+        yield Row(
+            Role.NODE,
+            f"membership, {text}: bytes {what}, out and in",
+            "bytes/s",
+            mechanism,
+            s.at(slope, size).times(BOTH_WAYS),
+            t.bytes_s,
         )
     datagrams = s.at("member.datagrams", size).times(BOTH_WAYS)
     yield Row(Role.NODE, f"membership, {text}: datagrams, out and in", "1/s", mechanism, datagrams)
+    memory = s.at("node.fleet.resident_mb").plus(s.at("member.table_bytes", size).times(1 / MEGABYTE))
     yield Row(Role.NODE, f"memory of the process with {text}", "MB", mechanism, memory, t.memory_mb)
 
 
--- a/laurelspindle/scale/rows.py
+++ b/laurelspindle/scale/rows.py
@@ -49,6 +49,7 @@
     quantity: Quantity | None = None
     budget: float | None = None
     note: str = ""
+    alternative: bool = False  # the same cost as another row's, carried in another way
     wanted: Mechanism | None = None  # what would carry it, where that which carries it now does not do
 
     @property
@@ -80,13 +81,18 @@
     def rows(self) -> list[Row]:
         return self.roles + self.events
 
+    @property
+    def costs(self) -> list[Row]:
+        """Each cost once."""
+        return [row for row in self.rows if not row.alternative]
+
     def farthest(self) -> Row:
         """The row that is farthest beyond its budget."""
         return max((r for r in self.rows if r.share is not None), key=lambda r: r.share or 0.0)
 
     def resting(self) -> Counter[Mechanism]:
-        """How many rows rest on each missing mechanism, directly or through another."""
+        """How many rows rest on each missing mechanism, directly or through another; no cost twice."""
         found: Counter[Mechanism] = Counter()
-        for row in self.rows:
+        for row in self.costs:
             found.update(need for need in row.all_needs() if not need.built)
         return found
--- a/laurelspindle/scale/slopes.py
+++ b/laurelspindle/scale/slopes.py
@@ -208,6 +208,9 @@
     def __init__(self, slopes: list[Slope]) -> None:
         self.by_name = {s.name: s for s in slopes}
 
+    def __contains__(self, name: str) -> bool:
+        return name in self.by_name
+
     def at(self, name: str, size: float | None = None) -> Quantity:
         """A quantity's value at a size; one without a value where it was never measured."""
         slope = self.by_name.get(name)
--- a/laurelspindle/scale/table.py
+++ b/laurelspindle/scale/table.py
@@ -107,7 +107,7 @@
         "Rows that rest on each missing mechanism, directly or through another:",
     ]
     ranked = sorted(capacity.resting().items(), key=lambda item: (-item[1], item[0].name))
-    lines += [f"- {mechanism.name}: {count} of {len(capacity.rows)}" for mechanism, count in ranked]
+    lines += [f"- {mechanism.name}: {count} of {len(capacity.costs)}" for mechanism, count in ranked]
     return lines
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -15,7 +15,7 @@
 from laurelspindle.cli.errors import Bad
 from laurelspindle.scale import mechanisms as m
 from laurelspindle.scale.capacity import capacity
-from laurelspindle.scale.collect import collected, rows_of
+from laurelspindle.scale.collect import ScaleRow, collected, rows_of, scale_slopes
 from laurelspindle.scale.latency import chain
 from laurelspindle.scale.member import measure
 from laurelspindle.scale.membership import SCENARIOS
@@ -176,6 +176,21 @@
     assert rows_of(json.dumps({"rate": 150, "repeat": 0, "counts": False}).encode()) == []
 
 
+def test_rows_of_a_scale_run_are_taken_in():
+    origin = {"command": "laurelspindle scale run", "seed": 1, "commit": "abc", "cores": 8}
+    row = {"quantity": "cpu", "unit": "us/member/s", "spread": [1, 2], "run": origin}
+    rows = [row | {"size": s, "value": 10.0 + s, "counted": s < 800} for s in SIZES]
+    rows.append(row | {"size": 50, "value": 1, "quantity": "worker.cpu", "counted": True})
+    made = scale_slopes(msgspec.convert(rows, list[ScaleRow]))
+    (found,) = msgspec.convert(made, list[Slope])
+    assert (
+        found.name == "sockets.cpu"
+        and found.fit == "linear"
+        and [p.size for p in found.points] == [*SIZES[:4]]
+    )
+    assert value_at(found, 1000).value == pytest.approx(1010) and value_at(found, 1000).estimate
+
+
 def test_nine_equal_hops_add_up():
     assert chain([100] * 1000, 9, 99.0) == pytest.approx(900, abs=90)
     half = chain([0] * 500 + [1000] * 500, 9, 50.0)
