--- a/laurelspindle/scale/roles.py
+++ b/laurelspindle/scale/roles.py
@@ -202,6 +202,6 @@
             s.at(f"leader.{name}", t.nodes).times(factor),
             budget,
             note,
-            m.REPLACEMENT_BY_ZONE,
+            wanted=m.REPLACEMENT_BY_ZONE,
         )
     yield Row(Role.OPERATOR, "which version is in force everywhere, and who lags", "", m.VERSIONS_IN_FORCE)
