--- a/laurelspindle/scale/events.py
+++ b/laurelspindle/scale/events.py
@@ -7,7 +7,7 @@
 
 from laurelspindle.scale import mechanisms as m
 from laurelspindle.scale.rows import Event, Row
-from laurelspindle.scale.slopes import Slopes
+from laurelspindle.scale.slopes import Slopes, arithmetic
 from laurelspindle.scale.target import Target
 
 
@@ -71,6 +71,13 @@
         Timed(Event.RESTART, "until a death without a word is known", "membership.death_s", t.zone_nodes),
         Timed(Event.ZONE_BACK, "a joint start until all know all", "membership.join_s", t.zone_nodes),
     )
+    yield Row(
+        Event.RESTART,
+        "how often one comes, failures included",
+        "s",
+        m.FLAT_MEMBERSHIP,
+        arithmetic(t.restart_every_s),
+    )
     for row in one_group:
         quantity = s.at(row.slope, row.size)
         yield Row(
--- a/laurelspindle/scale/roles.py
+++ b/laurelspindle/scale/roles.py
@@ -9,7 +9,7 @@
 from laurelspindle.scale import mechanisms as m
 from laurelspindle.scale.mechanisms import Mechanism
 from laurelspindle.scale.rows import Role, Row
-from laurelspindle.scale.slopes import UNMEASURED, Quantity, Slopes
+from laurelspindle.scale.slopes import UNMEASURED, Quantity, Slopes, arithmetic
 from laurelspindle.scale.target import DEEPEST_CALL, Target
 
 US_A_SECOND_AS_PERCENT = 1e-4  # of a core
@@ -26,11 +26,6 @@
     yield from operator(target, slopes)
 
 
-def arithmetic(value: float) -> Quantity:
-    """A figure that follows from the target alone."""
-    return Quantity(value, value, value, frozenset({"target"}))
-
-
 def node(t: Target, s: Slopes) -> Iterator[Row]:
     """What each node spends."""
     yield from membership_of_node(t, s, float(t.nodes), m.FLAT_MEMBERSHIP, f"one group of {t.nodes:,}")
--- a/laurelspindle/scale/slopes.py
+++ b/laurelspindle/scale/slopes.py
@@ -121,6 +121,11 @@
 UNMEASURED = Quantity(nan)
 
 
+def arithmetic(value: float) -> Quantity:
+    """A figure that follows from the target alone."""
+    return Quantity(value, value, value, frozenset({"target"}))
+
+
 def same(x: float) -> float:
     return x
 
--- a/laurelspindle/scale/target.py
+++ b/laurelspindle/scale/target.py
@@ -40,8 +40,6 @@
     bytes_s: Rate = 12_000.0  # a node's control
     failures_day: Rate = 9.0
     restarts_day: Rate = 370.0
-    ready_s: Rate = 10.0  # nine in ten restarted processes
-    told_s: Rate = 6.0  # after discovery had a change it counts as told
     release_batch: Count = 250  # nodes that a release restarts at once
     rack_nodes: Count = 40  # an assumption: the operators gave no figure
     gateways_a_zone: Count = 3  # of the candidate design
@@ -64,7 +62,8 @@
 
     @property
     def restart_every_s(self) -> float:
-        return SECONDS_A_DAY / self.restarts_day
+        """Between two members that go or come back, failures included."""
+        return SECONDS_A_DAY / (self.restarts_day + self.failures_day)
 
 
 def relations(target: Target) -> Iterator[str]:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -87,6 +87,7 @@
         "not measured",
         "missing",
         "0.0938",
+        "228",
         "50",
     }
 
