--- a/laurelspindle/scale/events.py
+++ b/laurelspindle/scale/events.py
@@ -20,13 +20,20 @@
     slope: str
     size: float
     note: str = ""
+    enough: bool = False  # the flat group does it as it is
 
 
 def events(t: Target, s: Slopes) -> Iterator[Row]:
     """Cost and time of the day's events."""
     everyone = float(t.nodes)
     one_group = (
-        Timed(Event.RESTART, f"until all {t.nodes:,} know the new process", "membership.news_s", everyone),
+        Timed(
+            Event.RESTART,
+            f"until all {t.nodes:,} know the new process",
+            "membership.news_s",
+            everyone,
+            enough=True,
+        ),
         Timed(
             Event.RESTART,
             "the same while all members are news",
@@ -34,7 +41,14 @@
             everyone,
             "as in the first minutes after the whole fleet's start",
         ),
-        Timed(Event.RESTART, "until a death without a word is known to all", "membership.death_s", everyone),
+        Timed(
+            Event.RESTART,
+            "until a death without a word is known to all",
+            "membership.death_s",
+            everyone,
+            enough=True,
+        ),
+        Timed(Event.RESTART, "a death known to all, on sockets", "sockets.death.all", everyone, enough=True),
         Timed(
             Event.RELEASE,
             f"{t.release_batch} back at once until all know all",
@@ -48,8 +62,15 @@
             "membership.zone_lost_s",
             everyone,
             "at most: a thirteenth's time",
+            enough=True,
+        ),
+        Timed(
+            Event.ZONE_LOST,
+            f"{t.zone_nodes:.0f} deaths known to all",
+            "membership.zone_lost_s",
+            everyone,
+            enough=True,
         ),
-        Timed(Event.ZONE_LOST, f"{t.zone_nodes:.0f} deaths known to all", "membership.zone_lost_s", everyone),
         Timed(
             Event.ZONE_BACK,
             f"{t.zone_nodes:.0f} cold nodes until all know all",
@@ -65,7 +86,6 @@
         ),
         Timed(Event.WHOLE, f"{t.nodes:,} start at once until all know all", "membership.join_s", everyone),
         Timed(Event.WHOLE, "the same on sockets, from the start of all", "sockets.join.all", everyone),
-        Timed(Event.RESTART, "a death known to all, on sockets", "sockets.death.all", everyone),
     )
     by_zone = (
         Timed(Event.RESTART, "until a death without a word is known", "membership.death_s", t.zone_nodes),
@@ -87,7 +107,7 @@
             m.FLAT_MEMBERSHIP,
             quantity,
             note=row.note,
-            wanted=m.ZONE_MEMBERSHIP,
+            wanted=None if row.enough else m.ZONE_MEMBERSHIP,
         )
     for row in by_zone:
         text = f"a group a zone, {t.zone_nodes:.0f}: {row.what}"
