Capacity: the scale run's first rows on sockets; requests count where no process waited for a core

Need: the table's processor time was without sockets; on a busy machine no whole round was quiet. The latency program judges stretches of ten requests by the kernel's accounts of waiting (scale/quiet.py) instead of whole rounds by the direct stream.

--- a/laurelspindle/scale/collect.py
+++ b/laurelspindle/scale/collect.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import defaultdict
 from dataclasses import dataclass
 from pathlib import Path
@@ -140,34 +141,47 @@
 
 
 SOCKETS = "sockets."
+SHORT_COMMIT = 8
+VARYING = re.compile(r" --(out|hollow|seed) \S+")
 LEFT_OUT = ("simulated.", "worker.", "calls.")  # of a scale run: not what a member costs
+A_DATAGRAM = ("cpu.codec", "cpu.loop", "cpu.runtime", "cpu.socket")  # costs that go with datagrams, not size
+FITS_BY_NAME: dict[str, FitKind] = {"death.all": "log", "death.median": "log"}
+FITS_BY_NAME |= {prefix + name: "constant" for name in A_DATAGRAM for prefix in ("", "fault.")}
 FITS_BY_UNIT: dict[str, FitKind] = {"us/member/s": "linear", "B/member": "linear", "s": "power"}
 
 
-def scale_slopes(rows: list[ScaleRow]) -> list[dict[str, Any]]:
-    """Rows of the slopes file from a scale run's, by quantity and commit; the last commit's holds."""
+def scale_slopes(rows: list[ScaleRow], commit: str = "") -> list[dict[str, Any]]:
+    """Rows of the slopes file from a scale run's.
+
+    `commit`: whose node was measured, where the run's own commit is not one that stays.
+    """
     names: dict[str, list[ScaleRow]] = defaultdict(list)
     for row in rows:
         if row.counted and not row.quantity.startswith(LEFT_OUT):
             names[row.quantity].append(row)
-    return [scale_slope(quantity, own) for quantity, own in names.items()]
+    return [scale_slope(quantity, own, commit) for quantity, own in names.items()]
+
+
+def command_of(text: str) -> str:
+    """A command without what differs between the points, and without the file that it wrote."""
+    return VARYING.sub("", text)
 
 
-def scale_slope(quantity: str, rows: list[ScaleRow]) -> dict[str, Any]:
+def scale_slope(quantity: str, rows: list[ScaleRow], commit: str) -> dict[str, Any]:
     """One quantity of a scale run at its sizes."""
     measured = [Row(quantity, row.size, row.run.seed, row.value) for row in rows]
-    commits = sorted({row.run.commit for row in rows})
+    commits = ", ".join(sorted({row.run.commit[:SHORT_COMMIT] for row in rows}))
     cores = max(row.run.cores for row in rows)
-    fit = FITS_BY_UNIT.get(rows[0].unit, "constant")
+    fit = FITS_BY_NAME.get(quantity) or FITS_BY_UNIT.get(rows[0].unit, "constant")
     return {
         "name": f"{SOCKETS}{quantity}",
         "what": f"{quantity} of a scale run",
         "unit": rows[0].unit,
         "per": MEMBERS,
         "fit": fit if len({row.size for row in rows}) > 1 else "constant",
-        "run": rows[0].run.command,
+        "run": "; ".join(sorted({command_of(row.run.command) for row in rows})),
         "seeds": sorted({row.run.seed for row in rows}),
-        "commit": ", ".join(commits),
+        "commit": f"{commit} (run at {commits})" if commit else commits,
         "machine": f"{cores} cores shared with other work",
         "points": points(measured),
         "note": "real datagram sockets on loopback",
@@ -249,10 +263,16 @@
 @click.option("--note", default="")
 def main(files: tuple[Path, ...], commit: str, machine: str, note: str) -> None:
     """Print rows of the slopes file for the values in FILES."""
-    rows = [
-        row for f in files for line in f.read_bytes().splitlines() if line.strip() for row in rows_of(line)
-    ]
-    click.echo(tomli_w.dumps({"slope": collected(rows, commit, machine, note)}), nl=False)
+    rows: list[Row] = []
+    scale_rows: list[ScaleRow] = []
+    for file in files:
+        text = file.read_bytes().strip()
+        if text.startswith(b"["):
+            scale_rows += msgspec.json.decode(text, type=list[ScaleRow])
+        else:
+            rows += [row for line in text.splitlines() for row in rows_of(line)]
+    slopes = collected(rows, commit, machine, note) + scale_slopes(scale_rows, commit)
+    click.echo(tomli_w.dumps({"slope": slopes}), nl=False)
 
 
 if __name__ == "__main__":
--- a/laurelspindle/scale/latency.py
+++ b/laurelspindle/scale/latency.py
@@ -8,7 +8,8 @@
 The server's answer carries the monotonic times at which the request came and the answer left, so that both
 ways are known for each request: all processes read one clock, since they share a machine. The node's own time
 is not seen directly: it is the time through the node less the time straight to the server, quantile by
-quantile. Rounds are short, and those count in which the machine had a core for each of the processes.
+quantile. Requests count that met a quiet machine: in each stretch of some ten requests, none of the three
+processes waited for a core for over 30 us a request.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
 
 from laurelspindle.live.http import Lines, Reply, request_bytes
 from laurelspindle.scale.loopback import Bench, Usage, bench, serve, usage
+from laurelspindle.scale.quiet import QuietWatch
 from laurelspindle.scale.target import DEEPEST_CALL
 
 MIN_US, MAX_US, DIGITS = 1, 10_000_000, 3
@@ -39,10 +41,9 @@
 WARM_UP_S = 3.0
 DIRECT_RATE = 150.0  # requests a second straight to the server, at the most
 HOP_PERCENT = 100 * 0.99 ** (1 / DEEPEST_CALL)
-MIN_SAMPLES = 1000  # of the rounds that count together
-# Beyond either of these the machine had no core free for one of the processes: the round does not count.
-MAX_DIRECT_P99_US = 800.0
-MAX_RUN_QUEUE_US_A_CALL = 60.0
+MIN_SAMPLES = 1000  # that have to count
+STRETCH_REQUESTS = 10  # that the machine is judged by together
+ALLOWED_WAIT_NS = 30_000  # for a core, a request, of each of the three processes
 
 
 # ---- the load -------------------------------------------------------------------------------------------
@@ -52,13 +53,21 @@
     return HdrHistogram(MIN_US, MAX_US, DIGITS)
 
 
+@dataclass(frozen=True)
+class Sample:
+    """One answered request, in monotonic nanoseconds."""
+
+    due: int
+    came: int  # to the server
+    left: int  # the server
+    ended: int
+
+
 @dataclass
 class Stream:
-    """What the requests of one round showed that took one way; times in microseconds."""
+    """The requests of a round that took one way."""
 
-    request_way: Any = field(default_factory=histogram)  # from due until the server has the request
-    answer_way: Any = field(default_factory=histogram)  # from the server's answer until the client has it
-    both_ways: list[int] = field(default_factory=list)  # their sum, request by request
+    samples: list[Sample] = field(default_factory=list)
     outcomes: Counter[str] = field(default_factory=Counter)
     asked: int = 0
 
@@ -66,67 +75,41 @@
         """Takes one answer in."""
         now = monotonic_ns()
         self.outcomes["served" if reply.status == 200 else f"status {reply.status}"] += 1
-        if reply.status != 200:
-            return
-        came, left = int(reply.body[:20]), int(reply.body[20:])
-        self.request_way.record_value(max(MIN_US, (came - due) // 1000))
-        self.answer_way.record_value(max(MIN_US, (now - left) // 1000))
-        self.both_ways.append((came - due + now - left) // 1000)
-
-    def add(self, other: Stream) -> None:
-        """Takes another round's in."""
-        self.request_way.add(other.request_way)
-        self.answer_way.add(other.answer_way)
-        self.both_ways += other.both_ways
-        self.outcomes += other.outcomes
-        self.asked += other.asked
+        if reply.status == 200:
+            self.samples.append(Sample(due, int(reply.body[:20]), int(reply.body[20:]), now))
 
     @property
     def open(self) -> int:
         return self.asked - sum(self.outcomes.values())
 
 
+class Times:
+    """Microseconds of many samples: from due until the server has the request, from the server's answer until
+    the client has it, and the sum of both, request by request."""
+
+    def __init__(self, samples: list[Sample]) -> None:
+        self.request_way, self.answer_way = histogram(), histogram()
+        self.both_ways = [(s.came - s.due + s.ended - s.left) // 1000 for s in samples]
+        for s in samples:
+            self.request_way.record_value(max(MIN_US, (s.came - s.due) // 1000))
+            self.answer_way.record_value(max(MIN_US, (s.ended - s.left) // 1000))
+
+
 @dataclass
 class Round:
     """Some seconds of both streams, and what the node used meanwhile."""
 
-    through: Stream = field(default_factory=Stream)
-    direct: Stream = field(default_factory=Stream)
-    sender_late: Any = field(default_factory=histogram)
-    seconds: float = 0.0
-    cpu_ns: int = 0
-    run_queue_ns: int = 0
-    user_s: float = 0.0
-    system_s: float = 0.0
-
-    def used(self, before: Usage, after: Usage) -> None:
-        """Adds what the node used between two looks."""
-        self.cpu_ns += after.cpu_ns - before.cpu_ns
-        self.run_queue_ns += after.run_queue_ns - before.run_queue_ns
-        self.user_s += after.user_s - before.user_s
-        self.system_s += after.system_s - before.system_s
-
-    def add(self, other: Round) -> None:
-        """Takes another round in."""
-        self.through.add(other.through)
-        self.direct.add(other.direct)
-        self.sender_late.add(other.sender_late)
-        self.seconds += other.seconds
-        self.cpu_ns += other.cpu_ns
-        self.run_queue_ns += other.run_queue_ns
-        self.user_s += other.user_s
-        self.system_s += other.system_s
-
-    @property
-    def run_queue_us_a_call(self) -> float:
-        return self.run_queue_ns / 1000 / max(1, self.through.asked)
+    seconds: float
+    before: Usage
+    after: Usage
+    through: Stream
+    direct: Stream
+    sender_late: Any
+    watch: QuietWatch
 
-    @property
-    def counts(self) -> bool:
-        """Whether the machine had a core for each of the processes."""
-        if not self.direct.both_ways or self.run_queue_us_a_call > MAX_RUN_QUEUE_US_A_CALL:
-            return False
-        return quantile(self.direct.both_ways, 99.0) <= MAX_DIRECT_P99_US
+    def counted(self, stream: Stream) -> list[Sample]:
+        """The samples for which the machine was quiet from due to the answer."""
+        return [s for s in stream.samples if self.watch.quiet(s.due, s.ended)]
 
 
 async def until(due: int) -> None:
@@ -150,25 +133,29 @@
     loop = asyncio.get_running_loop()
     ways = [Lines(loop, *stand.address(through)) for through in (True, False)]
     rates = (rate, min(rate, DIRECT_RATE))
-    found = Round(seconds=seconds)
-    streams = (found.through, found.direct)
+    streams = (Stream(), Stream())
+    late = histogram()
     before = usage(stand.node.pid)
     due = monotonic_ns()
+    length = int(STRETCH_REQUESTS / sum(rates) * 1e9)
+    pids = (stand.node.pid, stand.server.pid, os.getpid())
+    watch = QuietWatch(pids, due, length, STRETCH_REQUESTS * ALLOWED_WAIT_NS)
     ends = due + int(seconds * 1e9)
     while (due := due + int(rng.expovariate(sum(rates)) * 1e9)) < ends:
         await until(due)
-        found.sender_late.record_value(max(MIN_US, (monotonic_ns() - due) // 1000))
+        late.record_value(max(MIN_US, (monotonic_ns() - due) // 1000))
         way = 0 if rng.random() < rate / sum(rates) else 1
         ask(ways[way], streams[way], due, rng.getrandbits(63))
+        watch.look(monotonic_ns())
     last = loop.time() + DRAIN_S
     while any(s.open for s in streams) and loop.time() < last:
         await asyncio.sleep(POLLED_S)
-    found.used(before, usage(stand.node.pid))
+    watch.end(monotonic_ns())
     for stream in streams:
         stream.outcomes["no answer"] += stream.open
     for lines in ways:
         lines.close()
-    return found
+    return Round(seconds, before, usage(stand.node.pid), *streams, late, watch)
 
 
 # ---- figures --------------------------------------------------------------------------------------------
@@ -176,14 +163,13 @@
 
 @dataclass
 class Figures:
-    """What the counted rounds of one sitting at a rate showed together."""
+    """What the rounds of one sitting at a rate showed together."""
 
     rate: float
     repeat: int
-    counts: bool  # false: the machine was the limit in nearly all rounds; all of them are in the figures then
-    rounds: int
-    rounds_counted: int
+    counts: bool  # false: too few requests met a quiet machine; all of them are in the figures then
     served: int
+    counted: int  # of them, those that met a quiet machine
     others: dict[str, int]
     load_average: float
     added_p50_us: float
@@ -198,7 +184,7 @@
     hop_p99888_us: float  # the quantile that each of nine hops needs for 99 in 100 of the whole chain
     chain_p50_us: float
     chain_p99_us: float
-    node_cpu_us_a_call: float
+    node_cpu_us_a_call: float  # of all requests
     node_run_queue_us_a_call: float
     node_core_share: float
     node_system_share: float  # of its processor time, in the kernel
@@ -214,24 +200,26 @@
 
 
 def figures(rate: float, repeat: int, rounds: list[Round]) -> Figures:
-    """The rounds that count taken together; all of them where too few do."""
-    counted = [r for r in rounds if r.counts]
-    enough = sum(len(r.through.both_ways) for r in counted) >= MIN_SAMPLES
-    whole = Round()
-    for one in counted if enough else rounds:
-        whole.add(one)
-    through, direct = whole.through, whole.direct
+    """The requests that count taken together; all of them where too few do."""
+    counted = [s for r in rounds for s in r.counted(r.through)]
+    enough = len(counted) >= MIN_SAMPLES
+    through = Times(counted if enough else [s for r in rounds for s in r.through.samples])
+    direct = Times([s for r in rounds for s in (r.counted(r.direct) if enough else r.direct.samples)])
     direct_median = quantile(direct.both_ways, 50.0)
     added = [int(sample - direct_median) for sample in through.both_ways]
-    ticks = whole.user_s + whole.system_s
+    asked = sum(r.through.asked for r in rounds)
+    cpu_ns = sum(r.after.cpu_ns - r.before.cpu_ns for r in rounds)
+    run_queue_ns = sum(r.after.run_queue_ns - r.before.run_queue_ns for r in rounds)
+    user_s = sum(r.after.user_s - r.before.user_s for r in rounds)
+    system_s = sum(r.after.system_s - r.before.system_s for r in rounds)
+    outcomes = sum((r.through.outcomes for r in rounds), Counter[str]())
     return Figures(
         rate=rate,
         repeat=repeat,
         counts=enough,
-        rounds=len(rounds),
-        rounds_counted=len(counted),
-        served=through.outcomes["served"],
-        others={k: n for k, n in through.outcomes.items() if k != "served" and n},
+        served=outcomes.pop("served", 0),
+        counted=len(counted),
+        others=dict(outcomes),
         load_average=os.getloadavg()[0],
         added_p50_us=quantile(added, 50.0),
         added_p99_us=quantile(through.both_ways, 99.0) - quantile(direct.both_ways, 99.0),
@@ -241,14 +229,14 @@
         to_client_p99_us=difference(through.answer_way, direct.answer_way, 99.0),
         direct_p50_us=direct_median,
         direct_p99_us=quantile(direct.both_ways, 99.0),
-        sender_late_p99_us=float(whole.sender_late.get_value_at_percentile(99.0)),
+        sender_late_p99_us=max(float(r.sender_late.get_value_at_percentile(99.0)) for r in rounds),
         hop_p99888_us=quantile(added, HOP_PERCENT),
         chain_p50_us=chain(added, DEEPEST_CALL, 50.0),
         chain_p99_us=chain(added, DEEPEST_CALL, 99.0),
-        node_cpu_us_a_call=whole.cpu_ns / 1000 / through.asked,
-        node_run_queue_us_a_call=whole.run_queue_us_a_call,
-        node_core_share=whole.cpu_ns / 1e9 / whole.seconds,
-        node_system_share=whole.system_s / ticks if ticks else 0.0,
+        node_cpu_us_a_call=cpu_ns / 1000 / asked,
+        node_run_queue_us_a_call=run_queue_ns / 1000 / asked,
+        node_core_share=cpu_ns / 1e9 / sum(r.seconds for r in rounds),
+        node_system_share=system_s / (user_s + system_s) if user_s + system_s else 0.0,
     )
 
 
--- a/laurelspindle/scale/roles.py
+++ b/laurelspindle/scale/roles.py
@@ -199,4 +199,25 @@
             note,
             wanted=m.REPLACEMENT_BY_ZONE,
         )
+    yield Row(
+        Role.OPERATOR,
+        "leading a replacement: processor time with sockets",
+        "% of a core",
+        m.REPLACEMENT,
+        leader_with_sockets(t, s).times(US_A_SECOND_AS_PERCENT),
+        t.cpu_percent,
+        note,
+        wanted=m.REPLACEMENT_BY_ZONE,
+    )
     yield Row(Role.OPERATOR, "which version is in force everywhere, and who lags", "", m.VERSIONS_IN_FORCE)
+
+
+def leader_with_sockets(t: Target, s: Slopes) -> Quantity:
+    """Microseconds a second of a leader: its decisions and codec, and what sockets, loop and runtime take for
+    each datagram of a member in calm."""
+    a_member = s.at("sockets.cpu.socket").plus(s.at("sockets.cpu.loop")).plus(s.at("sockets.cpu.runtime"))
+    datagrams_a_member = s.at("sockets.datagrams_out").value + s.at("sockets.datagrams_in").value
+    datagrams = s.at("leader.datagrams", t.nodes)
+    sockets = datagrams.by(a_member.times(1 / datagrams_a_member))
+    whole = s.at("leader.cpu_us", t.nodes).plus(sockets)
+    return replace(whole, doubts=whole.doubts | {"taken as a member's datagrams in calm"})
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from dataclasses import replace
 from math import isnan, log
 from pathlib import Path
@@ -20,6 +21,7 @@
 from laurelspindle.scale.member import measure
 from laurelspindle.scale.membership import SCENARIOS
 from laurelspindle.scale.page import PageError, current_parts, rendered
+from laurelspindle.scale.quiet import QuietWatch, Stretch
 from laurelspindle.scale.rows import Event, Role, Row
 from laurelspindle.scale.slopes import Point, Slope, Slopes, SlopesError, read_slopes, value_at
 from laurelspindle.scale.table import value_cell
@@ -178,7 +180,12 @@
 
 
 def test_rows_of_a_scale_run_are_taken_in():
-    origin = {"command": "laurelspindle scale run", "seed": 1, "commit": "abc", "cores": 8}
+    origin = {
+        "command": "laurelspindle scale run --hollow 50 --out a/b.json",
+        "seed": 1,
+        "commit": "abc",
+        "cores": 8,
+    }
     row = {"quantity": "cpu", "unit": "us/member/s", "spread": [1, 2], "run": origin}
     rows = [row | {"size": s, "value": 10.0 + s, "counted": s < 800} for s in SIZES]
     rows.append(row | {"size": 50, "value": 1, "quantity": "worker.cpu", "counted": True})
@@ -192,6 +199,17 @@
     assert value_at(found, 1000).value == pytest.approx(1010) and value_at(found, 1000).estimate
 
 
+def test_a_stretch_in_which_a_process_waited_for_a_core_does_not_count():
+    watch = QuietWatch([os.getpid()], 0, 100, 50)
+    watch.stretches = [Stretch(0, 100, True), Stretch(100, 200, False), Stretch(200, 300, True)]
+    assert watch.quiet(10, 90) and watch.quiet(210, 300)
+    assert not watch.quiet(90, 110) and not watch.quiet(150, 160)
+    assert not watch.quiet(250, 301)  # it is not known yet
+    watch.allowed = -1
+    watch.end(400)
+    assert watch.stretches[-1] == Stretch(0, 400, False)
+
+
 def test_nine_equal_hops_add_up():
     assert chain([100] * 1000, 9, 99.0) == pytest.approx(900, abs=90)
     half = chain([0] * 500 + [1000] * 500, 9, 50.0)
