--- a/laurelspindle/scale/collect.py
+++ b/laurelspindle/scale/collect.py
@@ -142,6 +142,8 @@
 
 SOCKETS = "sockets."
 SHORT_COMMIT = 8
+PLAN = re.compile(r"--plan (\S+)")
+OF_A_FAULT = ("death.", "heal.", "fault.")
 VARYING = re.compile(r" --(out|hollow|seed) \S+")
 LEFT_OUT = ("simulated.", "worker.", "calls.")  # of a scale run: not what a member costs
 A_DATAGRAM = ("cpu.codec", "cpu.loop", "cpu.runtime", "cpu.socket")  # costs that go with datagrams, not size
@@ -158,8 +160,25 @@
     names: dict[str, list[ScaleRow]] = defaultdict(list)
     for row in rows:
         if row.counted and not row.quantity.startswith(LEFT_OUT):
-            names[row.quantity].append(row)
-    return [scale_slope(quantity, own, commit) for quantity, own in names.items()]
+            names[name_of(row)].append(row)
+    return [scale_slope(name, own, commit) for name, own in names.items() if fits(own)]
+
+
+def name_of(row: ScaleRow) -> str:
+    """The slope's name; what a fault caused stands under the plan that has the fault."""
+    plan = PLAN.search(row.run.command)
+    of_plan = f"{plan[1]}." if plan and row.quantity.startswith(OF_A_FAULT) else ""
+    return f"{SOCKETS}{of_plan}{row.quantity}"
+
+
+def fit_of(rows: list[ScaleRow]) -> FitKind:
+    """How a quantity goes with the size."""
+    return FITS_BY_NAME.get(rows[0].quantity) or FITS_BY_UNIT.get(rows[0].unit, "constant")
+
+
+def fits(rows: list[ScaleRow]) -> bool:
+    """Whether there are sizes enough; one alone says nothing of how a quantity grows."""
+    return fit_of(rows) == "constant" or len({row.size for row in rows}) > 1
 
 
 def command_of(text: str) -> str:
@@ -167,22 +186,20 @@
     return VARYING.sub("", text)
 
 
-def scale_slope(quantity: str, rows: list[ScaleRow], commit: str) -> dict[str, Any]:
+def scale_slope(name: str, rows: list[ScaleRow], commit: str) -> dict[str, Any]:
     """One quantity of a scale run at its sizes."""
-    measured = [Row(quantity, row.size, row.run.seed, row.value) for row in rows]
+    measured = [Row(name, row.size, row.run.seed, row.value) for row in rows]
     commits = ", ".join(sorted({row.run.commit[:SHORT_COMMIT] for row in rows}))
-    cores = max(row.run.cores for row in rows)
-    fit = FITS_BY_NAME.get(quantity) or FITS_BY_UNIT.get(rows[0].unit, "constant")
     return {
-        "name": f"{SOCKETS}{quantity}",
-        "what": f"{quantity} of a scale run",
+        "name": name,
+        "what": f"{rows[0].quantity} of a scale run",
         "unit": rows[0].unit,
         "per": MEMBERS,
-        "fit": fit if len({row.size for row in rows}) > 1 else "constant",
+        "fit": fit_of(rows),
         "run": "; ".join(sorted({command_of(row.run.command) for row in rows})),
         "seeds": sorted({row.run.seed for row in rows}),
         "commit": f"{commit} (run at {commits})" if commit else commits,
-        "machine": f"{cores} cores shared with other work",
+        "machine": f"{max(row.run.cores for row in rows)} cores shared with other work",
         "points": points(measured),
         "note": "real datagram sockets on loopback",
     }
--- a/laurelspindle/scale/events.py
+++ b/laurelspindle/scale/events.py
@@ -48,7 +48,13 @@
             everyone,
             enough=True,
         ),
-        Timed(Event.RESTART, "a death known to all, on sockets", "sockets.death.all", everyone, enough=True),
+        Timed(
+            Event.RESTART,
+            "a death known to all, on sockets",
+            "sockets.kill-one.death.all",
+            everyone,
+            enough=True,
+        ),
         Timed(
             Event.RELEASE,
             f"{t.release_batch} back at once until all know all",
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -189,6 +189,7 @@
     row = {"quantity": "cpu", "unit": "us/member/s", "spread": [1, 2], "run": origin}
     rows = [row | {"size": s, "value": 10.0 + s, "counted": s < 800} for s in SIZES]
     rows.append(row | {"size": 50, "value": 1, "quantity": "worker.cpu", "counted": True})
+    rows.append(row | {"size": 50, "value": 1, "quantity": "join.all", "unit": "s"})  # one size: no growth
     made = scale_slopes(msgspec.convert(rows, list[ScaleRow]))
     (found,) = msgspec.convert(made, list[Slope])
     assert (
