--- /dev/null
+++ b/laurelspindle/scale/membership.py
@@ -0,0 +1,335 @@
+"""Cost of one flat membership group by its size, on the virtual network.
+
+    python -m laurelspindle.scale.membership SCENARIO SIZES... [--seed N]...
+
+Single process, simulated time, fixed seeds. Every datagram is encoded and decoded by the fleet's own codec.
+The processor time is that of the state machine and of the codec, measured around each call; the simulator's
+own heap is left out.
+
+Scenarios:
+
+* `calm`: all members know each other and no news is under way; then one of them dies.
+* `backlog`: all members know each other and each still spreads the news of all others.
+* `news`: in a calm group one member takes a new incarnation, as after a quick restart; until all hold it.
+* `news_busy`: the same while each member still spreads the news of all others.
+* `join`: all members start at once and know the three seeds.
+* `batch`: in a calm group one member in thirteen dies at one instant, and comes back cold 60 s after the
+  last survivor knew of it, as a zone does.
+* `region`: in a calm group one member in five is cut off from the others for 150 s, past the time for which
+  the dead are remembered.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from time import process_time_ns
+from typing import Any
+
+import click
+import msgspec
+
+from brackenladder.fleet.membership.codec import Codec
+from brackenladder.fleet.membership.swim import Address, Claim, Send, Status, Swim
+from laurelspindle.explore.members import DELAY, KEY
+from laurelspindle.virtual.heap import HeapClock
+
+WARM_UP_S = 5.0
+CALM_S = 20.0  # window in which rates are measured
+DEATH_LIMIT_S = 180.0
+JOIN_LIMIT_S = 400.0
+PARTITION_S = 150.0
+RETURN_AFTER_S = 60.0
+ZONES = 13
+REGIONS = 5
+BACKLOG_S = 20.0
+LOOK_S = 0.25  # between two looks whether a condition holds
+HOST = "10.0.0.1"
+SEEDS = 3
+
+
+@dataclass
+class Spent:
+    """Processor nanoseconds by component, and traffic, since the last reset."""
+
+    tick: int = 0
+    receive: int = 0
+    encode: int = 0
+    decode: int = 0
+    datagrams: int = 0
+    bytes: int = 0
+
+
+def seeds_of(count: int) -> list[Address]:
+    """The members that all others ask first."""
+    return [(HOST, i + 1) for i in range(min(SEEDS, count))]
+
+
+def stop_spreading(swim: Any) -> None:
+    """Nothing rides along any more, as long after the last change.
+
+    The state machine has no call for that, and where it keeps what it still tells differs between versions: a
+    map, or queues. Both are known here so that one program measures before and after.
+    """
+    for name in ("news", "updates", "accusations"):
+        waiting = getattr(swim, name, None)
+        if isinstance(waiting, dict):
+            waiting.clear()
+        elif waiting is not None:
+            for member in list(waiting.times):
+                waiting.remove(member)
+
+
+class MeteredNet:
+    """Members on one virtual clock, with processor time counted by component; no datagram is lost."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.clock = HeapClock(1_000_000)
+        self.rng = Random(seed)
+        self.spent = Spent()
+        self.wire = Codec([KEY])
+        self.readers: dict[Address, Codec] = {}  # each member keeps its own window against replays
+        self.members: dict[Address, Swim] = {}
+        self.partitioned: set[Address] = set()
+        for i in range(count):
+            self.add((HOST, i + 1), seeds_of(count))
+
+    def add(self, address: Address, seeds: list[Address], incarnation: int = 1) -> None:
+        """A member starts."""
+        swim = Swim(f"n{address[1]}", address, incarnation, seeds, Random(self.rng.random()), self.clock.now)
+        self.readers[address] = Codec([KEY])
+        self.members[address] = swim
+        self.clock.call_at(swim.due(), self.on_timer, (address, swim))
+
+    def kill(self, address: Address) -> str:
+        """A member ends without a word; its name."""
+        return self.members.pop(address).me.name
+
+    def run(self, seconds: float) -> None:
+        self.clock.run(self.clock.now + int(seconds * 1e6))
+
+    def until(self, holds: Callable[[], bool], limit: float) -> float:
+        """Seconds until a condition holds, `limit` if it does not."""
+        passed = 0.0
+        while passed < limit and not holds():
+            self.run(LOOK_S)
+            passed += LOOK_S
+        return passed
+
+    def on_timer(self, what: tuple[Address, Swim]) -> None:
+        """A member's next due time has come."""
+        address, swim = what
+        if self.members.get(address) is not swim:
+            return
+        begun = process_time_ns()
+        sends = swim.tick(self.clock.now)
+        due = swim.due()
+        self.spent.tick += process_time_ns() - begun
+        self.transmit(address, sends)
+        self.clock.call_at(max(self.clock.now + 1, due), self.on_timer, what)
+
+    def transmit(self, source: Address, sends: list[Send]) -> None:
+        """Datagrams go out, each with a delay of its own."""
+        for send in sends:
+            begun = process_time_ns()
+            data = self.wire.encode(send.message, self.clock.now)
+            self.spent.encode += process_time_ns() - begun
+            self.spent.datagrams += 1
+            self.spent.bytes += len(data)
+            if (source in self.partitioned) == (send.to in self.partitioned):
+                at = self.clock.now + int(DELAY * (0.5 + self.rng.random()))
+                self.clock.call_at(at, self.arrive, (source, send.to, data))
+
+    def arrive(self, what: tuple[Address, Address, bytes]) -> None:
+        """A datagram comes in."""
+        source, to, data = what
+        swim = self.members.get(to)
+        if swim is None:
+            return
+        reader = self.readers[to]
+        begun = process_time_ns()
+        message = reader.decode(data, self.clock.now)
+        self.spent.decode += process_time_ns() - begun
+        if message is None:
+            raise RuntimeError(f"the codec refused a datagram of its own: {dict(reader.dropped)}")
+        begun = process_time_ns()
+        sends = swim.receive(self.clock.now, source, message)
+        self.spent.receive += process_time_ns() - begun
+        self.transmit(to, sends)
+
+    def introduce_all(self, keep_news: bool = False) -> None:
+        """Every member knows every other. `keep_news`: and still spreads each of them as new."""
+        claims = [s.me for s in self.members.values()]
+        for swim in self.members.values():
+            for claim in claims:
+                swim.accept(self.clock.now, claim)
+            if not keep_news:
+                stop_spreading(swim)
+
+    def measure(self, seconds: float) -> Spent:
+        """What the whole group spends in a window of simulated time."""
+        self.spent = Spent()
+        self.run(seconds)
+        return self.spent
+
+    def knows_gone(self, names: set[str]) -> bool:
+        """Whether no member that runs holds any of these members alive."""
+        return all(
+            not any(s.status(name) in (Status.ALIVE, Status.SUSPECT) for name in names)
+            for s in self.members.values()
+        )
+
+    def complete(self) -> bool:
+        """Whether every member holds every other alive or suspect, and nobody else."""
+        wanted = len(self.members) - 1
+        return all(len(s.alive()) == wanted for s in self.members.values())
+
+
+@dataclass(frozen=True)
+class Row:
+    """One measured value; `limit`: the condition had not come true by then, so the value is a lower bound."""
+
+    name: str
+    size: int
+    seed: int
+    value: float
+    limit: bool = False
+
+
+def rates(prefix: str, net: MeteredNet, size: int, seed: int, seconds: float) -> list[Row]:
+    """Processor time, datagrams and bytes a member and second."""
+    spent = net.measure(seconds)
+    scale = size * seconds
+    total = spent.tick + spent.receive + spent.encode + spent.decode
+    values = {
+        "cpu_us": total / 1000 / scale,
+        "tick_us": spent.tick / 1000 / scale,
+        "receive_us": spent.receive / 1000 / scale,
+        "codec_us": (spent.encode + spent.decode) / 1000 / scale,
+        "datagrams": spent.datagrams / scale,
+        "bytes": spent.bytes / scale,
+        "codec_us_a_datagram": (spent.encode + spent.decode) / 1000 / spent.datagrams,
+    }
+    return [Row(f"{prefix}.{name}", size, seed, value) for name, value in values.items()]
+
+
+def timed(name: str, net: MeteredNet, size: int, seed: int, holds: Callable[[], bool], limit: float) -> Row:
+    """Seconds until a condition holds."""
+    passed = net.until(holds, limit)
+    return Row(name, size, seed, passed, limit=not holds())
+
+
+def calm(size: int, seed: int) -> list[Row]:
+    """Rates without news, then the time for a death to be known to all."""
+    net = MeteredNet(size, seed)
+    net.introduce_all()
+    net.run(WARM_UP_S)
+    rows = rates("membership.calm", net, size, seed, CALM_S)
+    gone = {net.kill((HOST, size))}
+    rows.append(timed("membership.death_s", net, size, seed, lambda: net.knows_gone(gone), DEATH_LIMIT_S))
+    return rows
+
+
+def backlog(size: int, seed: int) -> list[Row]:
+    """Rates while each member still spreads the news of every other, as after a start of the whole group."""
+    net = MeteredNet(size, seed)
+    net.introduce_all(keep_news=True)
+    net.run(WARM_UP_S)
+    return rates("membership.backlog", net, size, seed, BACKLOG_S)
+
+
+def time_of_news(name: str, size: int, seed: int, busy: bool) -> list[Row]:
+    """Seconds until all hold a member's new incarnation, which it tells one other about."""
+    net = MeteredNet(size, seed)
+    net.introduce_all(keep_news=busy)
+    net.run(WARM_UP_S)
+    changed = net.members[(HOST, size)]
+    first = net.members[(HOST, 1)]
+    claim = Claim(changed.me.name, changed.me.address, Status.ALIVE, changed.me.incarnation + 1)
+    changed.me = claim
+    first.accept(net.clock.now, claim)
+
+    def all_hold() -> bool:
+        others = [s for s in net.members.values() if s is not changed]
+        return all(s.members[claim.name].claim.incarnation == claim.incarnation for s in others)
+
+    return [timed(name, net, size, seed, all_hold, JOIN_LIMIT_S)]
+
+
+def news(size: int, seed: int) -> list[Row]:
+    """One change in a group in calm."""
+    return time_of_news("membership.news_s", size, seed, busy=False)
+
+
+def news_busy(size: int, seed: int) -> list[Row]:
+    """One change while the group is busy with the news of all its members."""
+    return time_of_news("membership.news_busy_s", size, seed, busy=True)
+
+
+def join(size: int, seed: int) -> list[Row]:
+    """Time until a group that starts at once knows itself."""
+    net = MeteredNet(size, seed)
+    return [timed("membership.join_s", net, size, seed, net.complete, JOIN_LIMIT_S)]
+
+
+def restarted(net: MeteredNet, addresses: list[Address]) -> None:
+    """Members come back cold, each with a higher incarnation, knowing the seeds alone."""
+    for address in addresses:
+        net.add(address, seeds_of(SEEDS), incarnation=2)
+
+
+def batch(size: int, seed: int) -> list[Row]:
+    """A thirteenth of the group dies at one instant and comes back cold."""
+    net = MeteredNet(size, seed)
+    net.introduce_all()
+    net.run(WARM_UP_S)
+    count = max(1, size // ZONES)
+    lost = [(HOST, size - i) for i in range(count)]
+    gone = {net.kill(address) for address in lost}
+    rows = [
+        timed("membership.zone_lost_s", net, size, seed, lambda: net.knows_gone(gone), DEATH_LIMIT_S),
+    ]
+    net.run(RETURN_AFTER_S)
+    restarted(net, lost)
+    rows.append(timed("membership.zone_back_s", net, size, seed, net.complete, JOIN_LIMIT_S))
+    return rows
+
+
+def region(size: int, seed: int) -> list[Row]:
+    """A fifth of the group is cut off until both sides have forgotten each other, then the cut heals."""
+    net = MeteredNet(size, seed)
+    net.introduce_all()
+    net.run(WARM_UP_S)
+    # Members with the highest numbers: the seeds stay on the larger side.
+    net.partitioned = {(HOST, size - i) for i in range(max(1, size // REGIONS))}
+    net.run(PARTITION_S)
+    net.partitioned = set()
+    return [timed("membership.region_back_s", net, size, seed, net.complete, JOIN_LIMIT_S)]
+
+
+SCENARIOS: dict[str, Callable[[int, int], list[Row]]] = {
+    "calm": calm,
+    "backlog": backlog,
+    "news": news,
+    "news_busy": news_busy,
+    "join": join,
+    "batch": batch,
+    "region": region,
+}
+
+
+@click.command()
+@click.argument("scenario", type=click.Choice(list(SCENARIOS)))
+@click.argument("sizes", type=click.IntRange(4, 5000), nargs=-1, required=True)
+@click.option("--seed", "seeds", type=click.IntRange(0), multiple=True, default=(1,), show_default=True)
+def main(scenario: str, sizes: tuple[int, ...], seeds: tuple[int, ...]) -> None:
+    """Run SCENARIO at each of SIZES members and print a JSON line for each value."""
+    for size in sizes:
+        for seed in seeds:
+            for row in SCENARIOS[scenario](size, seed):
+                click.echo(msgspec.json.encode(row).decode())
+
+
+if __name__ == "__main__":
+    main()
