Tests: a killed scale run's folder is the test's own

Cause: each SIGKILL of the test left a folder scale-* in the machine's temporary directory.

Change: the run under test has its temporary directory in the test's.

Measured: both cases pass; no new folder is left.

--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -181,10 +181,11 @@
 
 
 @pytest.mark.parametrize("how", [signal.SIGINT, signal.SIGKILL])
-def test_nothing_is_left_behind_when_the_parent_ends(how):
+def test_nothing_is_left_behind_when_the_parent_ends(how, tmp_path):
     """Failure prevented: members of a killed run go on by themselves and hold their ports."""
     words = ("--hollow", 20, "--real", 1, "--workers", 2, "--seconds", 60, "--period-ms", 200)
-    parent = subprocess.Popen(command(*words), stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    env = os.environ | {"TMPDIR": str(tmp_path)}  # a killed parent's folder stays
+    parent = subprocess.Popen(command(*words), env=env, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
     try:
         wait_for(lambda: len(ports_of(children(parent.pid))) == 21)  # every member has its port
         pids = children(parent.pid)
