--- a/laurelspindle/scale/collect.py
+++ b/laurelspindle/scale/collect.py
@@ -258,7 +258,7 @@
             "what": kind.what,
             "unit": kind.unit,
             "per": kind.per,
-            "fit": kind.fit,
+            "fit": kind.fit if len({run.size for run in own}) > 1 else "constant",
             "run": kind.run,
             "seeds": sorted({r.seed for r in own}),
             "commit": commit,
--- a/laurelspindle/scale/roles.py
+++ b/laurelspindle/scale/roles.py
@@ -87,11 +87,22 @@
     yield Row(Role.NODE, f"memory of the process with {text}", "MB", mechanism, memory, t.memory_mb)
 
 
+def at_rate(s: Slopes, name: str, rate: float) -> Quantity:
+    """A figure of the request path at a rate of calls.
+
+    Not measured where all rounds that count were at higher rates: a call costs more the fewer there are.
+    """
+    slope = s.by_name.get(f"latency.{name}")
+    if slope is None or min(p.size for p in slope.points) > rate:
+        return UNMEASURED
+    return s.at(slope.name, rate)
+
+
 def calls_of_node(t: Target, s: Slopes) -> Iterator[Row]:
     """The request path at the mean rate; no part of the control budget."""
     rate = t.calls_a_node_s
     budget_us = t.added_ms * 1000
-    cpu = s.at("latency.node_cpu_us_a_call", rate).times(rate * US_A_SECOND_AS_PERCENT)
+    cpu = at_rate(s, "node_cpu_us_a_call", rate).times(rate * US_A_SECOND_AS_PERCENT)
     yield Row(
         Role.NODE,
         f"calls, {rate:.0f} a second: processor time",
@@ -101,7 +112,7 @@
         note="not control: no budget was given",
     )
     for name, text in (("p50", "median"), ("p99", f"{t.added_percent:g} in 100")):
-        added = s.at(f"latency.added_{name}_us", rate)
+        added = at_rate(s, f"added_{name}_us", rate)
         budget = budget_us if name == "p99" else None
         yield Row(Role.NODE, f"added to a call of one hop, {text}", "us", m.REQUEST_PATH, added, budget)
     yield Row(
@@ -109,10 +120,10 @@
         f"share of a core at which one hop keeps {t.added_ms:g} ms",
         "% of a core",
         m.REQUEST_PATH,
-        core_share(s.at("latency.node_cpu_us_a_call", rate), s.at("latency.added_p99_us", rate), budget_us),
+        core_share(at_rate(s, "node_cpu_us_a_call", rate), at_rate(s, "added_p99_us", rate), budget_us),
         note="calls alone, while they are in work; without other work on the core",
     )
-    chain = s.at("latency.chain_p99_us", rate) if t.depth == DEEPEST_CALL else UNMEASURED
+    chain = at_rate(s, "chain_p99_us", rate) if t.depth == DEEPEST_CALL else UNMEASURED
     yield Row(
         Role.NODE,
         f"added to a call {t.depth} deep, {t.added_percent:g} in 100",
