Capacity: a sum with a value of a single run has no interval

Cause: max(0.0, nan) is 0 in Python, so a slope of one run got the interval 0 to 0, and a sum with it that of the other value alone: a gateway's bytes, 5.6 and 4.4 KB, stood as 10,039 with an interval of 4,889 to 6,389. Change: where there is no bound there is none after the cut at 0.

--- a/laurelspindle/scale/slopes.py
+++ b/laurelspindle/scale/slopes.py
@@ -153,8 +153,15 @@
         raise ValueError(f"{slope.name}: its fit is {slope.fit}: a size is needed")
     else:
         value, low, high = line(slope.points, size, *AXES[slope.fit])
-    # Nothing that is measured here can be negative.
-    return Quantity(value, max(0.0, low), max(0.0, high), frozenset({slope.name}), doubts, at_least)
+    return Quantity(value, not_negative(low), not_negative(high), frozenset({slope.name}), doubts, at_least)
+
+
+def not_negative(bound: float) -> float:
+    """Nothing that is measured here can be negative. Where there is no bound, there is none after this.
+
+    Failure prevented: `max(0.0, nan)` is 0, and a value of a single run adds nothing to a sum's interval.
+    """
+    return bound if isnan(bound) else max(0.0, bound)
 
 
 def doubts_of(slope: Slope, size: float | None) -> frozenset[str]:
