docs/CAPACITY.md after the mends: membership's slopes again, gateways measured, what is missing now

Need: the page's slopes were of the program before membership's mends, and it called membership by zone missing. Gateways, zones' summaries and times by zone come from docs/zone-membership.md.

--- a/laurelspindle/scale/events.py
+++ b/laurelspindle/scale/events.py
@@ -95,7 +95,20 @@
     )
     by_zone = (
         Timed(Event.RESTART, "until a death without a word is known", "membership.death_s", t.zone_nodes),
+        Timed(
+            Event.RESTART,
+            "until a death has corrected its zone's size everywhere",
+            "federation.death_s",
+            everyone,
+        ),
         Timed(Event.ZONE_BACK, "a joint start until all know all", "membership.join_s", t.zone_nodes),
+        Timed(
+            Event.REGION,
+            "until all zones know each other's sizes again",
+            "federation.region_back_s",
+            everyone,
+        ),
+        Timed(Event.WHOLE, "until every node knows every zone", "federation.start_s", everyone),
     )
     yield Row(
         Event.RESTART,
--- a/laurelspindle/scale/mechanisms.py
+++ b/laurelspindle/scale/mechanisms.py
@@ -25,8 +25,8 @@
 FLAT_MEMBERSHIP = Mechanism("membership, one flat group", True)
 VOTERS = Mechanism("leases by five global voters", True)
 REPLACEMENT = Mechanism("replacement led by one member", True)
-ZONE_MEMBERSHIP = Mechanism("membership by zone", False)
-GATEWAYS = Mechanism("gateways between zones", False, (ZONE_MEMBERSHIP,))
+ZONE_MEMBERSHIP = Mechanism("membership by zone", True)
+GATEWAYS = Mechanism("gateways between zones", True, (ZONE_MEMBERSHIP,))
 CONFIGURATION = Mechanism("configuration distribution", False)
 # A zone's nodes ask each other where no replica answers, and gateways sum up the versions in force.
 CONFIGURATION_FALLBACK = Mechanism(
--- a/laurelspindle/scale/roles.py
+++ b/laurelspindle/scale/roles.py
@@ -149,14 +149,22 @@
 
 
 def gateway(t: Target, s: Slopes) -> Iterator[Row]:
-    """What a zone's gateway would spend beside its own node's cost."""
-    count = t.zones * t.gateways_a_zone
-    calm = s.at("member.cpu_us", count).times(US_A_SECOND_AS_PERCENT)
-    sent = s.at("membership.calm.bytes", count).times(BOTH_WAYS)
-    text = f"if all {count} gateways are one group"
-    yield Row(Role.GATEWAY, f"{text}: processor time", "% of a core", m.GATEWAYS, calm, t.cpu_percent)
-    yield Row(Role.GATEWAY, f"{text}: bytes, out and in", "bytes/s", m.GATEWAYS, sent, t.bytes_s)
-    yield Row(Role.GATEWAY, "summaries of a zone: state, messages, processor time", "", m.GATEWAYS)
+    """What a zone's gateway spends, membership in its own zone included."""
+    nodes = float(t.nodes)
+    cpu = s.at("federation.gateway_cpu_us", nodes).times(US_A_SECOND_AS_PERCENT)
+    sent = s.at("federation.gateway_bytes_out", nodes)
+    received = s.at("federation.gateway_bytes_in", nodes)
+    datagrams = s.at("federation.gateway_datagrams_out", nodes)
+    text = f"membership and summaries of {t.zones} zones"
+    yield Row(
+        Role.GATEWAY, f"{text}: processor time", "% of a core", m.GATEWAYS, cpu, t.cpu_percent, NO_SOCKETS
+    )
+    yield Row(
+        Role.GATEWAY, f"{text}: bytes, out and in", "bytes/s", m.GATEWAYS, sent.plus(received), t.bytes_s
+    )
+    yield Row(Role.GATEWAY, f"{text}: datagrams out", "1/s", m.GATEWAYS, datagrams)
+    memory = s.at("federation.memory_bytes", nodes).times(1 / MEGABYTE)
+    yield Row(Role.GATEWAY, "memory of the summaries", "MB", m.GATEWAYS, memory, t.memory_mb)
     yield Row(Role.GATEWAY, "versions in force in its zone", "", m.VERSIONS_IN_FORCE)
 
 
--- a/laurelspindle/scale/table.py
+++ b/laurelspindle/scale/table.py
@@ -52,7 +52,10 @@
 
 def carrier_cell(row: Row) -> str:
     now = f"missing: {row.mechanism.name}" if row.missing else row.mechanism.name
-    return now if row.wanted is None else f"{now}; wanted: {row.wanted.name}, missing"
+    if row.wanted is None:
+        return now
+    missing = "" if row.wanted.built else ", missing"
+    return f"{now}; wanted: {row.wanted.name}{missing}"
 
 
 def source_cell(row: Row) -> str:
