Membership by zone: its bound on answers is membership's token bucket

Cause: read once more, the federation kept a token bucket of its own, in floats, beside membership/rate_limit.py, which bounds pages by the same rule.

--- a/brackenladder/fleet/federation/decisions.py
+++ b/brackenladder/fleet/federation/decisions.py
@@ -28,6 +28,7 @@
 )
 from brackenladder.fleet.federation.records import Event, Freshness, Records
 from brackenladder.fleet.federation.settings import MAX_GROUP, FederationTiming, ZoneMembershipSettings
+from brackenladder.fleet.membership.rate_limit import RateLimit
 from brackenladder.fleet.membership.swim import Address, Claim
 
 Out = list[tuple[Address, FederationMessage]]
@@ -106,8 +107,7 @@
         self.counter = 0
         self.own: Summary | None = None
         self.own_made = now
-        self.answers_left = float(timing.answers_a_second)
-        self.answers_at = now
+        self.answer_limit = RateLimit(timing.answers_a_second, burst=timing.answers_a_second)
 
     # ---- facts ----------------------------------------------------------------------------------------
 
@@ -316,14 +316,10 @@
 
         Failure prevented: a whole zone that starts at once takes a gateway's processor.
         """
-        rate = self.timing.answers_a_second
-        self.answers_left = min(rate, self.answers_left + rate * (now - self.answers_at) / 1e6)
-        self.answers_at = now
-        if self.answers_left < 1:
-            self.counts["answers_refused"] += 1
-            return False
-        self.answers_left -= 1
-        return True
+        if self.answer_limit.take(now):
+            return True
+        self.counts["answers_refused"] += 1
+        return False
 
     # ---- what operators see ---------------------------------------------------------------------------
 
