Review: the body of a request that offers another protocol is dropped, first case

Cause: the parser reports a request with an Upgrade offer complete without its body, and it is forwarded so.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A client gets the body that a server made for another request, when a server answers twice."""
+"""A server gets an empty body where the client sent one, when the client offers another protocol."""
 
 from __future__ import annotations
 
@@ -15,92 +15,82 @@
 from standins import HOST, Agent, Message, Node, Record, Server, read_message, request, run_case  # noqa: E402
 
 LIMITS = {"cores": 1.0, "memory_mb": 80, "sockets": 512}
-SERVERS = 3
+SERVERS = 4
 CLIENTS = 4
-DURATION_S = 20.0
+REQUESTS = 25  # Of each client.
+PAUSE_S = 0.05
 BUDGET_MS = 2760
-WORK_S = (0.02, 0.06)
-# The disruption: this share of the answers comes a second time, so much later.
-SPOILT_SHARE = 0.02
-SECOND_ANSWER_DELAY_S = (0.004, 0.008)
+WORK_S = 0.05
+BODY_BYTES = (100, 4000)
+# The disruption: a client offers HTTP/2 with the first request of each connection, and does not insist on it.
+OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAEAAEAAAAIAAAABAAMAAABk\r\n"
 
 
 class Backend:
-    """The handler of all servers: a body names the request that it was made for."""
+    """The handler of all servers, which compares each request with what a client sent."""
 
-    def __init__(self, record: Record, trouble: bool) -> None:
+    def __init__(self, record: Record) -> None:
         self.record = record
-        self.rng = random.Random(7)
-        self.share = SPOILT_SHARE if trouble else 0.0
-        self.made: dict[str, bytes] = {}
-        self.second_answers = 0
-        self.later: set[asyncio.Task[None]] = set()
+        self.sent: dict[str, tuple[str, str, bytes]] = {}
+        self.sound = 0
+        self.altered = 0
 
     async def serve(self, server: Server, message: Message, writer: asyncio.StreamWriter) -> None:
-        """Answer a request after its work, and now and then a second time."""
-        number = message.headers["x-call-id"]
-        self.record.line(f"{server.name} got request {number}")
-        await asyncio.sleep(self.rng.uniform(*WORK_S))
-        body = f"tile for request {number} by {server.name}".encode()
-        self.made[number] = body
-        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
-        writer.write(answer)
-        self.record.line(f"{server.name} answered request {number}")
-        if self.rng.random() < self.share:
-            task = asyncio.create_task(self.answer_again(server, number, answer, writer))
-            self.later.add(task)
-            task.add_done_callback(self.later.discard)
-
-    async def answer_again(
-        self, server: Server, number: str, answer: bytes, writer: asyncio.StreamWriter
-    ) -> None:
-        """Send an answer a second time, some milliseconds late."""
-        await asyncio.sleep(self.rng.uniform(*SECOND_ANSWER_DELAY_S))
-        if not writer.is_closing():
-            self.second_answers += 1
-            writer.write(answer)
-            self.record.line(f"{server.name} answered request {number} a second time")
-
-
-class Client:
-    """A client that keeps its connection, and sends one request after the other."""
-
-    def __init__(self, index: int, port: int, backend: Backend, record: Record) -> None:
-        self.index = index
-        self.port = port
-        self.backend = backend
-        self.record = record
-        self.ends: Counter[str] = Counter()
-
-    async def run(self) -> None:
-        """Send requests until the time is over."""
-        until = time.monotonic() + DURATION_S
-        count = 0
-        while time.monotonic() < until:
-            reader, writer = await asyncio.open_connection(HOST, self.port)
-            try:
-                while time.monotonic() < until:
-                    count += 1
-                    await self.call(f"{(self.index + 1) << 20 | count:x}", reader, writer)
-            except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-                self.ends[type(error).__name__] += 1
-            finally:
-                writer.close()
-
-    async def call(self, number: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Send one request, and compare the body of its answer with what a server made for it."""
-        writer.write(request(f"/tile-get/{number}", number, BUDGET_MS))
-        answer = await asyncio.wait_for(read_message(reader), BUDGET_MS / 1000 + 1)
-        end = f"answered {answer.status}"
-        if answer.status == 200 and answer.body != self.backend.made.get(number):
-            end = "foreign answer"
-            self.record.line(f"request {number} got 200 with the body {answer.body.decode()!r}")
-        self.ends[end] += 1
+        """Answer a request after its work, and one that no client sent in this form with 400."""
+        number = message.headers.get("x-call-id", "")
+        form = (message.start, message.headers.get("idempotency-key", ""), message.body)
+        as_sent = self.sent.get(number) == form
+        self.record.line(
+            f"{server.name} got {message.start!r} {number}, {len(message.body)} bytes of body: "
+            + ("as sent" if as_sent else "no client sent this")
+        )
+        self.sound += as_sent
+        self.altered += not as_sent
+        await asyncio.sleep(WORK_S)
+        status = b"200 OK" if as_sent else b"400 Bad Request"
+        writer.write(b"HTTP/1.1 %b\r\nContent-Length: 2\r\n\r\nok" % status)
+
+
+async def run_client(
+    index: int, port: int, backend: Backend, record: Record, trouble: bool, ends: Counter[str]
+) -> None:
+    """Send requests one after the other; a connection is kept as long as the node keeps it."""
+    rng = random.Random(index)
+    writer: asyncio.StreamWriter | None = None
+    for count in range(REQUESTS):
+        number = f"{(index + 1) << 20 | count:x}"
+        body = rng.randbytes(rng.randrange(*BODY_BYTES))
+        target, key = f"/alert-set/{number}", f"{rng.getrandbits(128):032x}"
+        backend.sent[number] = (f"POST {target} HTTP/1.1", key, body)
+        data = request(target, number, BUDGET_MS, key, body)
+        if writer is None:
+            reader, writer = await asyncio.open_connection(HOST, port)
+            if trouble:
+                start, _, rest = data.partition(b"\r\n")
+                data = start + b"\r\n" + OFFER + rest
+        writer.write(data)
+        sent_at = time.monotonic()
+        try:
+            answer = await asyncio.wait_for(read_message(reader), BUDGET_MS / 1000 + 0.55)
+            end = f"answered {answer.status}"
+            closes = answer.headers.get("connection", "").lower() == "close"
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            end, closes = f"unanswered, {type(error).__name__}", True
+        ends[end] += 1
+        record.line(
+            f"request {number}, {len(body)} bytes of body: {end} after {time.monotonic() - sent_at:.3f} s"
+        )
+        if closes:
+            writer.close()
+            writer = None
+        await asyncio.sleep(PAUSE_S)
+    if writer is not None:
+        writer.close()
 
 
 async def play(record: Record, trouble: bool) -> bool:
-    """Play the clients, with second answers or without them."""
-    backend = Backend(record, trouble)
+    """Play the clients, with the offer or without it."""
+    backend = Backend(record)
     servers = [Server(f"s-{i}", 1, record, backend.serve) for i in range(SERVERS)]
     for server in servers:
         await server.start()
@@ -109,14 +99,15 @@
     node = Node(agent, LIMITS, record)
     try:
         await node.start()
-        clients = [Client(i, node.port, backend, record) for i in range(CLIENTS)]
-        await asyncio.gather(*(client.run() for client in clients))
-        ends = sum((client.ends for client in clients), Counter())
-        record.say(f"second answers sent: {backend.second_answers}")
+        ends = Counter[str]()
+        await asyncio.gather(
+            *(run_client(i, node.port, backend, record, trouble, ends) for i in range(CLIENTS))
+        )
         record.say(f"requests of clients: {dict(ends)}")
+        record.say(f"requests at servers: {backend.sound} as sent, {backend.altered} that no client sent")
     finally:
         node.stop()
-    return ends["foreign answer"] == 0
+    return backend.altered == 0
 
 
 run_case(FOLDER, play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,10 @@
-"""A node goes over its memory limit while peers stop in the middle of request bodies."""
+"""Requests of clients get no answer in time while a crowd of peers stops in the middle of request bodies."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -13,24 +13,25 @@
 
 from standins import HOST, Agent, Message, Node, Record, Server, read_message, request, run_case  # noqa: E402
 
-LIMITS = {"cores": 1.0, "memory_mb": 40, "sockets": 512}
+LIMITS = {"cores": 1.0, "memory_mb": 32, "sockets": 256}
 SERVERS = 3
 WORK_S = 0.1
-# The peers: this many are connected at a time, until PEERS_TOTAL have come.
-PEERS_AT_A_TIME = 500
-PEERS_TOTAL = 2000
+# The crowd: this many peers are connected at a time, until CROWD_TOTAL have come.
+CROWD_AT_A_TIME = 500
+CROWD_TOTAL = 2000
 PEER_PATIENCE_S = 20.0
-PEER_PAUSE_S = 0.2
-# Of a body of 64 KiB, the longest that PROTOCOL allows without the terms for long ones, a peer sends so much.
-PEER_BODY_BYTES = 65536
-PEER_SENT_BYTES = 60000
-PEER_HEADER_LINES = 100
-PEER_HEADER_BYTES = 64
-# The clients: one request after the other, each on a new connection.
-CLIENTS = 4
-DURATION_S = 20.0
-BUDGET_MS = 2760
-MEMORY_CHECK_S = 0.02
+# The clients: a request each CLIENT_INTERVAL_S on a new connection, from CLIENTS_FROM_S on.
+CLIENTS_FROM_S = 4.0
+CLIENT_REQUESTS = 60
+CLIENT_INTERVAL_S = 0.2
+BUDGET_MS = 2760  # 46% of the class's 6 s
+# STANDING: an answer up to half a second after the request's time only earns nothing; later it is lost.
+# PROTOCOL: each time limit gains 50 ms.
+LOST_AFTER_S = BUDGET_MS / 1000 + 0.5 + 0.05
+HALF_REQUEST = (
+    b"POST /alert-set HTTP/1.1\r\nHost: app.svc\r\nX-Call-Id: %x\r\nX-Budget-Ms: 2760\r\n"
+    b"Idempotency-Key: %032x\r\nContent-Length: 4000\r\n\r\n" + b"x" * 1000
+)
 
 
 async def serve(server: Server, message: Message, writer: asyncio.StreamWriter) -> None:
@@ -40,34 +41,20 @@
     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
 
-def half_request(number: int) -> bytes:
-    """Return the part of a request that a peer sends: the head, and most of the body."""
-    lines = [
-        "POST /alert-set HTTP/1.1",
-        "Host: app.svc",
-        f"X-Call-Id: {number:x}",
-        f"X-Budget-Ms: {BUDGET_MS}",
-        f"Idempotency-Key: {number:032x}",
-        f"Content-Length: {PEER_BODY_BYTES}",
-    ]
-    lines += [f"X-Note-{i}: {'n' * PEER_HEADER_BYTES}" for i in range(PEER_HEADER_LINES)]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + b"x" * PEER_SENT_BYTES
+class Crowd:
+    """Peers that connect, send a part of a request's body and stay until they get an error or a close."""
 
-
-class Peers:
-    """Peers that stop in the middle of a request, and stay until they get an error or a close."""
-
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, record: Record) -> None:
         self.port = port
+        self.record = record
         self.come = 0
         self.ends: Counter[str] = Counter()
 
     async def run(self) -> None:
-        """Play one peer after the other, until PEERS_TOTAL have come in all."""
-        while self.come < PEERS_TOTAL:
+        """Play one peer after the other, until CROWD_TOTAL have come in all."""
+        while self.come < CROWD_TOTAL:
             self.come += 1
             self.ends[await self.play_peer(0xC0000000 + self.come)] += 1
-            await asyncio.sleep(PEER_PAUSE_S)
 
     async def play_peer(self, number: int) -> str:
         """Play one peer, and return how it ended."""
@@ -76,7 +63,7 @@
         except OSError as error:
             return type(error).__name__
         try:
-            writer.write(half_request(number))
+            writer.write(HALF_REQUEST % (number, number))
             answer = await asyncio.wait_for(reader.read(64), PEER_PATIENCE_S)
         except (OSError, TimeoutError) as error:
             return type(error).__name__
@@ -85,64 +72,51 @@
         return answer[9:12].decode() or "closed"
 
 
-class Platform:
-    """The platform, which kills a node that uses more memory than its configuration states.
+class Clients:
+    """Clients that send each request on a new connection."""
 
-    It counts the private memory of the process alone (RssAnon). Shared libraries, files and the buffers of
-    sockets would only add to it.
-    """
-
-    def __init__(self, node: Node, record: Record) -> None:
-        self.node = node
+    def __init__(self, port: int, record: Record) -> None:
+        self.port = port
         self.record = record
-        self.limit_kib = int(LIMITS["memory_mb"]) * 1024
-        self.peak_kib = 0
-        self.killed = False
-
-    async def watch(self) -> None:
-        """Watch the memory of the node, and kill it over its limit."""
-        noted = 0
-        while not self.killed and self.node.process.poll() is None:
-            used = self.node.memory_kib()
-            self.peak_kib = max(self.peak_kib, used)
-            if used // 4096 != noted:
-                noted = used // 4096
-                self.record.line(f"memory of the node: {used / 1024:.1f} MB")
-            if used > self.limit_kib:
-                self.killed = True
-                self.node.process.send_signal(signal.SIGKILL)
-                self.record.say(f"the platform kills the node at {used / 1024:.1f} MB")
-            await asyncio.sleep(MEMORY_CHECK_S)
-
-
-async def run_client(index: int, port: int, record: Record, ends: Counter[str]) -> None:
-    """Send requests one after the other, until the time is over or the node is gone."""
-    loop = asyncio.get_running_loop()
-    until = loop.time() + DURATION_S
-    count = 0
-    while loop.time() < until:
-        count += 1
-        number = f"{(index + 1) << 20 | count:x}"
+        self.ends: Counter[str] = Counter()
+
+    async def run(self) -> None:
+        """Send all requests, and wait for the end of each."""
+        tasks = []
+        for number in range(CLIENT_REQUESTS):
+            tasks.append(asyncio.create_task(self.call(f"{0xA000 + number:x}")))
+            await asyncio.sleep(CLIENT_INTERVAL_S)
+        await asyncio.gather(*tasks)
+
+    async def call(self, number: str) -> None:
+        """Send one request, and record how it ended."""
         try:
-            reader, writer = await asyncio.open_connection(HOST, port)
+            reader, writer = await asyncio.open_connection(HOST, self.port)
         except OSError as error:
-            ends[f"not taken, {type(error).__name__}"] += 1
+            self.end(number, f"not taken, {type(error).__name__}", 0.0)
             return
+        writer.write(request("/tile-get/riga/7", number, BUDGET_MS))
+        sent_at = time.monotonic()
         try:
-            writer.write(request("/tile-get/riga/7", number, BUDGET_MS))
-            answer = await asyncio.wait_for(read_message(reader), BUDGET_MS / 1000 + 0.55)
+            answer = await asyncio.wait_for(read_message(reader), LOST_AFTER_S)
             end = f"answered {answer.status}"
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-            end = f"unanswered, {type(error).__name__}"
+        except TimeoutError:
+            end = "lost"
+        except (OSError, asyncio.IncompleteReadError):
+            # TERMS: no loss, where the node closes a connection before it has sent its first request on.
+            end = "closed unanswered"
         finally:
             writer.close()
-        ends[end] += 1
-        record.line(f"request {number}: {end}")
-        await asyncio.sleep(0.05)
+        self.end(number, end, time.monotonic() - sent_at)
+
+    def end(self, number: str, end: str, seconds: float) -> None:
+        """Record the end of a request."""
+        self.ends[end] += 1
+        self.record.line(f"request {number}: {end} after {seconds:.3f} s of {BUDGET_MS / 1000} s")
 
 
 async def play(record: Record, trouble: bool) -> bool:
-    """Play the clients, with the peers or without them."""
+    """Play the clients, with the crowd or without it."""
     servers = [Server(f"s-{i}", 1, record, serve) for i in range(SERVERS)]
     for server in servers:
         await server.start()
@@ -151,20 +125,20 @@
     node = Node(agent, LIMITS, record)
     try:
         await node.start()
-        platform, peers, ends = Platform(node, record), Peers(node.port), Counter[str]()
-        watch = asyncio.create_task(platform.watch())
-        crowd = [asyncio.create_task(peers.run()) for _ in range(PEERS_AT_A_TIME if trouble else 0)]
-        await asyncio.gather(*(run_client(i, node.port, record, ends) for i in range(CLIENTS)))
-        for task in (watch, *crowd):
-            task.cancel()
-        await asyncio.gather(watch, *crowd, return_exceptions=True)
-        record.say(f"peers: {peers.come} came, ends {dict(peers.ends)}")
-        record.say(f"requests of clients: {dict(ends)}")
-        record.say(f"most memory: {platform.peak_kib / 1024:.1f} MB of {LIMITS['memory_mb']} MB")
+        crowd, clients = Crowd(node.port, record), Clients(node.port, record)
+        peers = [asyncio.create_task(crowd.run()) for _ in range(CROWD_AT_A_TIME if trouble else 0)]
+        await asyncio.sleep(CLIENTS_FROM_S)
+        await clients.run()
+        for peer in peers:
+            peer.cancel()
+        await asyncio.gather(*peers, return_exceptions=True)
+        record.say(f"peers of the crowd: {crowd.come} came, ends {dict(crowd.ends)}")
+        record.say(f"requests of clients: {dict(clients.ends)}")
+        record.say(f"node's process: {'running' if node.process.poll() is None else 'ended'}")
         record.line("end of the node's log:\n" + node.log()[-1500:])
     finally:
         node.stop()
-    return not platform.killed
+    return clients.ends["lost"] == 0
 
 
 run_case(FOLDER, play)
