--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""Requests of clients get no answer in time while a crowd of peers stops in the middle of request bodies."""
+"""A server reads a long body slowly; the request has to get its final answer while its client waits."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
 import time
 from collections import Counter
@@ -11,114 +12,102 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins import HOST, Agent, CaseError, Message, Node, Record, Server, read_message, request, run_case  # noqa: E402
-
-LIMITS = {"cores": 1.0, "memory_mb": 32, "sockets": 256}
-SERVERS = 3
-WORK_S = 0.1
-# The crowd: this many peers are connected at a time, until CROWD_TOTAL have come.
-CROWD_AT_A_TIME = 500
-CROWD_TOTAL = 2000
-PEER_PATIENCE_S = 20.0
-# The clients: a request each CLIENT_INTERVAL_S on a new connection, from CLIENTS_FROM_S on.
-CLIENTS_FROM_S = 4.0
-CLIENT_REQUESTS = 60
-CLIENT_INTERVAL_S = 0.2
-BUDGET_MS = 2760  # 46% of the class's 6 s
-# STANDING: an answer up to half a second after the request's time only earns nothing; later it is lost.
-# PROTOCOL: each time limit gains 50 ms.
-LOST_AFTER_S = BUDGET_MS / 1000 + 0.5 + 0.05
-HALF_REQUEST = (
-    b"POST /alert-set HTTP/1.1\r\nHost: app.svc\r\nX-Call-Id: %x\r\nX-Budget-Ms: 2760\r\n"
-    b"Idempotency-Key: %032x\r\nContent-Length: 4000\r\n\r\n" + b"x" * 1000
-)
-
-
-async def serve(server: Server, message: Message, writer: asyncio.StreamWriter) -> None:
-    """Answer a request after its work."""
-    await asyncio.sleep(WORK_S)
-    body = b"made for " + message.headers["x-call-id"].encode()
-    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
-
-
-class Crowd:
-    """Peers that connect, send a part of a request's body and stay until they get an error or a close."""
-
-    def __init__(self, port: int, record: Record) -> None:
-        self.port = port
-        self.record = record
-        self.come = 0
-        self.ends: Counter[str] = Counter()
-
-    async def run(self) -> None:
-        """Play one peer after the other, until CROWD_TOTAL have come in all."""
-        while self.come < CROWD_TOTAL:
-            self.come += 1
-            self.ends[await self.play_peer(0xC0000000 + self.come)] += 1
-
-    async def play_peer(self, number: int) -> str:
-        """Play one peer, and return how it ended."""
+from standins import HOST, Agent, CaseError, Message, Node, Record, Server, request, run_case  # noqa: E402
+
+LIMITS = {"cores": 1.0, "memory_mb": 80, "sockets": 512}
+SERVERS = 4
+CLIENTS = 4
+BODY_BYTES = 6_000_000
+BUDGET_MS = 2500
+# Up to half a second after its time an answer only earns nothing; later it is lost. Each limit gains 50 ms.
+SLACK_S = 0.55
+# Time that a client stays, to see when its answer comes.
+WATCH_S = 30.0
+# The disruption: each server reads a body at this many bytes a second, not as fast as it can.
+READ_RATE = 1_000_000
+PIECE_BYTES = 6400
+# Receive buffer of a server's connection, so that its machine does not take the body that it has not read.
+RECEIVE_BUFFER_BYTES = 1 << 16
+
+
+class SlowServer(Server):
+    """A server that reads the bodies of requests at a bounded rate, and answers as soon as it has one."""
+
+    def __init__(self, name: str, record: Record, trouble: bool) -> None:
+        super().__init__(name, 1, record, self.answer)
+        self.trouble = trouble
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.bind((HOST, 0))
+        self.server = await asyncio.start_server(self.serve, sock=listener, limit=1 << 14)
+        self.port = listener.getsockname()[1]
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve the requests of one connection, one after the other."""
+        number = "none"
         try:
-            reader, writer = await asyncio.open_connection(HOST, self.port)
-        except OSError as error:
-            return type(error).__name__
-        try:
-            writer.write(HALF_REQUEST % (number, number))
-            answer = await asyncio.wait_for(reader.read(64), PEER_PATIENCE_S)
-        except (OSError, TimeoutError) as error:
-            return type(error).__name__
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                start, *lines = head[:-4].split("\r\n")
+                pairs = (line.partition(":") for line in lines)
+                headers = {name.lower(): value.strip() for name, _, value in pairs}
+                number = headers["x-call-id"]
+                self.record.line(f"{self.name} begins to read the body of request {number}")
+                body = await self.read_body(reader, int(headers["content-length"]))
+                self.record.line(f"{self.name} has request {number} whole")
+                await self.handler(self, Message(start, headers, body), writer)
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError) as error:
+            self.record.line(
+                f"{self.name}: the connection ended ({type(error).__name__}), last request {number}"
+            )
         finally:
             writer.close()
-        return answer[9:12].decode() or "closed"
-
-
-class Clients:
-    """Clients that send each request on a new connection."""
-
-    def __init__(self, port: int, record: Record) -> None:
-        self.port = port
-        self.record = record
-        self.ends: Counter[str] = Counter()
-
-    async def run(self) -> None:
-        """Send all requests, and wait for the end of each."""
-        tasks = []
-        for number in range(CLIENT_REQUESTS):
-            tasks.append(asyncio.create_task(self.call(f"{0xA000 + number:x}")))
-            await asyncio.sleep(CLIENT_INTERVAL_S)
-        await asyncio.gather(*tasks)
 
-    async def call(self, number: str) -> None:
-        """Send one request, and record how it ended."""
-        try:
-            reader, writer = await asyncio.open_connection(HOST, self.port)
-        except OSError as error:
-            self.record.line(f"request {number}: {type(error).__name__} at the connect")
-            self.end(number, "not taken", 0.0)
-            return
-        writer.write(request("/tile-get/riga/7", number, BUDGET_MS))
+    async def read_body(self, reader: asyncio.StreamReader, size: int) -> bytes:
+        """Read a body of this size, at READ_RATE if there is trouble."""
+        started_at, body = time.monotonic(), bytearray()
+        while len(body) < size:
+            body += await reader.readexactly(min(PIECE_BYTES, size - len(body)))
+            if self.trouble:
+                await asyncio.sleep(started_at + len(body) / READ_RATE - time.monotonic())
+        return bytes(body)
+
+    async def answer(self, server: Server, message: Message, writer: asyncio.StreamWriter) -> None:
+        """Answer a request that has come whole."""
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
+def call(index: int, port: int, record: Record) -> str:
+    """Send one request, and return how it ended: its status if it was answered in time."""
+    number = f"{(index + 1) << 20:x}"
+    data = request(f"/alert-set/{number}", number, BUDGET_MS, f"{index:032x}", b"x" * BODY_BYTES)
+    answer = b""
+    with socket.create_connection((HOST, port)) as connection:
+        started_at = time.monotonic()
+        connection.sendall(data)
         sent_at = time.monotonic()
+        record.line(f"request {number}: its last byte was written after {sent_at - started_at:.3f} s")
         try:
-            answer = await asyncio.wait_for(read_message(reader), LOST_AFTER_S)
-            end = f"answered {answer.status}"
-        except TimeoutError:
-            end = "lost"
-        except (OSError, asyncio.IncompleteReadError):
-            # TERMS: no loss, where the node closes a connection before it has sent its first request on.
-            end = "closed unanswered"
-        finally:
-            writer.close()
-        self.end(number, end, time.monotonic() - sent_at)
-
-    def end(self, number: str, end: str, seconds: float) -> None:
-        """Record the end of a request."""
-        self.ends[end] += 1
-        self.record.line(f"request {number}: {end} after {seconds:.3f} s of {BUDGET_MS / 1000} s")
+            while b"\r\n\r\n" not in answer:
+                connection.settimeout(max(0.01, sent_at + WATCH_S - time.monotonic()))
+                if not (piece := connection.recv(65536)):
+                    break
+                answer += piece
+        except OSError as error:
+            record.line(f"request {number}: {type(error).__name__}")
+    waited = time.monotonic() - sent_at
+    status = answer.partition(b"\r\n")[0].decode() or "no answer"
+    record.line(f"request {number}: {status} {waited:.3f} s after its last byte")
+    in_time = b"\r\n\r\n" in answer and waited <= BUDGET_MS / 1000 + SLACK_S
+    return f"answered {status.split()[1]} in time" if in_time else "lost"
 
 
 async def play(record: Record, trouble: bool) -> bool:
-    """Play the clients, with the crowd or without it."""
-    servers = [Server(f"s-{i}", 1, record, serve) for i in range(SERVERS)]
+    """Play the clients, with slow readers or quick ones."""
+    servers = [SlowServer(f"s-{i}", record, trouble) for i in range(SERVERS)]
     for server in servers:
         await server.start()
     agent = Agent([server.entry() for server in servers])
@@ -126,22 +115,14 @@
     node = Node(agent, LIMITS, record)
     try:
         await node.start()
-        crowd, clients = Crowd(node.port, record), Clients(node.port, record)
-        peers = [asyncio.create_task(crowd.run()) for _ in range(CROWD_AT_A_TIME if trouble else 0)]
-        await asyncio.sleep(CLIENTS_FROM_S)
-        await clients.run()
-        for peer in peers:
-            peer.cancel()
-        await asyncio.gather(*peers, return_exceptions=True)
-        record.say(f"peers of the crowd: {crowd.come} came, ends {dict(crowd.ends)}")
-        record.say(f"requests of clients: {dict(clients.ends)}")
-        record.say(f"node's process: {'running' if node.process.poll() is None else 'ended'}")
-        if node.process.poll() is not None or not any(end != "not taken" for end in clients.ends):
-            raise CaseError("the node ended, or no request was taken")
-        record.line("end of the node's log:\n" + node.log()[-1500:])
+        calls = [asyncio.to_thread(call, i, node.port, record) for i in range(CLIENTS)]
+        ends = Counter(await asyncio.gather(*calls))
+        record.say(f"requests of clients: {dict(ends)}")
+        if not trouble and ends["answered 200 in time"] != CLIENTS:
+            raise CaseError("not all requests are served without the disruption")
     finally:
         node.stop()
-    return clients.ends["lost"] == 0
+    return not ends["lost"]
 
 
 run_case(FOLDER, play)
