Forward the body of a request that offers another protocol

Cause: httptools reports such a message as complete at the end of its head and then raises HttpParserUpgrade; RequestParser.on_message_complete passed the request on, and ClientConnection.on_upgrade_offered dropped the body. Evidence: the parser alone, fed with a head, `Content-Length: 5` and `hello`, calls on_headers_complete, on_message_complete and raises HttpParserUpgrade with the offset of the body, chunked likewise; without the offer it calls on_body first. Change: a second parser, fed with the request's framing headers and no offer, parses the body, so every limit and deadline of a request holds for it. Requests that were pipelined before the offer keep their responses: the offer marked all of them as last on their connection. Why it works: no request is passed on before a parser that takes the body has reported the end of the message.

--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -165,16 +165,6 @@
         if self.input_state is InputState.OPEN:
             self.input_state = InputState.STOPPED
 
-    def on_upgrade_offered(self) -> None:
-        """Ignore the offer of another protocol, and close the connection after the responses that are due.
-
-        The parser processes no bytes that follow an offer of another protocol.
-        """
-        self.stop_reading()
-        for message in (self.current_request, *self.pipelined):
-            if message is not None:
-                message.keep_alive = False
-
     def on_head_complete(self, message: ClientRequest) -> None:
         """Ask the client for the body if it waits for `100 Continue` and no earlier request is open."""
         if self.current_request is None and not self.pipelined:
--- a/balancer/net/downstream/request_parser.py
+++ b/balancer/net/downstream/request_parser.py
@@ -27,9 +27,6 @@
     def reject(self, status: int) -> None:
         """Reject the partial request, which is invalid, and stop reading."""
 
-    def on_upgrade_offered(self) -> None:
-        """Handle an offer of another protocol; the parser processes nothing that follows it."""
-
     def on_head_complete(self, message: ClientRequest) -> None:
         """Handle a valid head of a request whose body is not known to be too long to buffer."""
 
@@ -37,9 +34,24 @@
         """Let the client send more of a streamed body."""
 
 
+class BodyEvents:
+    """The parser callbacks that concern a request's body; those of its head are ignored.
+
+    Args:
+        parser: Receives the callbacks.
+    """
+
+    def __init__(self, parser: RequestParser) -> None:
+        self.on_body = parser.on_body
+        self.on_message_complete = parser.on_message_complete
+
+
 class RequestParser:
     """Parses the requests of one connection; httptools calls its `on_...` methods.
 
+    Offers of another protocol (`Upgrade`, RFC 9110, 7.8) are ignored: the request is handled under HTTP/1.1,
+    and the connection is closed after its response.
+
     Args:
         receiver: Receives the parsed requests.
         deadline: The read deadline, which follows the progress of the partial request.
@@ -62,9 +74,7 @@
         """
         partial, body_bytes = self.partial_request, self.deadline.body_bytes
         try:
-            self.http_parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.receiver.on_upgrade_offered()
+            self.feed_http_parser(data)
         except httptools.HttpParserError:
             self.receiver.reject(400)
         if self.partial_request is None or self.receiver.reading_stopped:
@@ -78,6 +88,22 @@
         if self.bytes_without_body > MAX_HEAD_BYTES:
             self.receiver.reject(431)
 
+    def feed_http_parser(self, data: bytes) -> None:
+        """Parse a slice of bytes, and continue under HTTP/1.1 after an offer of another protocol.
+
+        Raises:
+            HttpParserError: The bytes are no valid request.
+        """
+        try:
+            self.http_parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            if self.partial_request is None:
+                return  # The request was rejected by its head.
+            (head_end,) = upgrade.args
+            self.http_parser = httptools.HttpRequestParser(BodyEvents(self))
+            self.http_parser.feed_data(framing_head(self.partial_request))
+            self.http_parser.feed_data(data[head_end:])
+
     def drop_partial(self) -> ClientRequest | None:
         """Discard the partial request, and return it."""
         partial, self.partial_request = self.partial_request, None
@@ -125,7 +151,7 @@
             return
         message.method = self.http_parser.get_method()
         message.version = self.http_parser.get_http_version()
-        message.keep_alive = self.http_parser.should_keep_alive()
+        message.keep_alive = self.http_parser.should_keep_alive() and not self.http_parser.should_upgrade()
         message.expects_continue = b"expect" in message.headers and message.version == "1.1"
         message.size = len(message.target) + sum(len(n) + len(v) for _, n, v in message.header_lines)
         self.deadline.start_body()
@@ -165,7 +191,13 @@
             self.stream_body(message, None)
 
     def on_message_complete(self) -> None:
-        """Pass on the complete request, or end its streamed body if the request was passed on before."""
+        """Pass on the complete request, or end its streamed body if the request was passed on before.
+
+        After an offer of another protocol, httptools calls this method at the end of the head. The body, if
+        any, is still to come, and the parser of that body calls this method at its end.
+        """
+        if self.http_parser.should_upgrade():
+            return
         message = self.drop_partial()
         self.deadline.clear()
         if message is None or self.receiver.reading_stopped:
@@ -175,3 +207,16 @@
         else:
             message.size += len(message.body)
             self.receiver.enqueue(message)
+
+
+def framing_head(message: ClientRequest) -> bytes:
+    """Return a head with the framing of the message's body, and without an offer of another protocol.
+
+    A parser that has been fed with this head parses the message's body, and rejects what follows the message.
+    """
+    framing = [
+        b"%b: %b\r\n" % (name, value)
+        for key, name, value in message.header_lines
+        if key in (b"content-length", b"transfer-encoding")
+    ]
+    return b"POST / HTTP/1.1\r\nConnection: close\r\n" + b"".join(framing) + b"\r\n"
