--- a/tests/test_emulator_http.py
+++ b/tests/test_emulator_http.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from workbench.emulator.http import ClientConnection, ConnectionPool, Response
+from workbench.emulator.http import ClientConnection, ConnectionPool, Request, Response, ServerConnection
 
 EARLY_RESPONSE = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 REQUEST = b"GET / HTTP/1.1\r\nHost: node\r\n\r\n"
@@ -113,3 +113,28 @@
     assert asyncio.run(receive_response_with_trailing_bytes()).aborted
     assert [response.status for response in responses] == [503]
     assert idle_connections == []
+
+
+class RecordingServerConnection(ServerConnection):
+    """Records the requests that a server handles."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requests: list[Request] = []
+
+    def on_request(self, request: Request) -> None:
+        self.requests.append(request)
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: 4\r\n\r\nbody", b"Transfer-Encoding: chunked\r\n\r\n"])
+def test_server_does_not_handle_upgrade_offer_without_its_body(framing: bytes) -> None:
+    """Guards against an emulated server that handles a request whose body it has not received."""
+
+    async def scenario() -> None:
+        connection = RecordingServerConnection()
+        transport = RecordingTransport(connection)
+        connection.connection_made(transport)
+        connection.feed(b"POST / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n" + framing)
+        assert transport.aborted and not connection.requests
+
+    asyncio.run(scenario())
--- a/workbench/emulator/http.py
+++ b/workbench/emulator/http.py
@@ -136,7 +136,13 @@
         self.request.body += body
 
     def on_message_complete(self) -> None:
-        """Pass the complete request to `on_request` and start the next one (callback of the parser)."""
+        """Pass the complete request to `on_request` and start the next one (callback of the parser).
+
+        The parser ends a request that offers another protocol at its head. Such a request is not handled,
+        because its body is missing; `feed` aborts the connection.
+        """
+        if self.parser.should_upgrade():
+            return
         self.request.method = self.parser.get_method()
         self.on_request(self.request)
         self.request = Request()
