Discovery: wait for responses that stall, beside a second call

Cause: DiscoveryClient gave a whole call its wait and 1 s, or 2 s for a full list, not renewed by bytes; at the timeout the half list was thrown away, and the next call met the same stall with the same time. Evidence: in the record of the case each next call begins 0.4 to 0.7 s before the response of the one before is whole, and the node's log has one "list failed" for each. On virtual time the same holds for the first list, the full list and a new address after SIGHUP, pushed and asked for. Change: a call fails at its timeout only if discovery is silent. Why it works: if all responses are slow, the first call brings the change; if its connection is dead or its bytes never end, the second one does, within 6 s of the change and 4 s of SIGHUP. There are at most two calls, and no more in a time than a silent discovery service gets.

--- a/balancer/net/discovery/call.py
+++ b/balancer/net/discovery/call.py
@@ -29,6 +29,8 @@
         address: The host and port of discovery.
         on_response: Called with this object and the body of each response. Called once with None when a call
             has failed; no further call can be made then.
+        on_stalled: Called with this object when a response has begun but is incomplete at the call's timeout.
+            It must call `extend`.
     """
 
     def __init__(
@@ -36,10 +38,12 @@
         loop: asyncio.AbstractEventLoop,
         address: tuple[str, int],
         on_response: Callable[[DiscoveryCall, bytes | None], None],
+        on_stalled: Callable[[DiscoveryCall], None],
     ) -> None:
         self.loop = loop
         self.address = address
         self.on_response = on_response
+        self.on_stalled = on_stalled
         self.transport: asyncio.Transport | None = None
         self.ended = False
         self.timer: asyncio.TimerHandle | None = None
@@ -48,7 +52,8 @@
     def get(self, path: str, timeout: float) -> None:
         """Request a path of the discovery service with GET.
 
-        The call fails unless the response is complete `timeout` seconds after the request is written.
+        The call fails unless the response has begun `timeout` seconds after the request is written. If the
+        response is incomplete then, `on_stalled` is called.
         """
         host = f"{self.address[0]}:{self.address[1]}"
         self.request = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
@@ -56,10 +61,11 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body = b""
         self.received_bytes = 0
+        self.has_stalled = False
         self.stage = ResponseStage.HEAD
         self.has_length = False  # Whether the response has a Content-Length or Transfer-Encoding header.
         if self.transport is None:
-            self.set_timeout(CONNECT_TIMEOUT_S)
+            self.set_timer(CONNECT_TIMEOUT_S, self.fail)
             self.task = self.loop.create_task(self.connect())
         else:
             self.write()
@@ -81,15 +87,31 @@
 
     def write(self) -> None:
         """Send the pending request and start the timeout of its response."""
-        self.set_timeout(self.timeout)
+        self.set_timer(self.timeout, self.on_timeout)
         assert self.transport is not None
         self.transport.write(self.request)
 
-    def set_timeout(self, timeout: float) -> None:
-        """Restart the timer that fails the call after this many seconds."""
+    def on_timeout(self) -> None:
+        """Fail the call if discovery is silent; report a response that has begun as stalled."""
+        if self.received_bytes:
+            self.has_stalled = True
+            self.on_stalled(self)
+        else:
+            self.fail()
+
+    def extend(self, duration: float) -> None:
+        """Fail the call unless its stalled response is complete after this many seconds."""
+        self.set_timer(duration, self.fail)
+
+    def set_timer(self, duration: float, on_expired: Callable[[], None]) -> None:
+        """Replace the timer of the call by one of this many seconds."""
+        self.cancel_timer()
+        self.timer = self.loop.call_later(duration, on_expired)
+
+    def cancel_timer(self) -> None:
+        """Cancel the timer of the call, if any."""
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.loop.call_later(timeout, self.fail)
 
     def data_received(self, data: bytes) -> None:
         """Parse the response; fail the call if it is malformed or too large."""
@@ -110,6 +132,7 @@
         if self.parser.get_status_code() != 200:
             self.fail()
             return
+        self.cancel_timer()
         if not self.keep_alive:
             self.disconnect()
         self.on_response(self, self.body)
@@ -171,8 +194,7 @@
     def end(self) -> None:
         """End all calls on this object, without a report to `on_response`, and close the connection."""
         self.ended = True
-        if self.timer is not None:
-            self.timer.cancel()
+        self.cancel_timer()
         if self.task is not None:
             self.task.cancel()
         self.disconnect()
--- a/balancer/net/discovery/client.py
+++ b/balancer/net/discovery/client.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from random import Random
 
-from balancer.net.discovery.call import DiscoveryCall
+from balancer.net.discovery.hedged_call import HedgedCall
 from balancer.net.discovery.server_list import ServerList, parse_server_list
 from balancer.net.process.log import Log
 from balancer.policy.interface import ListKind
@@ -19,7 +19,7 @@
 MAX_WATCH_MS = 1_000  # The longest time that discovery lets a watch wait for a change.
 # The wait of each watch is shortened by up to this ratio, so that nodes do not poll in step.
 WATCH_JITTER_RATIO = 0.25
-RESPONSE_TIMEOUT_S = 1.0  # A watch fails this long after the end of its wait.
+RESPONSE_TIMEOUT_S = 1.0  # A watch fails this long after the end of its wait, unless its response has begun.
 # Equal to the longest time that a watch may go without a response: its wait and RESPONSE_TIMEOUT_S.
 FETCH_TIMEOUT_S = 2.0
 # Discovery counts as restarted after this many consecutive responses older than the current list.
@@ -37,7 +37,7 @@
         version: The version of the server list that the node starts with; 0 if it has none.
         on_list: Called with each full list or change of the list, before the watch is renewed. Called with
             None when a watch or a fetch has failed.
-        log: The log for responses that cannot be used.
+        log: The log for responses that cannot be used or that stall.
         rng: The random number generator for the jitter of watches.
     """
 
@@ -58,20 +58,20 @@
         self.log = log
         self.watch_enabled = False  # Stays True between a failed watch and its reopening.
         self.outdated_responses = 0  # Consecutive responses older than the current list.
-        self.watch_call: DiscoveryCall | None = None
-        self.fetch_call: DiscoveryCall | None = None
+        self.watch_call: HedgedCall | None = None
+        self.fetch_call: HedgedCall | None = None
 
     def watch(self, enabled: bool) -> None:
         """Start the watch if `enabled`, unless it is open already; otherwise stop it."""
         self.watch_enabled = enabled
         if enabled and self.watch_call is None:
-            self.watch_call = DiscoveryCall(self.loop, self.address, self.on_watch_response)
+            self.watch_call = self.new_call(self.on_watch_response)
             self.send_watch(self.watch_call)
         elif not enabled and self.watch_call is not None:
             self.watch_call.end()
             self.watch_call = None
 
-    def send_watch(self, call: DiscoveryCall) -> None:
+    def send_watch(self, call: HedgedCall) -> None:
         """Make the next call of a watch.
 
         The wait for a change is short, because a discovery service that does not respond is noticed only
@@ -80,7 +80,7 @@
         wait = int(MAX_WATCH_MS * (1 - WATCH_JITTER_RATIO * self.rng.random()))
         call.get(f"/v1/endpoints?since={self.version}&timeout_ms={wait}", wait / 1000 + RESPONSE_TIMEOUT_S)
 
-    def on_watch_response(self, call: DiscoveryCall, body: bytes | None) -> None:
+    def on_watch_response(self, call: HedgedCall, body: bytes | None) -> None:
         """Pass the list of a watch's response to `on_list` and renew the watch.
 
         After a failure the watch ends and `on_list` gets None.
@@ -115,25 +115,35 @@
     def fetch(self) -> None:
         """Request the full list, unless a fetch is already in flight."""
         if self.fetch_call is None:
-            self.fetch_call = DiscoveryCall(self.loop, self.address, self.on_fetch_response)
+            self.fetch_call = self.new_call(self.on_fetch_response)
             self.fetch_call.get("/v1/endpoints", FETCH_TIMEOUT_S)
 
-    def on_fetch_response(self, call: DiscoveryCall, body: bytes | None) -> None:
+    def on_fetch_response(self, call: HedgedCall, body: bytes | None) -> None:
         """Pass the full list, or None for a failure, to `on_list`."""
         call.end()
         self.fetch_call = None
         self.on_list(self.parse(body))
 
-    def parse(self, body: bytes | None) -> ServerList | None:
-        """Return the list in the body of a response; None if the call failed or the body is invalid."""
-        if body is None:
-            return None
+    def new_call(self, on_response: Callable[[HedgedCall, bytes | None], None]) -> HedgedCall:
+        """Return an object for calls to the current address."""
+        return HedgedCall(self.loop, self.address, on_response, self.is_usable, self.log)
+
+    def is_usable(self, body: bytes) -> bool:
+        """Return whether the body of a response states a valid list."""
+        return self.decode(body) is not None
+
+    def decode(self, body: bytes) -> ServerList | None:
+        """Return the list in the body of a response, or None if the body is invalid."""
         try:
-            server_list = parse_server_list(json.loads(body))
+            return parse_server_list(json.loads(body))
         except (ValueError, RecursionError) as e:
             self.log.line(f"discovery: answer dropped: {e}")
             return None
-        return self.accept_version(server_list)
+
+    def parse(self, body: bytes | None) -> ServerList | None:
+        """Return the list in the body of a response; None if the call failed or the body is invalid."""
+        server_list = None if body is None else self.decode(body)
+        return None if server_list is None else self.accept_version(server_list)
 
     def accept_version(self, server_list: ServerList) -> ServerList:
         """Return the received list, or an empty change if that list is older than the current one.
--- a/tests/test_discovery_delays.py
+++ b/tests/test_discovery_delays.py
@@ -6,19 +6,14 @@
 
 import pytest
 from loopback import (
-    SECOND_US,
     Bench,
     Server,
-    node_config,
     run_scenario,
-    settings,
     wait_until,
 )
-from virtual_time import FAULTS, REQUEST_FAULTS, FakeDiscovery, VirtualTimeLoop, list_response
+from virtual_time import FAULTS, REQUEST_FAULTS, FakeDiscovery, VirtualTimeLoop, list_response, start_node
 
-from balancer.net.config import read
 from balancer.net.discovery import client as node_discovery
-from balancer.net.node import Node
 
 # The time limit for a change, from when discovery has it and can be reached.
 MAX_DELAY_S = 6.0
@@ -32,20 +27,6 @@
     monkeypatch.setattr(node_discovery, "MAX_WATCH_MS", production_max_watch_ms)
 
 
-def start_node(loop, mode, known=True):
-    """Start a node with its discovery at port 1."""
-    rules = settings()["rules"] | {"ask_within": 100 * SECOND_US}
-    table = node_config(1, settings(discovery=mode, rules=rules))
-    table["known"] = table["known"] | {"version": 41} if known else None
-    node = Node(read(table | {"discovery": "10.0.0.9:1"}), loop)
-    node.event_queue.post(node.balancer.start)
-    if node.config.cached_list is not None:
-        node.server_registry.on_list(node.config.cached_list)
-    if mode == "push":
-        node.discovery.watch(True)
-    return node
-
-
 def time_of_version(loop, node, version, limit):
     """Return the loop time at which the node has this version and serves; fail at the limit."""
 
--- /dev/null
+++ b/tests/test_discovery_stalls.py
@@ -0,0 +1,361 @@
+"""Responses of discovery that begin and then stall: the node still learns of each change in time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from random import Random
+from typing import Any
+
+import pytest
+from virtual_time import Connected, FakeConnection, FakeDiscovery, VirtualTimeLoop, list_response, start_node
+
+from balancer.net.discovery import client as node_discovery
+from balancer.net.node import Node
+
+# The time limit for a change, from when discovery has it and can be reached.
+MAX_DELAY_S = 6.0
+# The time limit for a change at a new address, from the SIGHUP.
+MAX_DELAY_AFTER_RELOAD_S = 4.0
+# Time for which a node watches an unchanged list before a test changes it.
+CALM_S = 5.0
+# The shortest wait of a watch and RESPONSE_TIMEOUT_S: a silent discovery service gets a call each such time.
+SHORTEST_SILENT_CALL_S = 1.75
+MODES = ["push", "ask"]
+INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+ENDLESS = b"HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n"
+
+
+@pytest.fixture(autouse=True)
+def production_watch(monkeypatch: pytest.MonkeyPatch, production_max_watch_ms: int) -> None:
+    """Restore the production watch time, which `conftest.py` extends for the other tests."""
+    monkeypatch.setattr(node_discovery, "MAX_WATCH_MS", production_max_watch_ms)
+
+
+def run_until(loop: VirtualTimeLoop, condition: Callable[[], bool], deadline: float) -> None:
+    """Run the loop until the condition holds, and fail at the deadline."""
+
+    async def wait() -> None:
+        while not condition():
+            assert loop.time() < deadline, "too late"
+            await asyncio.sleep(0.02)
+
+    loop.run_until_complete(wait())
+
+
+def run_until_version(loop: VirtualTimeLoop, node: Node, version: int, deadline: float) -> None:
+    """Run the loop until the node has this version of the list, and fail at the deadline."""
+    run_until(loop, lambda: node.discovery.version == version, deadline)
+
+
+# How the bytes of a response arrive: pairs of a piece and its time, as a fraction of the response's duration.
+Pieces = Iterator[tuple[bytes, float]]
+
+
+def stops_in_head(data: bytes) -> Pieces:
+    yield data[:20], 0.0
+    yield data[20:], 1.0
+
+
+def stops_after_head(data: bytes) -> Pieces:
+    head_end = data.index(b"\r\n\r\n") + 4
+    yield data[:head_end], 0.0
+    yield data[head_end:], 1.0
+
+
+def stops_before_last_byte(data: bytes) -> Pieces:
+    yield data[:-1], 0.0
+    yield data[-1:], 1.0
+
+
+def stops_after_interim_response(data: bytes) -> Pieces:
+    yield INTERIM, 0.0
+    yield data, 1.0
+
+
+def arrives_byte_by_byte(data: bytes) -> Pieces:
+    for index in range(len(data)):
+        yield data[index : index + 1], index / (len(data) - 1)
+
+
+DELIVERIES = [
+    stops_in_head,
+    stops_after_head,
+    stops_before_last_byte,
+    stops_after_interim_response,
+    arrives_byte_by_byte,
+]
+
+
+class StallingDiscovery(FakeDiscovery):
+    """Discovery with version 41 and then 42, whose responses with version 42 last for some time.
+
+    Args:
+        deliver: How the bytes of a response arrive.
+        duration_s: The time from a request to the end of its response.
+        changed_at: The time at which the list changes to version 42.
+        slow_requests: How many requests for version 42 get such a response; the others get one at once.
+    """
+
+    def __init__(
+        self,
+        deliver: Callable[[bytes], Pieces],
+        duration_s: float,
+        changed_at: float,
+        slow_requests: float = float("inf"),
+    ) -> None:
+        super().__init__("none", 0)
+        self.deliver = deliver
+        self.duration_s = duration_s
+        self.changed_at = changed_at
+        self.slow_requests = slow_requests
+        self.connections: list[FakeConnection] = []
+        self.request_times: list[float] = []
+        self.most_connections = 0
+
+    def open_connections(self) -> int:
+        """Return the number of connections that the node has not closed."""
+        return sum(not connection.closed for connection in self.connections)
+
+    async def connect(self, loop: VirtualTimeLoop, protocol: Any) -> Connected:
+        """Establish and record a connection."""
+        connected = await super().connect(loop, protocol)
+        self.connections.append(connected[0])
+        self.most_connections = max(self.most_connections, self.open_connections())
+        return connected
+
+    def request_received(self, connection: FakeConnection, data: bytes) -> None:
+        """Respond with the list that the node lacks once it exists, and otherwise after the wait."""
+        loop = connection.loop
+        requested_at = loop.time()
+        self.request_times.append(requested_at)
+        query = data.split(b" ")[1]
+        has_current = b"since=42&" in query
+        has_previous = b"since=41&" in query
+        wait = int(query.rpartition(b"timeout_ms=")[2] or b"0") / 1000
+        if has_current or (has_previous and requested_at + wait < self.changed_at):
+            version = 42 if has_current else 41
+            loop.call_later(wait, connection.deliver, list_response(version, full=False, state="ready"))
+        elif requested_at < self.changed_at and not has_previous:
+            connection.deliver(list_response(41, state="ready"))
+        else:
+            loop.call_at(max(requested_at, self.changed_at), self.respond, connection, requested_at)
+
+    def respond(self, connection: FakeConnection, requested_at: float) -> None:
+        """Begin the response with version 42."""
+        loop = connection.loop
+        response = list_response(42)
+        if self.slow_requests <= 0:
+            connection.deliver(response)
+            return
+        self.slow_requests -= 1
+        remaining_s = max(0.0, requested_at + self.duration_s - loop.time())
+        for piece, fraction in self.deliver(response):
+            loop.call_later(fraction * remaining_s, connection.deliver, piece)
+
+
+def never_ends(data: bytes) -> Pieces:
+    """Deliver the head of a body that never comes."""
+    yield ENDLESS, 0.0
+
+
+def body_without_end(data: bytes) -> Pieces:
+    """Deliver a byte each 0.4 s of a duration of 400 s."""
+    yield ENDLESS, 0.0
+    for index in range(1, 1000):
+        yield b" ", index / 1000
+
+
+def interim_responses_without_end(data: bytes) -> Pieces:
+    """Deliver an interim response each 0.4 s of a duration of 400 s."""
+    for index in range(1000):
+        yield INTERIM, index / 1000
+
+
+ENDLESS_DELIVERIES = [never_ends, body_without_end, interim_responses_without_end]
+ENDLESS_S = 400.0
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("duration_s", [0.8, 2.0, 2.5, 3.5, 5.0])
+@pytest.mark.parametrize("deliver", DELIVERIES)
+def test_change_in_stalled_responses_arrives_in_time(
+    deliver: Callable[[bytes], Pieces], duration_s: float, mode: str
+) -> None:
+    """Guards against a node that cuts off every response with a change and keeps its old list (review/3)."""
+    for seed in range(10):
+        changed_at = 1000 + CALM_S + 2 * Random(seed).random()
+        discovery = StallingDiscovery(deliver, duration_s, changed_at)
+        loop = VirtualTimeLoop({1: discovery})
+        node = start_node(loop, mode)
+        run_until_version(loop, node, 42, changed_at + MAX_DELAY_S)
+        assert discovery.most_connections <= 2
+        loop.run_until_complete(asyncio.sleep(3))
+        assert discovery.open_connections() == 1  # A call that is no longer needed ends.
+        loop.close()
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("deliver", DELIVERIES)
+def test_change_arrives_even_if_each_response_takes_longer_than_the_limit(
+    deliver: Callable[[bytes], Pieces], mode: str
+) -> None:
+    """Guards against a node that never learns of a change while discovery is slower than any limit."""
+    changed_at = 1000 + CALM_S
+    loop = VirtualTimeLoop({1: StallingDiscovery(deliver, 20.0, changed_at)})
+    node = start_node(loop, mode)
+    run_until_version(loop, node, 42, changed_at + 21)
+    loop.close()
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("dead_calls", [1, 2])
+@pytest.mark.parametrize("deliver", ENDLESS_DELIVERIES)
+def test_change_arrives_in_time_after_calls_that_never_end(
+    deliver: Callable[[bytes], Pieces], dead_calls: int, mode: str
+) -> None:
+    """Guards against waiting for a response that has begun on a connection that is dead, or without end."""
+    for seed in range(20):
+        changed_at = 1000 + CALM_S + 2 * Random(seed).random()
+        loop = VirtualTimeLoop({1: StallingDiscovery(deliver, ENDLESS_S, changed_at, dead_calls)})
+        node = start_node(loop, mode)
+        run_until_version(loop, node, 42, changed_at + MAX_DELAY_S)
+        loop.close()
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("deliver", ENDLESS_DELIVERIES)
+def test_responses_without_end_are_bounded_in_calls_and_connections(
+    deliver: Callable[[bytes], Pieces], mode: str
+) -> None:
+    """Guards against ever more connections to a discovery service that finishes no response."""
+    discovery = StallingDiscovery(deliver, ENDLESS_S, 1000 + CALM_S)
+    loop = VirtualTimeLoop({1: discovery})
+    start_node(loop, mode)
+    loop.run_until_complete(asyncio.sleep(CALM_S + 120))
+    assert discovery.most_connections <= 2
+    assert sum(t > 1000 + CALM_S for t in discovery.request_times) <= 120 / SHORTEST_SILENT_CALL_S
+    loop.close()
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("deliver", ENDLESS_DELIVERIES)
+def test_change_arrives_in_time_once_responses_end_again(
+    deliver: Callable[[bytes], Pieces], mode: str
+) -> None:
+    """Guards against a call that has begun and keeps discovery's recovery from being noticed."""
+    for seed in range(20):
+        rng = Random(seed)
+        recovers_at = 1000 + rng.choice([2, 8, 40]) * rng.random()
+        discovery = StallingDiscovery(deliver, ENDLESS_S, 0)
+        loop = VirtualTimeLoop({1: discovery})
+        node = start_node(loop, mode)
+        loop.call_at(recovers_at, setattr, discovery, "slow_requests", 0)
+        run_until_version(loop, node, 42, recovers_at + MAX_DELAY_S)
+        loop.close()
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("duration_s", [0.8, 2.5, 3.5])
+@pytest.mark.parametrize("deliver", DELIVERIES)
+def test_stalled_responses_at_new_address_arrive_in_time(
+    deliver: Callable[[bytes], Pieces], duration_s: float, mode: str
+) -> None:
+    """Guards against cutting off the responses of a new address after SIGHUP, where the limit is shorter."""
+    for seed in range(10):
+        # A call to the old address has stalled in most runs, and that of the new one begins anew.
+        old = StallingDiscovery(never_ends, ENDLESS_S, 1000 + CALM_S)
+        loop = VirtualTimeLoop({1: old, 2: StallingDiscovery(deliver, duration_s, 0)})
+        node = start_node(loop, mode)
+        loop.run_until_complete(asyncio.sleep(CALM_S + 8 * Random(seed).random()))
+        reloaded_at = loop.time()
+        node.discovery.change_address(("10.0.0.9", 2))
+        run_until_version(loop, node, 42, reloaded_at + MAX_DELAY_AFTER_RELOAD_S)
+        loop.run_until_complete(asyncio.sleep(3))
+        assert old.open_connections() == 0
+        loop.close()
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("deliver", ENDLESS_DELIVERIES)
+def test_call_that_never_ends_at_new_address_is_replaced_in_time(
+    deliver: Callable[[bytes], Pieces], mode: str
+) -> None:
+    """Guards against waiting for a response that has begun at a new address, where the limit is shorter."""
+    for seed in range(10):
+        new = StallingDiscovery(deliver, ENDLESS_S, 0, slow_requests=1)
+        loop = VirtualTimeLoop({1: FakeDiscovery("silent", 2000), 2: new})
+        node = start_node(loop, mode)
+        loop.run_until_complete(asyncio.sleep(8 * Random(seed).random()))
+        reloaded_at = loop.time()
+        node.discovery.change_address(("10.0.0.9", 2))
+        run_until_version(loop, node, 42, reloaded_at + MAX_DELAY_AFTER_RELOAD_S)
+        loop.close()
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("duration_s", [0.8, 2.5, 5.0])
+@pytest.mark.parametrize("deliver", DELIVERIES)
+def test_stalled_first_list_arrives_in_time(
+    deliver: Callable[[bytes], Pieces], duration_s: float, mode: str
+) -> None:
+    """Guards against a new process without a cached list that never becomes ready."""
+    loop = VirtualTimeLoop({1: StallingDiscovery(deliver, duration_s, 0)})
+    node = start_node(loop, mode, known=False)
+    run_until(loop, lambda: node.lifecycle.is_serving, 1000 + MAX_DELAY_S)
+    loop.close()
+
+
+class RestartedDiscovery(StallingDiscovery):
+    """Discovery that has restarted its versions, and whose full lists stall; changes come at once."""
+
+    version = 2
+
+    def request_received(self, connection: FakeConnection, data: bytes) -> None:
+        """Respond to a watch with an old version, and slowly to a request for the full list."""
+        if b"since=2&" in data:
+            return
+        if b"since=" in data:
+            connection.loop.call_later(0.7, connection.deliver, list_response(2, full=False, state="ready"))
+            return
+        for piece, fraction in self.deliver(list_response(2)):
+            connection.loop.call_later(fraction * self.duration_s, connection.deliver, piece)
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("deliver", DELIVERIES)
+def test_stalled_full_list_after_restart_of_discovery_arrives(
+    deliver: Callable[[bytes], Pieces], mode: str
+) -> None:
+    """Guards against cutting off every response to a request for the full list.
+
+    Two old responses, after 1.4 s, tell of the restart; the full list then takes 3.5 s.
+    """
+    loop = VirtualTimeLoop({1: RestartedDiscovery(deliver, 3.5, 0)})
+    node = start_node(loop, mode)
+    run_until_version(loop, node, 2, 1000 + MAX_DELAY_S)
+    loop.close()
+
+
+class GarblingDiscovery(StallingDiscovery):
+    """Discovery whose first response with version 42 stalls; all others are invalid."""
+
+    def respond(self, connection: FakeConnection, requested_at: float) -> None:
+        """Begin the first response, or send an invalid one."""
+        if self.slow_requests > 0:
+            super().respond(connection, requested_at)
+        else:
+            connection.deliver(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("deliver", DELIVERIES)
+def test_invalid_second_response_does_not_end_stalled_call(
+    deliver: Callable[[bytes], Pieces], mode: str
+) -> None:
+    """Guards against giving up a stalled response for one that cannot be used."""
+    changed_at = 1000 + CALM_S
+    loop = VirtualTimeLoop({1: GarblingDiscovery(deliver, 5.0, changed_at, slow_requests=1)})
+    node = start_node(loop, mode)
+    run_until_version(loop, node, 42, changed_at + MAX_DELAY_S)
+    loop.close()
--- /dev/null
+++ b/tests/test_hedged_call.py
@@ -0,0 +1,151 @@
+"""The second call to discovery beside one whose response has stalled: when it is made, and when no more."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from virtual_time import Connected, FakeConnection, FakeDiscovery, VirtualTimeLoop
+
+from balancer.net.discovery.hedged_call import NEXT_CALL_DELAY_S, HedgedCall
+from balancer.net.process.log import Log
+
+TIMEOUT_S = 1.0
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+
+
+class ManualDiscovery(FakeDiscovery):
+    """Discovery that begins to respond to its first request, and refuses the second connection.
+
+    Args:
+        responds: Whether it begins to respond to the first request; otherwise it is silent.
+    """
+
+    def __init__(self, responds: bool = True) -> None:
+        super().__init__("none", 0)
+        self.responds = responds
+        self.attempts = 0
+        self.connections: list[FakeConnection] = []
+
+    async def connect(self, loop: VirtualTimeLoop, protocol: Any) -> Connected:
+        """Establish a connection, but for the second one."""
+        self.attempts += 1
+        if self.attempts == 2:
+            raise ConnectionRefusedError
+        return await super().connect(loop, protocol)
+
+    def request_received(self, connection: FakeConnection, data: bytes) -> None:
+        """Record the connection of a request, and begin to respond to the first one."""
+        self.connections.append(connection)
+        if self.responds and len(self.connections) == 1:
+            connection.deliver(HEAD)
+
+
+class StalledCall:
+    """A call whose first response has stalled and whose second one has failed, so that a third one is due."""
+
+    def __init__(self) -> None:
+        self.discovery = ManualDiscovery()
+        self.loop = VirtualTimeLoop({1: self.discovery})
+        self.responses: list[bytes | None] = []
+        self.call = HedgedCall(
+            self.loop,
+            ("10.0.0.9", 1),
+            lambda call, body: self.responses.append(body),
+            lambda body: body == b"list",
+            Log("n0", 0),
+        )
+        self.call.get("/v1/endpoints", TIMEOUT_S)
+        self.run(TIMEOUT_S + NEXT_CALL_DELAY_S / 2)
+        assert self.discovery.attempts == 2 and not self.responses
+
+    def run(self, seconds: float) -> None:
+        """Run the loop for this time."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def deliver(self, connection: int, data: bytes) -> None:
+        """Deliver bytes on a connection, counted from 0."""
+        self.discovery.connections[connection].deliver(data)
+        self.run(0)
+        self.run(0)
+
+
+@pytest.fixture
+def stalled() -> Any:
+    """Return a call that has stalled, on a loop that is closed after the test."""
+    call = StalledCall()
+    yield call
+    call.loop.close()
+
+
+def close_connection(stalled: StalledCall) -> None:
+    stalled.discovery.connections[0].close()
+
+
+def deliver_invalid_body(stalled: StalledCall) -> None:
+    stalled.deliver(0, b"none")
+
+
+@pytest.mark.parametrize("fail", [close_connection, deliver_invalid_body])
+def test_due_call_is_made_after_stalled_call_has_failed(
+    stalled: StalledCall, fail: Callable[[StalledCall], None]
+) -> None:
+    """Guards against a failure that is reported, or a call that is left out, while another call is due."""
+    fail(stalled)
+    stalled.run(NEXT_CALL_DELAY_S)
+    assert stalled.discovery.attempts == 3 and not stalled.responses
+    stalled.deliver(1, HEAD + b"list")
+    assert stalled.responses == [b"list"]
+
+
+def test_due_call_is_not_made_after_response(stalled: StalledCall) -> None:
+    """Guards against a call that nobody needs any more."""
+    stalled.deliver(0, b"list")
+    assert stalled.responses == [b"list"]
+    stalled.run(10)
+    assert stalled.discovery.attempts == 2 and len(stalled.responses) == 1
+
+
+def test_due_call_is_not_made_after_end(stalled: StalledCall) -> None:
+    """Guards against a call to an address that is no longer in use."""
+    stalled.call.end()
+    stalled.run(10)
+    assert stalled.discovery.attempts == 2 and not stalled.responses
+    assert stalled.discovery.connections[0].closed
+
+
+def test_next_request_after_response_uses_its_connection(stalled: StalledCall) -> None:
+    """Guards against a watch that opens a connection for each call."""
+    stalled.run(NEXT_CALL_DELAY_S)
+    stalled.deliver(1, HEAD + b"list")
+    assert stalled.discovery.connections[0].closed
+    stalled.call.get("/v1/endpoints", TIMEOUT_S)
+    assert stalled.discovery.connections[2] is stalled.discovery.connections[1]
+    stalled.deliver(2, HEAD + b"list")
+    assert stalled.responses == [b"list", b"list"] and stalled.discovery.attempts == 3
+
+
+@pytest.mark.parametrize("has_served", [False, True])
+def test_silent_call_fails_at_its_timeout(has_served: bool) -> None:
+    """Guards against waiting for a silent discovery service as for one that has begun to respond.
+
+    The second request on a connection is as silent as the first one, although bytes have come before it.
+    """
+    discovery = ManualDiscovery(responds=has_served)
+    loop = VirtualTimeLoop({1: discovery})
+    responses: list[bytes | None] = []
+    call = HedgedCall(
+        loop, ("10.0.0.9", 1), lambda _, body: responses.append(body), lambda body: True, Log("n0", 0)
+    )
+    call.get("/v1/endpoints", TIMEOUT_S)
+    if has_served:
+        loop.run_until_complete(asyncio.sleep(0.1))
+        discovery.connections[0].deliver(b"list")
+        loop.run_until_complete(asyncio.sleep(0.1))
+        call.get("/v1/endpoints", TIMEOUT_S)
+    loop.run_until_complete(asyncio.sleep(TIMEOUT_S + 0.01))
+    assert responses[-1] is None and discovery.attempts == 1
+    assert discovery.connections[0].closed
+    loop.close()
