--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -1,8 +1,12 @@
 """The node's watch on discovery over loopback sockets, and the effects of list changes."""
 
+from __future__ import annotations
+
 import json
+from collections.abc import Sequence
 from random import Random
 from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 from loopback import (
@@ -19,11 +23,11 @@
 from unaccepting_listener import unaccepting_port
 
 from balancer.net.discovery import client as node_discovery
-from balancer.policy.interface import ListKind
+from balancer.policy.interface import ListKind, ServerEntry
 
 
-def test_node_is_ready_once_it_has_server_list():
-    async def scenario():
+def test_node_is_ready_once_it_has_server_list() -> None:
+    async def scenario() -> None:
         bench = await Bench(server := Server(), config={"known": None}).start()
         assert (await bench.request_once(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 503
         bench.discovery.send_list(42, True, server.entry("s0"))
@@ -33,8 +37,8 @@
     run_scenario(scenario)
 
 
-def test_watch_is_renewed_at_once_with_current_version():
-    async def scenario():
+def test_watch_is_renewed_at_once_with_current_version() -> None:
+    async def scenario() -> None:
         bench = await Bench(server := Server()).start()
         bench.discovery.send_list(43, False, server.entry("s0"))
         await wait_until(lambda: len(bench.discovery.requests) == 2)
@@ -46,10 +50,10 @@
 
 
 @pytest.mark.parametrize("full", [False, True])
-def test_no_new_request_goes_to_draining_or_removed_server(full):
+def test_no_new_request_goes_to_draining_or_removed_server(full: bool) -> None:
     """Open and pooled connections to a server that drains or is removed must carry no new request."""
 
-    async def scenario():
+    async def scenario() -> None:
         bench = await Bench(draining := Server(), remaining := Server()).start()
         while not draining.requests:
             assert (await bench.request_once(call()))[0] == 200
@@ -66,29 +70,31 @@
     run_scenario(scenario)
 
 
-def test_server_draining_during_connect_gets_no_bytes():
+def test_server_draining_during_connect_gets_no_bytes() -> None:
     """A request must not be written if its server starts to drain while the connection is opened."""
 
-    async def scenario():
+    async def scenario() -> None:
         bench = await Bench(draining := Server(), remaining := Server(), config={"known": None}).start()
         bench.discovery.send_list(42, True, draining.entry("s0"))
         await wait_until(lambda: bench.node.lifecycle.is_serving)
         start = bench.node.balancer.request
 
-        def request(*args):
+        def request(*args: Any) -> None:
             start(*args)  # The list change arrives while the connection is being opened.
             body = {"version": 43, "full": True, "servers": [remaining.entry("s1")]}
-            bench.node.discovery.on_watch_response(bench.node.discovery.watch_call, json.dumps(body).encode())
+            watch_call = bench.node.discovery.watch_call
+            assert watch_call is not None
+            bench.node.discovery.on_watch_response(watch_call, json.dumps(body).encode())
 
-        bench.node.balancer.request = request
+        cast(Any, bench.node.balancer).request = request
         assert (await bench.request_once(call("invite")))[0] == 200
         assert not draining.requests and len(remaining.requests) == 1
 
     run_scenario(scenario)
 
 
-def test_address_change_retires_old_connections():
-    async def scenario():
+def test_address_change_retires_old_connections() -> None:
+    async def scenario() -> None:
         bench = await Bench(old := Server()).start()
         await Server.start(new := Server())
         assert (await bench.request_once(call()))[0] == 200
@@ -104,10 +110,10 @@
     "body",
     [b"{", b"[]", b'{"version":43,"full":true,"servers":[{"id":7}]}', b'{"full":true,"servers":[]}'],
 )
-def test_invalid_list_from_discovery_keeps_current_list(body):
+def test_invalid_list_from_discovery_keeps_current_list(body: bytes) -> None:
     """An invalid response must neither clear the list nor end the process."""
 
-    async def scenario():
+    async def scenario() -> None:
         bench = await Bench(server := Server()).start()
         bench.discovery.send_response(body)
         await wait_until(lambda: len(bench.discovery.requests) == 2)
@@ -116,8 +122,8 @@
     run_scenario(scenario)
 
 
-def test_failed_watch_is_reopened():
-    async def scenario():
+def test_failed_watch_is_reopened() -> None:
+    async def scenario() -> None:
         bench = await Bench(Server()).start()
         bench.discovery.send_response(b"", b"503 Busy")
         await wait_until(lambda: len(bench.discovery.requests) == 2)
@@ -129,10 +135,10 @@
 
 
 @pytest.mark.parametrize("outage", ["refused", "unaccepting", "silent"])
-def test_watch_survives_discovery_outage(outage, monkeypatch):
+def test_watch_survives_discovery_outage(outage: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """A call that is never answered must time out, or the node would keep an old list."""
 
-    async def scenario():
+    async def scenario() -> None:
         monkeypatch.setattr("balancer.net.discovery.call.CONNECT_TIMEOUT_S", 0.2)
         monkeypatch.setattr("balancer.net.discovery.client.MAX_WATCH_MS", 200)
         monkeypatch.setattr("balancer.net.discovery.client.RESPONSE_TIMEOUT_S", 0.2)
@@ -143,11 +149,11 @@
         failures = []
         apply_list = node.balancer.server_list
 
-        def server_list(now, kind, entries):
+        def server_list(now: int, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
             failures.append(kind == ListKind.FAILED)
             apply_list(now, kind, entries)
 
-        node.balancer.server_list = server_list
+        cast(Any, node.balancer).server_list = server_list
         with unaccepting_port() as unaccepting:
             # The fake discovery is silent until it is given a response to send.
             if outage != "silent":
@@ -167,17 +173,20 @@
     run_scenario(scenario)
 
 
-def test_watch_waits_are_short_and_jittered_per_node(monkeypatch, production_max_watch_ms):
+def test_watch_waits_are_short_and_jittered_per_node(
+    monkeypatch: pytest.MonkeyPatch, production_max_watch_ms: int
+) -> None:
     """Watches must be short, or an unresponsive one would delay a list change by most of a minute.
 
     The jitter keeps the watches of several nodes from being renewed in step.
     """
     monkeypatch.setattr(node_discovery, "MAX_WATCH_MS", production_max_watch_ms)
 
-    def waits(seed):
-        calls = []
-        discovery = node_discovery.DiscoveryClient(None, ("", 0), 41, None, None, Random(seed))
-        call = SimpleNamespace(get=lambda path, time: calls.append((int(path.rpartition("=")[2]), time)))
+    def waits(seed: int) -> list[int]:
+        calls: list[tuple[int, float]] = []
+        unused: Any = None
+        discovery = node_discovery.DiscoveryClient(unused, ("", 0), 41, unused, unused, Random(seed))
+        call: Any = SimpleNamespace(get=lambda path, time: calls.append((int(path.rpartition("=")[2]), time)))
         for _ in range(5):
             discovery.send_watch(call)
         # A change counts as reported 2 s after the wait, so the watch must fail well before that.
@@ -189,8 +198,8 @@
     assert len(set(waits(7))) > 1
 
 
-def test_node_watches_server_list_itself_in_push_mode():
-    async def scenario():
+def test_node_watches_server_list_itself_in_push_mode() -> None:
+    async def scenario() -> None:
         bench = await Bench(server := Server(), discovery="push", config={"known": None}).start()
         bench.discovery.send_response(b"", b"503 Busy")
         bench.discovery.send_list(42, True, server.entry("s0"))
