Test over sockets: a change in responses that stall longer than a call's timeout is learned

Need: the tests of stalled responses run on virtual time; this one has the node's event loop and sockets, and looks at where requests go afterwards. Change: one test, lists pushed and asked for.

--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Sequence
 from random import Random
@@ -13,6 +14,7 @@
     SECOND_US,
     Bench,
     Discovery,
+    Request,
     Server,
     call,
     free_port,
@@ -173,6 +175,48 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("mode", ["push", "ask"])
+def test_change_in_stalled_responses_is_learned_over_sockets(
+    mode: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against cutting off every response that stalls longer than a call's timeout (review/3).
+
+    Every response with the change stops in its middle, for twice the timeout.
+    """
+
+    async def scenario() -> None:
+        monkeypatch.setattr("balancer.net.discovery.client.MAX_WATCH_MS", 200)
+        monkeypatch.setattr("balancer.net.discovery.client.RESPONSE_TIMEOUT_S", 0.2)
+        bench = Bench(draining := Server(), remaining := Server(), discovery=mode)
+        discovery = bench.discovery
+
+        async def respond_with_stall(request: Request, writer: asyncio.StreamWriter) -> bytes:
+            if "since=42&" in request.target:
+                await asyncio.sleep(0.1)
+                discovery.send_list(42, False)
+            else:
+                discovery.send_list(42, False, draining.entry("s0", "draining"))
+            data = await discovery.answers.get()
+            assert data is not None
+            if b"draining" in data:
+                writer.write(data[: len(data) // 2])
+                data = data[len(data) // 2 :]
+                await asyncio.sleep(0.8)
+            return data
+
+        discovery.handle = respond_with_stall
+        await bench.start()
+        await wait_until(lambda: bench.node.discovery.version == 42)
+        assert discovery.connections == 2
+        await wait_until(lambda: discovery.closed == 1)  # The call that is no longer needed.
+        for _ in range(10):
+            assert (await bench.request_once(call()))[0] == 200
+        assert len(remaining.requests) == 10
+        bench.node.discovery.close()
+
+    run_scenario(scenario)
+
+
 def test_watch_waits_are_short_and_jittered_per_node(
     monkeypatch: pytest.MonkeyPatch, production_max_watch_ms: int
 ) -> None:
