Discovery: late calls for lists are waited for, and no longer repeated at once

Discovery takes some 2 s for a call that begins a watch while many do; the node gave it 1.75 to 2 s, cut it off and called again, which kept discovery crowded. Change: HedgedCall waits for late responses whether they have begun or not. The second call comes 1.4 s after the wait (three calls fit in 6 s) and second calls that fail back off; the failure is reported after three timeouts.

--- a/balancer/net/config.py
+++ b/balancer/net/config.py
@@ -21,7 +21,7 @@
 BASE_RESERVED_DESCRIPTORS = 26
 MIN_CONNECTIONS = 8
 # Upper bound on the interval at which the policy polls the server list. The node must learn of a change
-# within 6 s, of which a watch (a call that waits for a change) may take 2 s if it gets no response.
+# within 6 s, of which 2.4 s may pass until a watch without a response is followed by a second call.
 MAX_LIST_POLL_INTERVAL_US = 4_000_000
 
 
--- a/balancer/net/discovery/call.py
+++ b/balancer/net/discovery/call.py
@@ -29,8 +29,8 @@
         address: The host and port of discovery.
         on_response: Called with this object and the body of each response. Called once with None when a call
             has failed; no further call can be made then.
-        on_stalled: Called with this object when a response has begun but is incomplete at the call's timeout.
-            It must call `extend`.
+        on_timeout: Called with this object when the response is incomplete at the call's timeout, and at the
+            end of each extension. It must call `extend` or `fail`, or end the call.
     """
 
     def __init__(
@@ -38,12 +38,12 @@
         loop: asyncio.AbstractEventLoop,
         address: tuple[str, int],
         on_response: Callable[[DiscoveryCall, bytes | None], None],
-        on_stalled: Callable[[DiscoveryCall], None],
+        on_timeout: Callable[[DiscoveryCall], None],
     ) -> None:
         self.loop = loop
         self.address = address
         self.on_response = on_response
-        self.on_stalled = on_stalled
+        self.on_timeout = on_timeout
         self.transport: asyncio.Transport | None = None
         self.ended = False
         self.timer: asyncio.TimerHandle | None = None
@@ -52,8 +52,7 @@
     def get(self, path: str, timeout: float) -> None:
         """Request a path of the discovery service with GET.
 
-        The call fails unless the response has begun `timeout` seconds after the request is written. If the
-        response is incomplete then, `on_stalled` is called.
+        `on_timeout` is called unless the response is complete `timeout` seconds after the request is written.
         """
         host = f"{self.address[0]}:{self.address[1]}"
         self.request = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
@@ -61,7 +60,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body = b""
         self.received_bytes = 0
-        self.has_stalled = False
+        self.extensions = 0
         self.stage = ResponseStage.HEAD
         self.has_length = False  # Whether the response has a Content-Length or Transfer-Encoding header.
         if self.transport is None:
@@ -87,21 +86,28 @@
 
     def write(self) -> None:
         """Send the pending request and start the timeout of its response."""
-        self.set_timer(self.timeout, self.on_timeout)
+        self.set_timer(self.timeout, self.expire)
         assert self.transport is not None
         self.transport.write(self.request)
 
-    def on_timeout(self) -> None:
-        """Fail the call if discovery is silent; report a response that has begun as stalled."""
-        if self.received_bytes:
-            self.has_stalled = True
-            self.on_stalled(self)
-        else:
-            self.fail()
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the response has arrived."""
+        return self.received_bytes > 0
+
+    @property
+    def is_late(self) -> bool:
+        """Whether the response was incomplete at the call's timeout."""
+        return self.extensions > 0
 
     def extend(self, duration: float) -> None:
-        """Fail the call unless its stalled response is complete after this many seconds."""
-        self.set_timer(duration, self.fail)
+        """Call `on_timeout` again unless the response is complete after this many seconds."""
+        self.extensions += 1
+        self.set_timer(duration, self.expire)
+
+    def expire(self) -> None:
+        """Report that the response is incomplete at the timeout, or at the end of an extension."""
+        self.on_timeout(self)
 
     def set_timer(self, duration: float, on_expired: Callable[[], None]) -> None:
         """Replace the timer of the call by one of this many seconds."""
--- a/balancer/net/discovery/client.py
+++ b/balancer/net/discovery/client.py
@@ -19,9 +19,12 @@
 MAX_WATCH_MS = 1_000  # The longest time that discovery lets a watch wait for a change.
 # The wait of each watch is shortened by up to this ratio, so that nodes do not poll in step.
 WATCH_JITTER_RATIO = 0.25
-RESPONSE_TIMEOUT_S = 1.0  # A watch fails this long after the end of its wait, unless its response has begun.
+# A second call is made if a watch has no complete response this long after the end of its wait. Three calls
+# fit in the 6 s in which the node must learn of a change. With a shorter time, a crowded discovery service
+# would be called again while it still handles the first call.
+RESPONSE_TIMEOUT_S = 1.4
 # Equal to the longest time that a watch may go without a response: its wait and RESPONSE_TIMEOUT_S.
-FETCH_TIMEOUT_S = 2.0
+FETCH_TIMEOUT_S = 2.4
 # Discovery counts as restarted after this many consecutive responses older than the current list.
 RESTART_THRESHOLD_RESPONSES = 2
 
--- a/balancer/net/discovery/hedged_call.py
+++ b/balancer/net/discovery/hedged_call.py
@@ -1,7 +1,7 @@
-"""Calls to discovery that are hedged: a response that stalls is waited for beside a second call.
+"""Calls to discovery that are hedged: a late response is waited for beside a second call.
 
-A response may stall on a connection that is dead, so another call must be made to learn of a change in time.
-However, every response may be slow, so the call that has begun must not be given up for it.
+A response may be late because its connection is dead, so another call must be made to learn of a change in
+time. However, every response may be late, so the first call must not be given up for it.
 """
 
 from __future__ import annotations
@@ -12,29 +12,35 @@
 from balancer.net.discovery.call import DiscoveryCall
 from balancer.net.process.log import Log
 
-# Time that a stalled response may still take on the oldest call in flight.
-OLDEST_CALL_EXTENSION_S = 30.0
-# The same for a newer call. It is short, because discovery may respond at once to the next call, and the node
-# must learn of a change within 6 s.
-NEWER_CALL_EXTENSION_S = 1.5
-# Time between the failure of a newer call and the next one.
+# Time for which the oldest call in flight is waited for after its timeout, as a multiple of the timeout. If
+# nothing of its response has come by then, discovery counts as silent.
+SILENCE_EXTENSION_FACTOR = 2
+# Time that a response which has begun by then may still take on the oldest call.
+STALL_EXTENSION_S = 30.0
+# Time for which a newer call is waited for after its timeout. It is short, because discovery may respond at
+# once to the next call, and the node must learn of a change within 6 s.
+NEWER_CALL_EXTENSION_S = 0.7
+# Time between the failure of a second call and the next one. It doubles with each such failure, so that a
+# crowded discovery service is not kept busy by calls that fail at once.
 NEXT_CALL_DELAY_S = 0.25
+MAX_NEXT_CALL_DELAY_S = 1.0
 
 
 class HedgedCall:
-    """A call to discovery, made over a second connection too while the response on the first one stalls.
+    """A call to discovery, made over a second connection too while the response on the first one is late.
 
-    The first complete and usable response is passed on, and the other call is ended. A response stalls if it
-    has begun and is incomplete at the call's timeout.
+    The first complete and usable response is passed on, and the other call is ended. A response is late if it
+    is incomplete at the call's timeout.
 
     Args:
         loop: The event loop.
         address: The host and port of discovery.
         on_response: Called with this object and the body of each response. Called once with None when a call
-            has failed, and no other is in flight or due; no further call can be made then.
+            has failed, and no other is in flight or due, or when discovery is silent; no further call can be
+            made then.
         is_usable: Returns whether the body of a response is valid. An invalid one counts as a failure while
             another call is in flight or due.
-        log: The log for responses that stall.
+        log: The log for responses that are late.
     """
 
     def __init__(
@@ -52,14 +58,16 @@
         self.log = log
         self.calls: list[DiscoveryCall] = []  # The calls in flight, the oldest first; at most two.
         self.next_call_timer: asyncio.TimerHandle | None = None
+        self.next_call_delay = NEXT_CALL_DELAY_S
 
     def get(self, path: str, timeout: float) -> None:
         """Request a path of the discovery service with GET.
 
-        A call fails if its response has not begun `timeout` seconds after its request is written.
+        A second call is made if the response is incomplete `timeout` seconds after the request is written.
         """
         self.path = path
         self.timeout = timeout
+        self.next_call_delay = NEXT_CALL_DELAY_S
         if self.calls:
             self.calls[0].get(path, timeout)
         else:
@@ -68,18 +76,25 @@
     def add_call(self) -> None:
         """Make the call over a new connection."""
         self.next_call_timer = None
-        call = DiscoveryCall(self.loop, self.address, self.on_call_response, self.on_call_stalled)
+        call = DiscoveryCall(self.loop, self.address, self.on_call_response, self.on_call_timeout)
         self.calls.append(call)
         call.get(self.path, self.timeout)
 
-    def on_call_stalled(self, call: DiscoveryCall) -> None:
-        """Give a stalled response more time, and make a second call beside the oldest one."""
-        if call is self.calls[0]:
-            self.log.line(f"discovery: response incomplete after {self.timeout:.1f} s, second call made")
-            call.extend(OLDEST_CALL_EXTENSION_S)
+    def on_call_timeout(self, call: DiscoveryCall) -> None:
+        """Give a late response more time, and make a second call beside the oldest one."""
+        is_oldest = call is self.calls[0]
+        if is_oldest and not call.is_late:
+            self.log.line(f"discovery: no complete response after {self.timeout:.1f} s, second call made")
+            call.extend(SILENCE_EXTENSION_FACTOR * self.timeout)
             self.add_call()
-        else:
+        elif not call.is_late:
             call.extend(NEWER_CALL_EXTENSION_S)
+        elif is_oldest and not call.has_begun:
+            self.fail()
+        elif is_oldest and call.extensions == 1:
+            call.extend(STALL_EXTENSION_S)
+        else:
+            call.fail()
 
     def on_call_response(self, call: DiscoveryCall, body: bytes | None) -> None:
         """Pass on a response and end the other call; if this call has failed, wait for the other one."""
@@ -102,14 +117,20 @@
         return len(self.calls) > 1 or self.next_call_timer is not None
 
     def on_call_failed(self, call: DiscoveryCall) -> None:
-        """Make another call soon if the one that remains has stalled; report the failure if none remains."""
+        """Make another call soon if the one that remains is late; report the failure if none remains."""
         self.calls.remove(call)
         if self.next_call_timer is not None:
             return
         if not self.calls:
             self.on_response(self, None)
-        elif self.calls[0].has_stalled:
-            self.next_call_timer = self.loop.call_later(NEXT_CALL_DELAY_S, self.add_call)
+        elif self.calls[0].is_late:
+            self.next_call_timer = self.loop.call_later(self.next_call_delay, self.add_call)
+            self.next_call_delay = min(2 * self.next_call_delay, MAX_NEXT_CALL_DELAY_S)
+
+    def fail(self) -> None:
+        """End all calls on this object, and report the failure to `on_response`."""
+        self.end()
+        self.on_response(self, None)
 
     def cancel_next_call(self) -> None:
         """Cancel the call that is due, if any."""
