--- a/balancer/net/config.py
+++ b/balancer/net/config.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from balancer.fleet.config import FleetConfig
 
-# Descriptors of the event loop (10), the listener, the UDP socket, the calls to discovery (4) and the standard
-# streams, plus a margin.
+# Descriptors of the event loop (10), the listener, the UDP socket, the calls to discovery (4) and the
+# standard streams, plus a margin.
 BASE_RESERVED_DESCRIPTORS = 26
 MIN_CONNECTIONS = 8
 # Upper bound on the interval at which the policy polls the server list. The node must learn of a change
