--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -347,8 +347,8 @@
         discovery_service, node = bench.discovery, bench.node
         discovery_service.send_list(50, True, server.entry("s0"))
         await wait_until(lambda: node.discovery.version == 50 and len(discovery_service.requests) == 2)
-        watch = node.discovery.watch_call
-        assert watch is not None
+        assert node.discovery.watch_call is not None
+        (watch,) = node.discovery.watch_call.calls
         for data in (
             [response] if delivery == "at once" else [response[i : i + 1] for i in range(len(response))]
         ):
@@ -385,8 +385,8 @@
         await (second := Discovery()).start()
         if watch_state != "connecting":
             await wait_until(lambda: len(discovery_service.requests) == 1)
-        old = discovery.watch_call
-        assert old is not None
+        assert discovery.watch_call is not None
+        (old,) = discovery.watch_call.calls
         if watch_state == "closed":
             discovery.watch(False)
         for _ in range(times):
