Tests: one discovery service with restarted versions for delays and stalls

Need: two test files had the same response to a watch with a newer version. Change: RestartedDiscovery of tests/virtual_time.py has it; the two files state what becomes of the full list.

--- a/tests/test_discovery_delays.py
+++ b/tests/test_discovery_delays.py
@@ -15,6 +15,7 @@
     Connected,
     FakeConnection,
     FakeDiscovery,
+    RestartedDiscovery,
     VirtualTimeLoop,
     list_response,
     start_node,
@@ -117,21 +118,15 @@
         loop.close()
 
 
-class RestartedDiscovery(FakeDiscovery):
+class SilentRestartedDiscovery(RestartedDiscovery):
     """Discovery that has restarted its versions and never answers the first full fetch."""
 
-    version = 2
-
     def __init__(self) -> None:
         super().__init__("none", 0)
         self.fetches = 0
 
-    def request_received(self, connection: FakeConnection, data: bytes) -> None:
-        if b"since=2&" in data:
-            return
-        if b"since=" in data:
-            connection.loop.call_later(0.7, connection.deliver, list_response(2, full=False, state="ready"))
-            return
+    def full_list_requested(self, connection: FakeConnection) -> None:
+        """Respond to all requests but the first one."""
         self.fetches += 1
         if self.fetches > 1:
             connection.deliver(list_response(2))
@@ -140,7 +135,7 @@
 @pytest.mark.parametrize("mode", ["push", "ask"])
 def test_silent_full_list_fetch_is_retried_in_time(mode: str, production_watch: None) -> None:
     """The timeout of a full fetch must leave time for a second one within the delay limit."""
-    loop = VirtualTimeLoop({1: RestartedDiscovery()})
+    loop = VirtualTimeLoop({1: SilentRestartedDiscovery()})
     node = start_node(loop, mode)
     started_at = loop.time()
     assert time_of_version(loop, node, 2, started_at + 60) - started_at <= MAX_DELAY_S
--- a/tests/test_discovery_stalls.py
+++ b/tests/test_discovery_stalls.py
@@ -8,7 +8,15 @@
 from typing import Any
 
 import pytest
-from virtual_time import Connected, FakeConnection, FakeDiscovery, VirtualTimeLoop, list_response, start_node
+from virtual_time import (
+    Connected,
+    FakeConnection,
+    FakeDiscovery,
+    RestartedDiscovery,
+    VirtualTimeLoop,
+    list_response,
+    start_node,
+)
 
 from balancer.net.discovery import client as node_discovery
 from balancer.net.node import Node
@@ -356,20 +364,21 @@
     loop.close()
 
 
-class RestartedDiscovery(StallingDiscovery):
-    """Discovery that has restarted its versions, and whose full lists stall; changes come at once."""
+class SlowRestartedDiscovery(RestartedDiscovery):
+    """Discovery that has restarted its versions, and whose full lists take 3.5 s.
 
-    version = 2
+    Args:
+        deliver: How the bytes of a full list arrive.
+    """
 
-    def request_received(self, connection: FakeConnection, data: bytes) -> None:
-        """Respond to a watch with an old version, and slowly to a request for the full list."""
-        if b"since=2&" in data:
-            return
-        if b"since=" in data:
-            connection.loop.call_later(0.7, connection.deliver, list_response(2, full=False, state="ready"))
-            return
+    def __init__(self, deliver: Callable[[bytes], Pieces]) -> None:
+        super().__init__("none", 0)
+        self.deliver = deliver
+
+    def full_list_requested(self, connection: FakeConnection) -> None:
+        """Begin the response."""
         for piece, fraction in self.deliver(list_response(2)):
-            connection.loop.call_later(fraction * self.duration_s, connection.deliver, piece)
+            connection.loop.call_later(fraction * 3.5, connection.deliver, piece)
 
 
 @pytest.mark.parametrize("mode", MODES)
@@ -381,7 +390,7 @@
 
     Two old responses, after 1.4 s, tell of the restart; the full list then takes 3.5 s.
     """
-    loop = VirtualTimeLoop({1: RestartedDiscovery(deliver, 3.5, 0)})
+    loop = VirtualTimeLoop({1: SlowRestartedDiscovery(deliver)})
     node = start_node(loop, mode)
     run_until_version(loop, node, 2, 1000 + MAX_DELAY_S)
     loop.close()
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -161,6 +161,28 @@
             connection.loop.call_later(0.4, self.deliver_slowly, connection, data[1:])
 
 
+class RestartedDiscovery(FakeDiscovery):
+    """Discovery that has restarted its versions: a watch with a newer version gets changes of version 2.
+
+    Subclasses implement `full_list_requested`.
+    """
+
+    version = 2
+
+    def request_received(self, connection: FakeConnection, data: bytes) -> None:
+        """Respond to a watch that has a newer version, and stay silent to one that has version 2."""
+        if b"since=2&" in data:
+            return
+        if b"since=" in data:
+            connection.loop.call_later(0.7, connection.deliver, list_response(2, full=False, state="ready"))
+            return
+        self.full_list_requested(connection)
+
+    def full_list_requested(self, connection: FakeConnection) -> None:
+        """Respond to a request for the full list."""
+        raise NotImplementedError
+
+
 def start_node(loop: VirtualTimeLoop, mode: str, known: bool = True) -> Node:
     """Start a node with its discovery at port 1.
 
