Held bytes by what holds them; each close, refusal and retry with its reason

Change: each connection has an account of the bytes that it makes the process buffer, derived from its state after each event (input, partial and complete requests, uploads, responses, unread responses). Closes, refusals and retries are counted by reason, and logged at ten lines a second of their own. The stats line and the management page /control/diagnostics show them; the start line has the memory limit. The page /control/counters is unchanged. What the budget limits is unchanged, but that bytes of requests count while these are partial, so later complete ones are refused earlier.

--- a/balancer/net/downstream/attempts.py
+++ b/balancer/net/downstream/attempts.py
@@ -14,6 +14,7 @@
 from balancer.net.downstream.requests import Requests
 from balancer.net.process.counters import Counters
 from balancer.net.process.event_queue import EventQueue
+from balancer.net.process.traffic_events import RefusalReason
 from balancer.net.upstream.body_streaming import ResponseSource
 from balancer.net.upstream.connection import Endpoint, Response
 from balancer.net.upstream.exchange import Exchange
@@ -82,6 +83,8 @@
                 self.balancer.outcome, request, number, server, Outcome.NOT_SENT, 0, False, ()
             )
             return
+        if pending.last_outcome is not None:
+            self.requests.events.retried(request, number, pending.last_outcome.name.lower())
         Attempt(self, pending, number, server, timeout).start(endpoint)
 
     def cancel(self, request: int, attempt: int) -> None:
@@ -226,6 +229,7 @@
         request = self.request
         connect_seconds = request.exchange.connect_duration_s if request.exchange is not None else 0.0
         request.exchange = None
+        request.last_outcome = outcome
         self.update_request(outcome)
         self.attempts.requests.counts[f"attempts_{outcome.name.lower()}"] += 1
         report = self.load_report(response)
@@ -273,9 +277,10 @@
             # If its outcome proves that the request has not run, the client gets a 503 and may retry;
             # otherwise it gets a 502.
             if outcome in NEVER_RAN:
-                requests.respond(request.id, 503, headers=requests.over_capacity_headers())
+                headers = requests.over_capacity_headers()
+                requests.refuse(request.id, 503, RefusalReason.UPLOAD, headers)
             else:
-                requests.respond(request.id, 502)
+                requests.refuse(request.id, 502, RefusalReason.UPLOAD)
 
 
 def content_type_header(response: Response) -> bytes:
--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -13,7 +13,9 @@
 from balancer.net.downstream.read_queue import ReadQueue
 from balancer.net.downstream.request_parser import RequestParser
 from balancer.net.downstream.response_writer import ResponseWriter
+from balancer.net.process.memory_budget import Holding, MemoryAccount
 from balancer.net.process.sockets import PEER_CLOSED, READABLE, has_event
+from balancer.net.process.traffic_events import CloseReason, RefusalReason
 from balancer.net.upstream.body_streaming import ResponseSource
 
 # Bytes passed to the parser in one call.
@@ -60,10 +62,12 @@
         self.connections = connections
         self.rejecting = rejecting
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
-        self.last_active_at = connections.loop.time()
+        self.number = connections.next_number()
+        self.accepted_at = self.last_active_at = connections.loop.time()
         self.read_deadline = ReadDeadline(connections.loop, self.last_active_at)
         self.parser = RequestParser(self, self.read_deadline)
-        self.writer = ResponseWriter(connections.memory_budget)
+        self.account = MemoryAccount(connections.memory_budget)
+        self.writer = ResponseWriter(self.account)
         self.unparsed = ReadQueue()
         # Loop time at which the bytes that are being parsed were read.
         self.read_at = 0.0
@@ -74,6 +78,9 @@
         self.reading_paused = False
         # Whether the client has had at least one response.
         self.has_served = False
+        # Why the node closes the connection, and the bytes that it held then; None while it does not.
+        self.close_reason: CloseReason | None = None
+        self.closed_bytes = 0
         # Loop time at which the last response was written and the node's sending direction was closed; 0
         # before that.
         self.finished_at = 0.0
@@ -124,6 +131,7 @@
             # disconnected would be sent to servers one after the other.
             self.unparsed.clear()
             self.reject(503)
+            self.update_account()
 
     def parse(self) -> None:
         """Parse the queued bytes until they end or parsing must wait, then pause or resume reading."""
@@ -139,6 +147,21 @@
                 break
         self.parsing = False
         self.update_reading()
+        self.update_account()
+
+    def update_account(self) -> None:
+        """Count the bytes that the connection's requests hold now in the memory budget."""
+        account = self.account
+        account.set(Holding.INPUT, len(self.unparsed))
+        current = self.current_request
+        requests_size = sum(message.size for message in self.pipelined)
+        uploads_size = 0
+        if current is not None:
+            requests_size += current.size
+            uploads_size = current.upload.held_bytes() if current.upload is not None else 0
+        account.set(Holding.PARTIAL_REQUESTS, self.parser.partial_bytes())
+        account.set(Holding.REQUESTS, requests_size)
+        account.set(Holding.UPLOADS, uploads_size)
 
     def is_parsing_blocked(self) -> bool:
         """Return whether parsing must wait for earlier requests, or for a server to take more of a body."""
@@ -187,11 +210,12 @@
         A request that does not fit the memory budget is rejected with 503: many clients that pipeline large
         requests would otherwise exhaust the process's memory.
         """
+        self.account.set(Holding.PARTIAL_REQUESTS, 0)
         if not self.connections.memory_budget.can_reserve(message.size):
             message.error_status, message.keep_alive = 503, False
             message.upload, message.body, message.size = None, b"", 0
+            message.refusal_reason = RefusalReason.MEMORY
             self.stop_reading()
-        self.connections.memory_budget.reserve(message.size)
         message.received_at = self.read_at
         self.pipelined.append(message)
 
@@ -199,6 +223,7 @@
         """Respond to the partial request with an error and stop reading; earlier ones still get responses."""
         if self.reading_stopped:
             return
+        self.mark_closing(CloseReason.LATE if status == 408 else CloseReason.REJECTED)
         self.stop_reading()
         partial = self.parser.drop_partial()
         self.read_deadline.clear()
@@ -220,9 +245,12 @@
             return
         self.current_request = message = self.pipelined.popleft()
         self.connections.evict_idle()
-        if self.rejecting or message.error_status == 503:
-            self.connections.handler.reject_over_capacity(self, message)
+        if self.rejecting:
+            self.connections.handler.reject_over_capacity(self, message, RefusalReason.CONNECTIONS)
+        elif message.error_status == 503:
+            self.connections.handler.reject_over_capacity(self, message, message.refusal_reason)
         elif message.error_status:
+            self.connections.events.refused(self.number, message.refusal_reason, message.error_status)
             self.respond(message.error_status)
         else:
             self.connections.handler.on_request(self, message)
@@ -262,7 +290,7 @@
         """Release the current request after its response, and close the connection or continue."""
         self.current_request = None
         self.has_served = True
-        self.connections.memory_budget.release(message.size)
+        self.update_account()
         if self.transport.is_closing():
             return
         if close:
@@ -307,6 +335,17 @@
         if message is not None and not self.writer.chunked and message.version != "1.1":
             # An HTTP/1.0 client may take an orderly close for the end of the response.
             self.writer.reset_on_close()
+        self.abort(CloseReason.BROKEN_RESPONSE)
+
+    def mark_closing(self, reason: CloseReason) -> None:
+        """Record why the node closes the connection; the first reason stays."""
+        if self.close_reason is None:
+            self.close_reason = reason
+            self.closed_bytes = self.account.total
+
+    def abort(self, reason: CloseReason) -> None:
+        """Close the connection at once, for this reason."""
+        self.mark_closing(reason)
         self.transport.abort()
 
     def close_gracefully(self) -> None:
@@ -315,9 +354,11 @@
         The sending direction is closed first, and further input is read and dropped. Closing the whole socket
         while the client still sends would reset the connection, and the client could lose the response.
         """
+        self.mark_closing(CloseReason.RESPONSE)
         self.stop_reading()
         self.unparsed.clear()
-        self.drop_pipelined()
+        self.pipelined.clear()
+        self.update_account()
         if self.transport.is_closing():
             return
         self.update_reading()
@@ -349,7 +390,7 @@
         ):
             self.connections.loop.call_later(LINGER_S, self.linger, since, unread)
         else:
-            self.transport.abort()
+            self.abort(CloseReason.UNREAD)
 
     def pause_writing(self) -> None:
         """Pause the response, because the client does not read it."""
@@ -367,7 +408,10 @@
         self.on_disconnected()
         self.connections.connections.discard(self)
         self.connections.descriptor_budget.remove_client()
-        self.writer.set_unsent_bytes(0)
+        self.account.close()
+        age_s = self.connections.loop.time() - self.accepted_at
+        reason = self.close_reason or CloseReason.CLIENT
+        self.connections.events.closed(self.number, reason, age_s, self.closed_bytes)
 
     def eof_received(self) -> bool:
         """Treat the end of the client's input as a disconnect; the client may still read complete responses.
@@ -390,11 +434,11 @@
         self.input_state = InputState.DISCONNECTED
         self.unparsed.clear()
         self.parser.drop_partial()
-        self.drop_pipelined()
+        self.pipelined.clear()
         if self.current_request is not None:
-            self.connections.memory_budget.release(self.current_request.size)
             self.current_request = None
             self.connections.handler.client_disconnected(self)
+        self.update_account()
         self.writer.source = None
 
     def is_connected(self) -> bool:
@@ -405,14 +449,9 @@
         """
         if not self.has_disconnected and has_event(self.transport, PEER_CLOSED):
             self.on_disconnected()
-            self.transport.abort()
+            self.abort(CloseReason.CLIENT)
         return not self.has_disconnected
 
-    def drop_pipelined(self) -> None:
-        """Drop the pipelined requests without a response."""
-        self.connections.memory_budget.release(sum(message.size for message in self.pipelined))
-        self.pipelined.clear()
-
     def is_idle(self) -> bool:
         """Return whether no request is in flight, waiting, partial or unread, and all responses are sent."""
         has_request = (
@@ -446,7 +485,7 @@
             self.reject(503)
             self.start_next_request()
         elif self.is_idle():
-            self.transport.abort()
+            self.abort(CloseReason.DRAINING)
 
     def has_unsent_data(self) -> bool:
         """Return whether part of a response is still buffered; closing now would truncate it."""
--- a/balancer/net/downstream/client_connections.py
+++ b/balancer/net/downstream/client_connections.py
@@ -15,6 +15,7 @@
 from balancer.net.process.lifecycle import Lifecycle, Stage
 from balancer.net.process.listener import Listener
 from balancer.net.process.memory_budget import MemoryBudget
+from balancer.net.process.traffic_events import CloseReason, TrafficEvents
 
 # Maximum number of connections that are open beyond the limit only to have their requests rejected with 503.
 # They are at most a sixteenth of the client connections that the budget allows, but at least one.
@@ -39,6 +40,7 @@
         handler: Handles the clients' requests.
         lifecycle: The stage of the node.
         memory_budget: Bounds the bytes of requests and responses that are buffered.
+        events: Records why connections are closed.
     """
 
     def __init__(
@@ -48,10 +50,13 @@
         handler: RequestHandler[ClientConnection],
         lifecycle: Lifecycle,
         memory_budget: MemoryBudget,
+        events: TrafficEvents,
     ) -> None:
         self.loop = loop
         self.descriptor_budget = descriptor_budget
         self.memory_budget = memory_budget
+        self.events = events
+        self.last_number = 0
         # Connections that were evicted or timed out, by reason.
         self.counts: Counter[str] = Counter()
         self.handler = handler
@@ -85,6 +90,11 @@
         self.listener.start(listener)
         self.loop.call_later(HEAD_TIMEOUT_S / 8, self.sweep)
 
+    def next_number(self) -> int:
+        """Return the number of a new connection, which log lines name."""
+        self.last_number += 1
+        return self.last_number
+
     def has_capacity(self) -> bool:
         """Return whether one more connection fits the budget."""
         return (
@@ -132,9 +142,10 @@
             if rank == EvictionRank.WRITING_HEAD and self.close_unused_server_connection():
                 return True
             if not client.has_unread_data():
-                self.counts["gave_way_idle" if rank == EvictionRank.IDLE else "gave_way_headless"] += 1
+                is_idle = rank == EvictionRank.IDLE
+                self.counts["gave_way_idle" if is_idle else "gave_way_headless"] += 1
                 self.connections.discard(client)
-                client.transport.abort()
+                client.abort(CloseReason.IDLE if is_idle else CloseReason.NO_REQUEST)
                 return True
         return False
 
@@ -148,7 +159,7 @@
             oldest = min(idle, key=lambda c: c.last_active_at)
             self.counts["gave_way_idle"] += 1
             self.connections.discard(oldest)
-            oldest.transport.abort()
+            oldest.abort(CloseReason.IDLE)
 
     def sweep(self) -> None:
         """Time out connections whose request head is overdue or whose body arrives too slowly.
@@ -173,7 +184,7 @@
                 client.start_next_request()
             elif client.transport is not None and client.is_idle():
                 self.counts["silent"] += 1
-                client.transport.abort()
+                client.abort(CloseReason.SILENT)
         self.loop.call_later(HEAD_TIMEOUT_S / 8, self.sweep)
 
     def start_draining(self) -> None:
@@ -201,7 +212,7 @@
             if close_all:
                 client.close_without_request()
             elif client.has_served and now - client.last_active_at > SETTLE_S and client.is_idle():
-                client.transport.abort()
+                client.abort(CloseReason.DRAINING)
         self.loop.call_later(DRAIN_CHECK_INTERVAL_S, self.close_idle)
 
     async def drain(self, grace: float) -> None:
--- a/balancer/net/downstream/message.py
+++ b/balancer/net/downstream/message.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from balancer.net.process.traffic_events import RefusalReason
 from balancer.net.upstream.body_streaming import RequestBodyStream
 
 REASON_PHRASES = {
@@ -36,6 +37,7 @@
         "keep_alive",
         "method",
         "received_at",
+        "refusal_reason",
         "size",
         "target",
         "upload",
@@ -44,6 +46,8 @@
 
     def __init__(self, error_status: int = 0) -> None:
         self.error_status = error_status
+        # Why the request is rejected, if it is.
+        self.refusal_reason = RefusalReason.INPUT
         self.method = b""
         self.target = b""
         self.version = "1.1"
@@ -59,6 +63,5 @@
         self.keep_alive = error_status == 0
         # Loop time at which the last byte of the request, or of its head if the body is streamed, was read.
         self.received_at = 0.0
-        # Bytes reserved in the memory budget, which limits buffered bytes, while the request is pipelined or
-        # pending.
+        # Bytes of the head and of the buffered body, which count in the memory budget.
         self.size = 0
--- a/balancer/net/downstream/pending_request.py
+++ b/balancer/net/downstream/pending_request.py
@@ -9,6 +9,7 @@
 from balancer.net.downstream.message import ClientRequest
 from balancer.net.upstream.body_streaming import RequestBodyStream
 from balancer.net.upstream.exchange import Exchange
+from balancer.policy.interface import Outcome
 
 
 class PendingRequest:
@@ -30,6 +31,7 @@
         "deadline_timer",
         "exchange",
         "id",
+        "last_outcome",
         "message",
         "ran_at",
         "remaining",
@@ -57,6 +59,8 @@
         self.remaining = remaining
         self.deadline = now + remaining
         self.attempts = 0
+        # The outcome of the last attempt that has ended.
+        self.last_outcome: Outcome | None = None
         self.exchange: Exchange | None = None
         # Time at which the first byte of the current attempt was written, in microseconds.
         self.written_at: int | None = None
--- a/balancer/net/downstream/protocols.py
+++ b/balancer/net/downstream/protocols.py
@@ -9,6 +9,7 @@
 from balancer.net.process.descriptor_budget import DescriptorBudget
 from balancer.net.process.lifecycle import Lifecycle
 from balancer.net.process.memory_budget import MemoryBudget
+from balancer.net.process.traffic_events import RefusalReason, TrafficEvents
 
 # The class of client connections. It is a type variable, because the module of that class imports this
 # module.
@@ -25,7 +26,9 @@
         Exactly one call of `client.respond` or `client.begin_stream` must follow.
         """
 
-    def reject_over_capacity(self, client: ConnectionIn, message: ClientRequest) -> None:
+    def reject_over_capacity(
+        self, client: ConnectionIn, message: ClientRequest, reason: RefusalReason
+    ) -> None:
         """Reject a request for which the node has no capacity; must call `client.respond` once."""
 
     def request_malformed(self, client: ConnectionIn, status: int) -> None:
@@ -47,6 +50,10 @@
     lifecycle: Lifecycle
     connections: set[Connection]
     handler: RequestHandler[Connection]
+    events: TrafficEvents
+
+    def next_number(self) -> int:
+        """Return the number of a new connection, which log lines name."""
 
     def evict_idle(self) -> None:
         """Evict the longest idle connection if clients hold more than `max_idle_clients` connections."""
--- a/balancer/net/downstream/request_parser.py
+++ b/balancer/net/downstream/request_parser.py
@@ -109,6 +109,13 @@
         partial, self.partial_request = self.partial_request, None
         return partial
 
+    def partial_bytes(self) -> int:
+        """Return the bytes that are buffered of a request that has not been passed on; 0 if there is none."""
+        message = self.partial_request
+        if message is None or message.upload is not None:
+            return 0
+        return self.bytes_without_body if self.head_incomplete else message.size
+
     def is_reading_body(self) -> bool:
         """Return whether a request's head is complete and its body is not."""
         return self.partial_request is not None and not self.head_incomplete
@@ -133,6 +140,7 @@
         """Append to the request target, which may be split over several calls."""
         if self.partial_request is not None:
             self.partial_request.target += url
+            self.partial_request.size += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header to the request; ignore a trailer, which is a header after the body."""
@@ -140,6 +148,7 @@
             key = name.lower()
             self.partial_request.header_lines.append((key, name, value))
             self.partial_request.headers.setdefault(key, value)
+            self.partial_request.size += len(name) + len(value)
             if len(self.partial_request.header_lines) > MAX_HEADER_LINES:
                 self.receiver.reject(431)
 
@@ -153,7 +162,6 @@
         message.version = self.http_parser.get_http_version()
         message.keep_alive = self.http_parser.should_keep_alive() and not self.http_parser.should_upgrade()
         message.expects_continue = b"expect" in message.headers and message.version == "1.1"
-        message.size = len(message.target) + sum(len(n) + len(v) for _, n, v in message.header_lines)
         self.deadline.start_body()
         length = message.headers.get(b"content-length", b"")
         if length.isdigit() and int(length) > MAX_BODY_BYTES:
@@ -172,6 +180,7 @@
         message.upload = RequestBodyStream(length, on_writable)
         if message.body:
             message.upload.feed(message.body)
+            message.size -= len(message.body)
             message.body = b""
         self.receiver.enqueue(message)
 
@@ -187,6 +196,7 @@
                 self.receiver.reject(413)
             return
         message.body += body
+        message.size += len(body)
         if len(message.body) > MAX_BUFFERED_BYTES:
             self.stream_body(message, None)
 
@@ -205,7 +215,6 @@
         if message.upload is not None:
             message.upload.end()
         else:
-            message.size += len(message.body)
             self.receiver.enqueue(message)
 
 
--- a/balancer/net/downstream/requests.py
+++ b/balancer/net/downstream/requests.py
@@ -15,6 +15,7 @@
 from balancer.net.process.event_queue import EventQueue
 from balancer.net.process.lifecycle import Lifecycle
 from balancer.net.process.log import Log
+from balancer.net.process.traffic_events import RefusalReason, TrafficEvents
 from balancer.policy import Balancer
 from balancer.policy.interface import Outcome
 
@@ -37,6 +38,7 @@
         log: Receives a line for each internal error.
         counters: Counts each finished request.
         event_queue: Passes events to the policy.
+        events: Records why requests are refused.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         log: Log,
         counters: Counters,
         event_queue: EventQueue,
+        events: TrafficEvents,
     ) -> None:
         self.settings = config.settings
         self.loop = loop
@@ -54,6 +57,7 @@
         self.log = log
         self.counters = counters
         self.event_queue = event_queue
+        self.events = events
         # The policy. It is assigned after this object is constructed, because the policy's own constructor
         # needs the actions `reject` and `fail` of this object.
         self.balancer: Balancer
@@ -78,6 +82,7 @@
             self.accept(client, message)
         except Exception as e:
             self.log.line(f"request: {type(e).__name__}: {e}")
+            self.events.refused(client.number, RefusalReason.INTERNAL, 500)
             client.respond(500)
 
     def accept(self, client: ClientConnection, message: ClientRequest) -> None:
@@ -90,10 +95,11 @@
         try:
             parameters = self.validator.parse(message, request_class)
         except InvalidRequestError as error:
+            self.events.refused(client.number, RefusalReason.INPUT, error.status)
             client.respond(error.status, headers=error.headers)
             return
         if len(self.pending) >= self.settings.max_open:
-            self.reject_over_capacity(client, message)
+            self.reject_over_capacity(client, message, RefusalReason.MAX_OPEN)
             return
         # The time since the request was read counts against its budget: it may have been pipelined, or the
         # process may have been suspended after reading it. `monotonic` is used because the loop's clock does
@@ -138,7 +144,9 @@
             else min(remaining, max(0, self.last_response_at - now))
         )
 
-    def reject_over_capacity(self, client: ClientConnection, message: ClientRequest) -> None:
+    def reject_over_capacity(
+        self, client: ClientConnection, message: ClientRequest, reason: RefusalReason
+    ) -> None:
         """Reject a request for which the node itself has no capacity; the policy is not notified.
 
         The response has a Retry-After header, because a client that gets none would retry at once.
@@ -146,6 +154,7 @@
         request_class = self.validator.class_of(message)
         if request_class is not None:
             self.counters.count_finished(request_class, 503)
+        self.events.refused(client.number, reason, 503)
         client.respond(503, headers=self.over_capacity_headers())
 
     def over_capacity_headers(self) -> bytes:
@@ -165,7 +174,7 @@
             if request.stream is not None:
                 # A response that has started is aborted, because the client would wait for its end.
                 request.stream.abort()
-            self.respond(request.id, status)
+            self.refuse(request.id, status, RefusalReason.INPUT)
             self.abandon(request)
 
     def client_disconnected(self, client: ClientConnection) -> None:
@@ -208,7 +217,7 @@
 
     def time_out(self, request: PendingRequest) -> None:
         """Respond with 504 to a request whose deadline has passed, and notify the policy."""
-        self.respond(request.id, 504)
+        self.refuse(request.id, 504, RefusalReason.DEADLINE)
         self.event_queue.post(self.balancer.client_disconnected, request.id)
 
     # ---- responses --------------------------------------------------------------------------------------
@@ -221,6 +230,15 @@
             self.close_request(request, status)
             client.respond(status, body, headers)
 
+    def refuse(self, number: int, status: int, reason: RefusalReason, headers: bytes = b"") -> None:
+        """Send the client an error response of the node, unless it has its response or has disconnected."""
+        request = self.pending.get(number)
+        if request is not None and request.client is not None and request.stream is None:
+            last_outcome = request.last_outcome
+            detail = last_outcome.name.lower() if last_outcome is not None else ""
+            self.events.refused(request.client.number, reason, status, detail)
+        self.respond(number, status, headers=headers)
+
     def close_request(self, request: PendingRequest, status: int) -> None:
         """Count a finished request, and detach its client."""
         self.counts[f"answered_{status}"] += 1
@@ -245,11 +263,17 @@
 
         The response has a Retry-After header if `retry_after`, in microseconds, is positive.
         """
-        self.respond(request, 503, headers=retry_after_header(retry_after))
+        self.refuse(request, 503, self.reason_to_give_up(request), retry_after_header(retry_after))
 
     def fail(self, request: int) -> None:
         """Respond to the request with 502, because the policy has given it up."""
-        self.respond(request, 502)
+        self.refuse(request, 502, self.reason_to_give_up(request))
+
+    def reason_to_give_up(self, number: int) -> RefusalReason:
+        """Return the reason for the policy's final answer: whether the request had attempts."""
+        request = self.pending.get(number)
+        has_attempts = request is not None and request.attempts > 0
+        return RefusalReason.ATTEMPTS if has_attempts else RefusalReason.POLICY
 
 
 def retry_after_header(delay_us: int) -> bytes:
--- a/balancer/net/downstream/response_writer.py
+++ b/balancer/net/downstream/response_writer.py
@@ -8,7 +8,7 @@
 from typing import cast
 
 from balancer.net.downstream.message import REASON_PHRASES
-from balancer.net.process.memory_budget import MemoryBudget
+from balancer.net.process.memory_budget import Holding, MemoryAccount
 from balancer.net.upstream.body_streaming import ResponseSource
 
 CLOSE_HEADER = b"Connection: close\r\n"
@@ -20,11 +20,11 @@
     """Writes responses to one connection.
 
     Args:
-        memory_budget: Accounts for the bytes of responses that the client does not read.
+        account: The bytes that are buffered for the connection.
     """
 
-    def __init__(self, memory_budget: MemoryBudget) -> None:
-        self.memory_budget = memory_budget
+    def __init__(self, account: MemoryAccount) -> None:
+        self.account = account
         # The transport of the client's connection, assigned when the connection is made.
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
         # The connection to a server from which the current response is streamed.
@@ -33,8 +33,6 @@
         self.chunked = False
         # Whether writing is paused because the client does not read its responses.
         self.blocked = False
-        # Bytes reserved in the memory budget for complete responses that the client does not read.
-        self.unsent_bytes = 0
 
     def write(self, data: bytes) -> None:
         """Write bytes to the client, unless the connection is closing."""
@@ -63,6 +61,8 @@
     def write_stream(self, data: bytes) -> None:
         """Write a part of the streamed body, which must not be empty."""
         self.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+        if self.blocked:
+            self.update_account()
 
     def end_stream(self) -> None:
         """Finish the streamed response, whose body has been written completely."""
@@ -78,25 +78,24 @@
     def pause(self) -> None:
         """React to a client that does not read its responses.
 
-        Stop reading a streamed response from its server; reserve the unsent bytes of complete responses.
+        Count the unsent bytes, and stop reading a streamed response from its server.
         """
         self.blocked = True
+        self.update_account()
         if self.source is not None:
             self.source.pause_reading()
-        else:
-            self.set_unsent_bytes(self.transport.get_write_buffer_size())
 
     def resume(self) -> None:
-        """Release the reserved bytes and resume reading a streamed response, as the client reads again."""
+        """Release the unsent bytes and resume reading a streamed response, as the client reads again."""
         self.blocked = False
-        self.set_unsent_bytes(0)
+        self.update_account()
         if self.source is not None:
             self.source.resume_reading()
 
-    def set_unsent_bytes(self, size: int) -> None:
-        """Update the number of unsent bytes that are reserved in the memory budget."""
-        self.memory_budget.reserve(size - self.unsent_bytes)
-        self.unsent_bytes = size
+    def update_account(self) -> None:
+        """Count the bytes that the client has not read, while writing is paused."""
+        unread_bytes = self.transport.get_write_buffer_size() if self.blocked else 0
+        self.account.set(Holding.UNREAD_RESPONSES, unread_bytes)
 
     def has_unsent_data(self) -> bool:
         """Return whether part of a response is still buffered; closing now would truncate it."""
--- a/balancer/net/node.py
+++ b/balancer/net/node.py
@@ -20,16 +20,22 @@
 from balancer.net.downstream.client_connections import ClientConnections
 from balancer.net.downstream.requests import Requests
 from balancer.net.peers import Peers
-from balancer.net.process.counters import Counters
+from balancer.net.process.counters import Counters, render_diagnostics
 from balancer.net.process.descriptor_budget import DescriptorBudget
 from balancer.net.process.event_queue import Event, EventQueue
 from balancer.net.process.handover import Handover, adopt_listening_socket
 from balancer.net.process.lifecycle import Lifecycle, Stage
 from balancer.net.process.listener import Address, open_listener
-from balancer.net.process.log import MAX_LINES_PER_SECOND, MAX_STRAY_LINES_PER_SECOND, Log
+from balancer.net.process.log import (
+    MAX_EVENT_LINES_PER_SECOND,
+    MAX_LINES_PER_SECOND,
+    MAX_STRAY_LINES_PER_SECOND,
+    Log,
+)
 from balancer.net.process.management import JSON, Management, Page, PageResponse, Pages
-from balancer.net.process.memory_budget import MemoryBudget
+from balancer.net.process.memory_budget import MemoryBudget, resident_bytes
 from balancer.net.process.system_faults import is_shortage, retry_shortage
+from balancer.net.process.traffic_events import TrafficEvents
 from balancer.net.upstream.connection import Response
 from balancer.net.upstream.exchange import Exchange
 from balancer.net.upstream.load_report import parse_load_report
@@ -70,6 +76,8 @@
         # Log lines about invalid input have a rate limit of their own, so that a flood of stray datagrams
         # cannot suppress the lines that report faults.
         stray_log = Log(config.name, MAX_STRAY_LINES_PER_SECOND)
+        # So have closes, refusals and retries, of which a crowd causes hundreds a second.
+        self.events = TrafficEvents(Log(config.name, MAX_EVENT_LINES_PER_SECOND))
         max_connections = config.max_connections()
         self.descriptor_budget = DescriptorBudget(max_connections, config.max_descriptors)
         self.memory_budget = MemoryBudget(config.memory_bytes, max_connections)
@@ -80,11 +88,11 @@
         self.counters = Counters(config.classes)
         self.event_queue = EventQueue(self.log_writer, self.on_event_failed)
         self.requests = Requests(
-            config, loop, self.lifecycle, self.log_writer, self.counters, self.event_queue
+            config, loop, self.lifecycle, self.log_writer, self.counters, self.event_queue, self.events
         )
         self.attempts = Attempts(config, self.pool, self.event_queue, self.counters, self.requests)
         self.client_connections = ClientConnections(
-            loop, self.descriptor_budget, self.requests, self.lifecycle, self.memory_budget
+            loop, self.descriptor_budget, self.requests, self.lifecycle, self.memory_budget, self.events
         )
         self.pool.evict_client = self.client_connections.evict_one
         self.client_connections.close_unused_server_connection = self.pool.close_unused
@@ -142,6 +150,7 @@
         self.started = True
         self.log_writer.line(
             f"start tier={c.settings.tier} instances={c.settings.instances} connections={c.max_connections()}"
+            f" memory_mb={c.memory_bytes >> 20} held_limit_bytes={self.memory_budget.max_held_bytes}"
             f" idle={c.idle_timeout_s} connect_timeout={c.connect_timeout_s}"
             f" aims={[k.latency_objective // 1000 for k in c.settings.classes]}"
         )
@@ -253,6 +262,9 @@
         """Log the policy's current statistics and the node's counts since the start, once per interval."""
         stats = self.balancer.stats() | self.requests.counts | self.client_connections.counts
         stats |= {"dialled": self.pool.opened_count, "clients": self.descriptor_budget.clients}
+        stats |= {"server_connections": self.descriptor_budget.servers}
+        stats |= self.memory_budget.figures() | self.events.figures()
+        stats |= {"resident_bytes": resident_bytes()}
         self.log_writer.line("stats " + " ".join(f"{name}={value:.4g}" for name, value in stats.items()))
         self.loop.call_later(STATS_INTERVAL_S, self.write_stats)
 
@@ -286,6 +298,7 @@
         pages = {
             b"/control/ready": Page(b"GET", self.show_readiness),
             b"/control/counters": Page(b"GET", self.show_counters),
+            b"/control/diagnostics": Page(b"GET", self.show_diagnostics),
             b"/control/out-of-service": Page(b"PUT", self.take_out_of_service),
             b"/control/in-service": Page(b"PUT", self.return_to_service),
         }
@@ -313,6 +326,12 @@
         body = self.counters.render(len(self.requests.by_client), len(self.server_registry.states), avoided)
         return PageResponse(200, body)
 
+    def show_diagnostics(self) -> PageResponse:
+        """Return the buffered bytes by what holds them, and closes, refusals and retries by reason."""
+        figures = self.memory_budget.figures() | {"resident_bytes": resident_bytes()}
+        events = self.events
+        return PageResponse(200, render_diagnostics(figures, events.closes, events.refusals, events.retries))
+
     def take_out_of_service(self) -> PageResponse:
         """Take the node out of service: it drains its client connections and keeps running."""
         self.lifecycle.take_out_of_service()
--- a/balancer/net/process/counters.py
+++ b/balancer/net/process/counters.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 ANSWERED, DEFERRED, ERRORED = STATES = ("answered", "deferred", "errored")
 
@@ -35,6 +35,34 @@
     return header + [f"lb_{name}{labels} {value}" for labels, value in samples]
 
 
+def render_diagnostics(
+    memory: Mapping[str, int],
+    closes: Mapping[str, int],
+    refusals: Mapping[str, int],
+    retries: Mapping[str, int],
+) -> bytes:
+    """Return the body of the diagnostics page.
+
+    Args:
+        memory: Sizes in bytes, by name.
+        closes: The number of closed connections of clients, by reason.
+        refusals: The number of requests that got an error response of the node, by reason.
+        retries: The number of further attempts, by the outcome of the attempt before.
+    """
+    lines: list[str] = []
+    for name, size in memory.items():
+        lines += metric_lines(name, "gauge", "Bytes of memory.", [("", size)])
+    groups = {
+        "closed_connections": ("Ended connections of clients, by reason.", closes),
+        "refused_requests": ("Error responses of the node, by reason.", refusals),
+        "retries": ("Further attempts, by the outcome before.", retries),
+    }
+    for name, (description, counts) in groups.items():
+        samples = [(f'{{reason="{reason}"}}', count) for reason, count in sorted(counts.items())]
+        lines += metric_lines(name, "counter", description, samples)
+    return "\n".join(lines).encode() + b"\n"
+
+
 class Counters:
     """Counts finished requests and sent attempts since the process started; a request is counted at its end.
 
--- a/balancer/net/process/log.py
+++ b/balancer/net/process/log.py
@@ -8,6 +8,7 @@
 
 MAX_LINES_PER_SECOND = 20
 MAX_STRAY_LINES_PER_SECOND = 5
+MAX_EVENT_LINES_PER_SECOND = 10
 
 
 class Log:
--- a/balancer/net/process/memory_budget.py
+++ b/balancer/net/process/memory_budget.py
@@ -1,13 +1,47 @@
-"""The limit on bytes of messages that the process buffers, derived from its memory limit."""
+"""The limit on bytes of messages that the process buffers, and the record of what holds them."""
 
 from __future__ import annotations
 
+import os
+from enum import IntEnum
+
 BASE_BYTES = 16 << 20  # Memory that an idle process uses.
 BYTES_PER_HELD_BYTE = 4  # Memory used for each buffered byte, including its copies in other representations.
 MIN_HELD_BYTES = 1 << 20  # Lower bound of the limit on buffered bytes, however low the memory limit is.
+STATM_FILE = "/proc/self/statm"  # Sizes of the process in pages; the second one is the resident set.
 MIN_CHUNK_BYTES, MAX_CHUNK_BYTES = 4 << 10, 64 << 10
 
 
+def resident_bytes() -> int:
+    """Return the size of the process's resident set; 0 if the system does not tell it."""
+    try:
+        with open(STATM_FILE, "rb") as file:
+            pages = int(file.read().split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+class Holding(IntEnum):
+    """What buffered bytes belong to; logs and management pages show the names in lower case.
+
+    Attributes:
+        INPUT: Bytes that were read from a client and are not parsed yet.
+        PARTIAL_REQUESTS: Heads and bodies of requests that are not complete.
+        REQUESTS: Complete requests that wait or are in flight.
+        UPLOADS: Pieces of streamed request bodies that a server has not taken.
+        RESPONSES: Bodies of responses that a server has not sent completely.
+        UNREAD_RESPONSES: Responses that a client does not read.
+    """
+
+    INPUT = 0
+    PARTIAL_REQUESTS = 1
+    REQUESTS = 2
+    UPLOADS = 3
+    RESPONSES = 4
+    UNREAD_RESPONSES = 5
+
+
 class MemoryBudget:
     """Counts and limits the bytes of the requests and responses that are buffered.
 
@@ -21,7 +55,9 @@
     """
 
     def __init__(self, memory_bytes: int, max_connections: int) -> None:
+        self.held = [0] * len(Holding)  # Buffered bytes by `Holding`.
         self.held_bytes = 0
+        self.peak_bytes = 0
         self.resize(memory_bytes)
         share_bytes = self.max_held_bytes // (4 * max_connections)
         self.chunk_bytes = min(MAX_CHUNK_BYTES, max(MIN_CHUNK_BYTES, share_bytes))
@@ -36,10 +72,45 @@
         """Return whether another `size` bytes may be buffered."""
         return self.held_bytes + size <= self.max_held_bytes
 
-    def reserve(self, size: int) -> None:
-        """Count `size` bytes as buffered."""
+    def change(self, holding: Holding, size: int) -> None:
+        """Count `size` more bytes as buffered, or fewer if it is negative."""
+        self.held[holding] += size
         self.held_bytes += size
+        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
+
+    def figures(self) -> dict[str, int]:
+        """Return the buffered bytes by holding, their sum, its peak and its limit, by name."""
+        by_holding = {f"held_{holding.name.lower()}": self.held[holding] for holding in Holding}
+        return by_holding | {
+            "held_bytes": self.held_bytes,
+            "held_peak_bytes": self.peak_bytes,
+            "held_limit_bytes": self.max_held_bytes,
+        }
+
+
+class MemoryAccount:
+    """The bytes that one connection makes the process buffer, as part of the budget.
+
+    Args:
+        budget: The budget in which the bytes count.
+    """
+
+    __slots__ = ("budget", "held", "total")
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self.budget = budget
+        self.held = [0] * len(Holding)
+        self.total = 0
+
+    def set(self, holding: Holding, size: int) -> None:
+        """Record that `size` bytes are now buffered for this purpose."""
+        change = size - self.held[holding]
+        if change:
+            self.held[holding] = size
+            self.total += change
+            self.budget.change(holding, change)
 
-    def release(self, size: int) -> None:
-        """Stop counting `size` bytes that are no longer buffered."""
-        self.held_bytes -= size
+    def close(self) -> None:
+        """Release all bytes of a connection that is closed."""
+        for holding in Holding:
+            self.set(holding, 0)
--- /dev/null
+++ b/balancer/net/process/traffic_events.py
@@ -0,0 +1,126 @@
+"""Counts and log lines of closed connections, refused requests and retries, each with its reason."""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import Enum
+
+from balancer.net.process.log import Log
+
+
+class CloseReason(Enum):
+    """Why a client's connection ended; logs and management pages show the value.
+
+    Attributes:
+        CLIENT: The client closed or reset it.
+        RESPONSE: It was closed after a response, as the client, the request or the node's drain asks for.
+        REJECTED: It was closed after the error response to a request that was not read completely.
+        IDLE: It was evicted without a request, after an earlier response.
+        NO_REQUEST: It was evicted without a complete head.
+        SILENT: Its client sent nothing in time.
+        LATE: Its client did not send a head or a body in time.
+        DRAINING: The node drains, and it had no request.
+        MEMORY: It was closed because buffered bytes exceeded the limit.
+        UNREAD: Its client did not read a response.
+        BROKEN_RESPONSE: The response that was being streamed cannot be completed.
+    """
+
+    CLIENT = "client"
+    RESPONSE = "response"
+    REJECTED = "rejected"
+    IDLE = "idle"
+    NO_REQUEST = "no_request"
+    SILENT = "silent"
+    LATE = "late"
+    DRAINING = "draining"
+    MEMORY = "memory"
+    UNREAD = "unread"
+    BROKEN_RESPONSE = "broken_response"
+
+
+class RefusalReason(Enum):
+    """Why a request got no response from a server; logs and management pages show the value.
+
+    Attributes:
+        POLICY: The policy rejected it before any attempt, at its limit or without a server.
+        ATTEMPTS: Its attempts failed, and the policy gave it up.
+        DEADLINE: It had no response at its deadline.
+        MAX_OPEN: The node has as many requests as its settings allow.
+        CONNECTIONS: The node has too many connections of clients.
+        MEMORY: Its bytes exceed the limit on buffered bytes.
+        INPUT: It was malformed, too large, overdue or sent behind too many others.
+        UPLOAD: Its streamed body broke off on the way to a server.
+        INTERNAL: Its handling raised an exception.
+    """
+
+    POLICY = "policy"
+    ATTEMPTS = "attempts"
+    DEADLINE = "deadline"
+    MAX_OPEN = "max_open"
+    CONNECTIONS = "connections"
+    MEMORY = "memory"
+    INPUT = "input"
+    UPLOAD = "upload"
+    INTERNAL = "internal"
+
+
+# Ends of connections that are part of calm traffic: they are counted and not logged.
+UNLOGGED_CLOSES = frozenset({CloseReason.CLIENT, CloseReason.RESPONSE})
+
+
+class TrafficEvents:
+    """Counts events of client connections and requests by reason, and logs them at a limited rate.
+
+    Args:
+        log: Receives a line for each event; its rate limit is not shared with lines that report faults.
+    """
+
+    def __init__(self, log: Log) -> None:
+        self.log = log
+        self.closes: Counter[str] = Counter()
+        self.refusals: Counter[str] = Counter()
+        self.retries: Counter[str] = Counter()
+
+    def closed(self, client: int, reason: CloseReason, age_s: float, held_bytes: int) -> None:
+        """Record the end of a client's connection.
+
+        Args:
+            client: The number of the connection.
+            reason: Why it ended.
+            age_s: The time since it was accepted, in seconds.
+            held_bytes: The bytes that were buffered for it when the node decided to close it.
+        """
+        self.closes[reason.value] += 1
+        if reason not in UNLOGGED_CLOSES:
+            self.log.line(f"close client={client} reason={reason.value} age={age_s:.2f} held={held_bytes}")
+
+    def refused(self, client: int, reason: RefusalReason, status: int, detail: str = "") -> None:
+        """Record a request that got an error response of the node.
+
+        Args:
+            client: The number of the client's connection.
+            reason: Why the request got no response from a server.
+            status: The status of the response.
+            detail: The outcome of the last attempt, if there was one.
+        """
+        self.refusals[reason.value] += 1
+        after = f" after={detail}" if detail else ""
+        self.log.line(f"refuse client={client} reason={reason.value} status={status}{after}")
+
+    def retried(self, request: int, attempt: int, reason: str) -> None:
+        """Record a further attempt.
+
+        Args:
+            request: The number of the request.
+            attempt: The number of the attempt within its request, from 0.
+            reason: The outcome of the attempt before, in lower case.
+        """
+        self.retries[reason] += 1
+        self.log.line(f"retry request={request} attempt={attempt} after={reason}")
+
+    def figures(self) -> dict[str, int]:
+        """Return all counts by the names of the log."""
+        groups = {"closed": self.closes, "refused": self.refusals, "retried": self.retries}
+        return {
+            f"{group}_{name}": count for group, counts in groups.items() for name, count in counts.items()
+        }
--- a/balancer/net/upstream/body_streaming.py
+++ b/balancer/net/upstream/body_streaming.py
@@ -25,6 +25,9 @@
         The caller should then stop writing until `RequestBodyStream.on_drained` is called.
         """
 
+    def unsent_bytes(self) -> int:
+        """Return the size of the connection's write buffer."""
+
 
 class ResponseStream(Protocol):
     """The receiving side of a streamed response: the connection to the client that gets its body."""
@@ -67,16 +70,27 @@
         self.buffered: list[bytes] = []  # Every piece received, until the buffer is discarded.
         self.is_complete = False
         self.has_discarded_data = False  # Whether the buffer was discarded, so a retry would lack its pieces.
+        self.discarded_bytes = 0
         self.sink: RequestBodySink | None = None
 
     def feed(self, data: bytes) -> None:
         """Buffer a piece of the body from the client and forward it to the attached server."""
         self.size += len(data)
-        if not self.has_discarded_data:
+        if self.has_discarded_data:
+            self.discarded_bytes += len(data)
+        else:
             self.buffered.append(data)
         if self.sink is not None:
             self.sink.write_body(data)
 
+    def held_bytes(self) -> int:
+        """Return the bytes of the body that are buffered, here or by the connection to the server.
+
+        Pieces that are kept for a retry are buffered once, also if the connection has not sent them yet.
+        """
+        unsent_bytes = self.sink.unsent_bytes() if self.sink is not None else 0
+        return max(self.size - self.discarded_bytes, unsent_bytes)
+
     def end(self) -> None:
         """Record that the client has sent the whole body, and tell the attached server connection."""
         self.is_complete = True
@@ -108,6 +122,7 @@
         """
         if not self.is_complete:
             self.has_discarded_data = True
+            self.discarded_bytes = self.size
             self.buffered.clear()
             self.on_writable()
 
--- a/balancer/net/upstream/connection.py
+++ b/balancer/net/upstream/connection.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from balancer.net.process.memory_budget import MemoryBudget
+from balancer.net.process.memory_budget import Holding, MemoryAccount, MemoryBudget
 from balancer.net.process.sockets import READABLE, has_event
 from balancer.net.upstream.body_streaming import (
     MAX_BODY_BYTES,
@@ -131,6 +131,7 @@
         self.reading_paused = False  # True while the client cannot accept more data.
         self.last_progress_at = 0.0
         self.non_body_bytes = 0  # Consecutive bytes received outside the response's body.
+        self.account = MemoryAccount(pool.memory_budget)
         self.is_counted = False  # Whether the connection is counted in the descriptor budget.
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
 
@@ -191,7 +192,11 @@
 
     def is_write_blocked(self) -> bool:
         """Return whether the write buffer is full, so that the request's body must wait."""
-        return self.transport.get_write_buffer_size() >= self.pool.memory_budget.chunk_bytes
+        return self.unsent_bytes() >= self.pool.memory_budget.chunk_bytes
+
+    def unsent_bytes(self) -> int:
+        """Return the size of the write buffer."""
+        return self.transport.get_write_buffer_size()
 
     # ---- The exchange -----------------------------------------------------------------------------------
 
@@ -323,8 +328,8 @@
 
     def release_body(self) -> None:
         """Discard the buffered part of the response's body."""
-        self.pool.memory_budget.release(len(self.body))
         self.body = b""
+        self.account.set(Holding.RESPONSES, 0)
 
     def pause_reading(self) -> None:
         """Stop reading from the server while the client cannot accept more data."""
@@ -380,7 +385,7 @@
                 self.stream.write(body)
         else:
             self.body += body
-            self.pool.memory_budget.reserve(len(body))
+            self.account.set(Holding.RESPONSES, len(self.body))
 
     def on_message_complete(self) -> None:
         """Record the end of the response; ignore interim ones and any that follow the complete response."""
