--- /dev/null
+++ b/tests/test_memory_limit.py
@@ -0,0 +1,53 @@
+"""The resident set of a node under hundreds of slow peers from its first second on, beside honest clients."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from loopback import run_scenario
+from peer_load import MEBIBYTE, SCRIPTS, LoadResult, run_load
+
+MEMORY_MB = 32
+# Time in which the protocol owes an error or a close to a peer that stops within a request.
+BAD_PEER_TIMEOUT_S = 3.0
+MAX_REFUSED_RATIO = 0.01
+
+# Peers that send complete requests overload the servers, so honest clients are refused beside them.
+COMPLETE_REQUESTS = frozenset({"complete_heads"})
+PEER_COUNT = 300
+
+
+def load_node(tmp_path: Path, script: str, sockets: int) -> LoadResult:
+    """Run peers with this script against a node with the least memory, and return the result."""
+    results: list[LoadResult] = []
+
+    async def scenario() -> None:
+        results.append(await run_load(tmp_path, SCRIPTS[script], PEER_COUNT, MEMORY_MB, sockets))
+
+    run_scenario(scenario)
+    return results[0]
+
+
+def assert_within_memory_limit(result: LoadResult) -> None:
+    """Check that the node lives, and that its resident set stayed within the limit."""
+    assert result.exit_status is None, result.log[-20:]
+    assert result.peak.resident > 0
+    assert max(result.peak.resident, result.peak.anonymous) <= MEMORY_MB * MEBIBYTE, (
+        result.peak,
+        result.stats,
+    )
+
+
+@pytest.mark.parametrize("sockets", [1024])
+@pytest.mark.parametrize("script", ["complete_heads", "stopped_short_body"])
+def test_peers_stay_within_memory_limit(tmp_path: Path, script: str, sockets: int) -> None:
+    """The node's platform kills a process that passes its limit, with all requests that it has taken."""
+    result = load_node(tmp_path, script, sockets)
+    assert_within_memory_limit(result)
+    clients = result.clients
+    assert (clients.missing, clients.late, clients.foreign) == (0, 0, 0), clients
+    if script not in COMPLETE_REQUESTS:
+        assert clients.refused + clients.failed <= MAX_REFUSED_RATIO * clients.total(), clients
+        assert result.peers.kept == 0, result.peers
+        assert max(result.peers.end_times) <= BAD_PEER_TIMEOUT_S, max(result.peers.end_times)
