Heads are kept as text: a field costs its bytes, not an object each

What callers saw: nodes killed at their memory limit under hundreds of clients whose heads have very many short fields. Cause: ClientRequest.header_lines kept each field as a tuple of three byte strings, and the dict of headers kept them all again, some 300 bytes for a field of six; the budget counted the six. One slice of 8 KiB completed hundreds of requests at once. Change: fields to forward and fields that frame the body are kept as text, values only of the eight headers that the node reads; a request counts with its object's memory. Slices shorten once half of the budget is used.

--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -18,8 +18,10 @@
 from balancer.net.process.traffic_events import CloseReason, RefusalReason
 from balancer.net.upstream.body_streaming import ResponseSource
 
-# Bytes passed to the parser in one call.
+# Bytes passed to the parser in one call. All requests that a slice completes are kept, and the shortest ones
+# cost many times their bytes, so slices are shorter once much of the memory budget is used.
 PARSE_SLICE_BYTES = 8192
+SHORT_SLICE_BYTES = 512
 # Complete requests that may wait on one connection while an earlier one is in flight.
 MAX_PIPELINED_REQUESTS = 8
 # Unparsed bytes that may wait behind the pipelined requests. A client that sends more is rejected, and all
@@ -140,7 +142,8 @@
         self.parsing = True
         while True:
             while self.unparsed and not self.reading_stopped and not self.is_parsing_blocked():
-                data, self.read_at = self.unparsed.take(PARSE_SLICE_BYTES)
+                is_scarce = self.connections.memory_budget.is_scarce()
+                data, self.read_at = self.unparsed.take(SHORT_SLICE_BYTES if is_scarce else PARSE_SLICE_BYTES)
                 self.parser.feed(data)
             self.start_next_request()
             if not self.unparsed or self.reading_stopped or self.is_parsing_blocked():
@@ -213,7 +216,7 @@
         self.account.set(Holding.PARTIAL_REQUESTS, 0)
         if not self.connections.memory_budget.can_reserve(message.size):
             message.error_status, message.keep_alive = 503, False
-            message.upload, message.body, message.size = None, b"", 0
+            message.discard_content()
             message.refusal_reason = RefusalReason.MEMORY
             self.stop_reading()
         message.received_at = self.read_at
--- a/balancer/net/downstream/message.py
+++ b/balancer/net/downstream/message.py
@@ -21,6 +21,21 @@
 }
 
 
+# Memory of a request's object without the bytes of its head and body.
+OBJECT_BYTES = 1024
+# Headers that are not forwarded: they concern only the connection between the client and this node, or the
+# node generates its own for the connection to the server.
+HOP_BY_HOP_HEADERS = frozenset(
+    b"connection keep-alive proxy-connection proxy-authorization te trailer transfer-encoding upgrade expect"
+    b" content-length x-budget-ms".split()
+)
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+# Headers whose values the node reads.
+READ_HEADERS = frozenset(
+    b"connection content-length expect x-budget-ms x-call-id idempotency-key x-caller x-again".split()
+)
+
+
 class ClientRequest:
     """A request as it was received, or the error for one that cannot be handled.
 
@@ -32,9 +47,11 @@
         "body",
         "error_status",
         "expects_continue",
-        "header_lines",
+        "forwarded_lines",
+        "framing_lines",
         "headers",
         "keep_alive",
+        "line_count",
         "method",
         "received_at",
         "refusal_reason",
@@ -51,11 +68,16 @@
         self.method = b""
         self.target = b""
         self.version = "1.1"
-        # Header lines in order, each as the lower-case name, the name as received and the value.
-        self.header_lines: list[tuple[bytes, bytes, bytes]] = []
-        # Header values by lower-case name; the first one if a header is repeated.
+        self.line_count = 0  # Number of header lines received.
+        # The header lines to forward and those that frame the body, as received and in order, each ending in
+        # CRLF. They are kept as text, since a line as an object costs many times its bytes.
+        self.forwarded_lines = bytearray()
+        self.framing_lines = bytearray()
+        # The values of the headers that the node reads, by lower-case name: the first one if a header is
+        # repeated, and all values of `Connection`, separated by commas.
         self.headers: dict[bytes, bytes] = {}
-        self.body = b""
+        # The buffered body: a bytearray while it is received, and bytes once it is complete.
+        self.body: bytes | bytearray = b""
         # The streamed body, if the body is too long to be buffered.
         self.upload: RequestBodyStream | None = None
         # Whether the client waits for `100 Continue` before it sends the body.
@@ -63,5 +85,37 @@
         self.keep_alive = error_status == 0
         # Loop time at which the last byte of the request, or of its head if the body is streamed, was read.
         self.received_at = 0.0
-        # Bytes of the head and of the buffered body, which count in the memory budget.
-        self.size = 0
+        # Bytes of the head and of the buffered body, with those of this object, for the memory budget.
+        self.size = OBJECT_BYTES
+
+    def add_header(self, name: bytes, value: bytes) -> None:
+        """Add a header line in the order in which it was received."""
+        self.line_count += 1
+        key = name.lower()
+        if key in READ_HEADERS:
+            self.add_read_header(key, value)
+        line = b"%b: %b\r\n" % (name, value)
+        if key in FRAMING_HEADERS:
+            self.framing_lines += line
+        elif key not in HOP_BY_HOP_HEADERS:
+            self.forwarded_lines += line
+        else:
+            return
+        self.size += len(line)
+
+    def add_read_header(self, key: bytes, value: bytes) -> None:
+        """Keep the value of a header that the node reads."""
+        if key == b"connection" and key in self.headers:
+            value = b"%b,%b" % (self.headers[key], value)
+        elif key in self.headers:
+            return
+        self.size += len(value) - len(self.headers.get(key, b""))
+        self.headers[key] = value
+
+    def discard_content(self) -> None:
+        """Discard the headers and the body of a request that will not be forwarded."""
+        self.forwarded_lines, self.framing_lines = bytearray(), bytearray()
+        self.headers = {}
+        self.body = b""
+        self.upload = None
+        self.size = OBJECT_BYTES
--- a/balancer/net/downstream/request_parser.py
+++ b/balancer/net/downstream/request_parser.py
@@ -114,7 +114,8 @@
         message = self.partial_request
         if message is None or message.upload is not None:
             return 0
-        return self.bytes_without_body if self.head_incomplete else message.size
+        # The parser keeps what it has of an incomplete line.
+        return message.size + (self.bytes_without_body if self.head_incomplete else 0)
 
     def is_reading_body(self) -> bool:
         """Return whether a request's head is complete and its body is not."""
@@ -145,11 +146,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header to the request; ignore a trailer, which is a header after the body."""
         if self.partial_request is not None and self.head_incomplete:
-            key = name.lower()
-            self.partial_request.header_lines.append((key, name, value))
-            self.partial_request.headers.setdefault(key, value)
-            self.partial_request.size += len(name) + len(value)
-            if len(self.partial_request.header_lines) > MAX_HEADER_LINES:
+            self.partial_request.add_header(name, value)
+            if self.partial_request.line_count > MAX_HEADER_LINES:
                 self.receiver.reject(431)
 
     def on_headers_complete(self) -> None:
@@ -179,7 +177,7 @@
 
         message.upload = RequestBodyStream(length, on_writable)
         if message.body:
-            message.upload.feed(message.body)
+            message.upload.feed(bytes(message.body))
             message.size -= len(message.body)
             message.body = b""
         self.receiver.enqueue(message)
@@ -195,6 +193,8 @@
             if message.upload.size > MAX_BODY_BYTES:
                 self.receiver.reject(413)
             return
+        if not message.body:
+            message.body = bytearray()
         message.body += body
         message.size += len(body)
         if len(message.body) > MAX_BUFFERED_BYTES:
@@ -215,6 +215,7 @@
         if message.upload is not None:
             message.upload.end()
         else:
+            message.body = bytes(message.body)
             self.receiver.enqueue(message)
 
 
@@ -223,9 +224,4 @@
 
     A parser that has been fed with this head parses the message's body, and rejects what follows the message.
     """
-    framing = [
-        b"%b: %b\r\n" % (name, value)
-        for key, name, value in message.header_lines
-        if key in (b"content-length", b"transfer-encoding")
-    ]
-    return b"POST / HTTP/1.1\r\nConnection: close\r\n" + b"".join(framing) + b"\r\n"
+    return b"POST / HTTP/1.1\r\nConnection: close\r\n%b\r\n" % bytes(message.framing_lines)
--- a/balancer/net/process/memory_budget.py
+++ b/balancer/net/process/memory_budget.py
@@ -72,6 +72,10 @@
         """Return whether another `size` bytes may be buffered."""
         return self.held_bytes + size <= self.max_held_bytes
 
+    def is_scarce(self) -> bool:
+        """Return whether more than half of the limit is used."""
+        return 2 * self.held_bytes > self.max_held_bytes
+
     def change(self, holding: Holding, size: int) -> None:
         """Count `size` more bytes as buffered, or fewer if it is negative."""
         self.held[holding] += size
