Clients that hold the most give way when buffered bytes exceed the limit

What callers saw: nodes killed at their memory limit under hundreds of clients that stop, or write slowly, within a head or a body of up to 64 KiB. Cause: the budget was asked once, when a request was complete. Input that waits, partial heads and bodies, and answers in the transport's buffer were kept without a bound: 64 KiB for each of up to 739 clients. Change: after each read and each blocked write, MemoryRelief compares what all connections hold with the limit. Who has stalled for 0.25 s goes first, then who holds the most: partial and waiting requests get 503 with Retry-After, clients that don't read are disconnected. Requests that the policy has are never dropped; a complete one is refused only if nobody stalled or larger is there. The body of a request whose client needs no answer any more is discarded at once and not with its attempt.

--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -134,6 +134,7 @@
             self.unparsed.clear()
             self.reject(503)
             self.update_account()
+        self.connections.relieve_memory()
 
     def parse(self) -> None:
         """Parse the queued bytes until they end or parsing must wait, then pause or resume reading."""
@@ -214,10 +215,9 @@
         requests would otherwise exhaust the process's memory.
         """
         self.account.set(Holding.PARTIAL_REQUESTS, 0)
-        if not self.connections.memory_budget.can_reserve(message.size):
-            message.error_status, message.keep_alive = 503, False
-            message.discard_content()
-            message.refusal_reason = RefusalReason.MEMORY
+        if not self.connections.make_room(message.size):
+            message.refuse(RefusalReason.MEMORY)
+            message.keep_alive = False
             self.stop_reading()
         message.received_at = self.read_at
         self.pipelined.append(message)
@@ -238,6 +238,45 @@
         else:
             partial.error_status, partial.keep_alive = status, False
 
+    def reclaimable_bytes(self) -> int:
+        """Return the buffered bytes that are released if the connection gives way.
+
+        A complete request that was passed on is not among them.
+        """
+        current = self.current_request
+        is_kept = current is not None and (current.upload is None or current.upload.is_complete)
+        return self.account.total - (current.size if current is not None and is_kept else 0)
+
+    def last_progress_at(self) -> float:
+        """Return the loop time at which the client last sent something or read some of a response."""
+        return max(self.last_active_at, self.writer.last_read_at(self.connections.loop.time()))
+
+    def give_way(self) -> None:
+        """Release buffered bytes, because those of all connections exceed the limit.
+
+        A client that does not read its response is disconnected. Otherwise requests that were not passed on,
+        the partial one among them, get a 503 response, and the connection is closed after them.
+        """
+        self.mark_closing(CloseReason.MEMORY)
+        if self.writer.blocked:
+            if self.writer.source is not None:
+                self.abort_stream()
+            else:
+                self.transport.abort()
+            self.on_disconnected()
+            return
+        has_partial = self.partial_request is not None or bool(self.unparsed)
+        self.unparsed.clear()
+        for message in self.pipelined:
+            message.refuse(RefusalReason.MEMORY)
+        if has_partial:
+            self.reject(503)
+        elif self.pipelined:
+            self.stop_reading()
+            self.pipelined[-1].keep_alive = False
+        self.start_next_request()
+        self.update_account()
+
     def start_next_request(self) -> None:
         """Handle the first pipelined request, unless an earlier one is in flight or writing is blocked."""
         if self.current_request is not None or self.writer.blocked or self.has_disconnected:
@@ -397,7 +436,8 @@
 
     def pause_writing(self) -> None:
         """Pause the response, because the client does not read it."""
-        self.writer.pause()
+        self.writer.pause(self.connections.loop.time())
+        self.connections.schedule_memory_relief()
 
     def resume_writing(self) -> None:
         """Resume the response and the parsing of requests, because the client reads again."""
--- a/balancer/net/downstream/client_connections.py
+++ b/balancer/net/downstream/client_connections.py
@@ -9,6 +9,7 @@
 
 from balancer.net.downstream.client_connection import ClientConnection
 from balancer.net.downstream.client_eviction import EvictionRank, eviction_priority
+from balancer.net.downstream.memory_relief import MemoryRelief
 from balancer.net.downstream.protocols import RequestHandler
 from balancer.net.downstream.read_deadline import HEAD_TIMEOUT_S
 from balancer.net.process.descriptor_budget import DescriptorBudget
@@ -62,6 +63,7 @@
         self.handler = handler
         self.lifecycle = lifecycle
         self.connections: set[ClientConnection] = set()
+        self.memory_relief = MemoryRelief(loop, memory_budget, self.connections)
         self.is_draining = False
         self.is_listener_shared = False
         # Closes an unused connection to a server, and returns whether there was one.
@@ -90,6 +92,18 @@
         self.listener.start(listener)
         self.loop.call_later(HEAD_TIMEOUT_S / 8, self.sweep)
 
+    def relieve_memory(self) -> None:
+        """Let the connections that hold the most give way, if buffered bytes exceed the limit."""
+        self.memory_relief.relieve()
+
+    def schedule_memory_relief(self) -> None:
+        """Do the same in the event loop's next iteration."""
+        self.memory_relief.schedule()
+
+    def make_room(self, size: int) -> bool:
+        """Let connections give way for a complete request of `size` bytes, and return whether it fits."""
+        return self.memory_relief.make_room(size)
+
     def next_number(self) -> int:
         """Return the number of a new connection, which log lines name."""
         self.last_number += 1
--- a/balancer/net/downstream/message.py
+++ b/balancer/net/downstream/message.py
@@ -36,6 +36,10 @@
 )
 
 
+# The path of a refused request is kept up to this length, since metrics count refusals by its class.
+MAX_REFUSED_TARGET_BYTES = 256
+
+
 class ClientRequest:
     """A request as it was received, or the error for one that cannot be handled.
 
@@ -112,10 +116,20 @@
         self.size += len(value) - len(self.headers.get(key, b""))
         self.headers[key] = value
 
-    def discard_content(self) -> None:
-        """Discard the headers and the body of a request that will not be forwarded."""
+    def refuse(self, reason: RefusalReason) -> None:
+        """Mark a request that was not passed on as refused with 503, and discard its headers and body."""
+        if not self.error_status:
+            self.error_status, self.refusal_reason = 503, reason
+        if len(self.target) > MAX_REFUSED_TARGET_BYTES:
+            self.target = b""
         self.forwarded_lines, self.framing_lines = bytearray(), bytearray()
         self.headers = {}
-        self.body = b""
+        self.discard_body()
         self.upload = None
         self.size = OBJECT_BYTES
+
+    def discard_body(self) -> None:
+        """Discard the buffered body of a request that will not be sent to a server again."""
+        self.body = b""
+        if self.upload is not None:
+            self.upload.discard()
--- a/balancer/net/downstream/protocols.py
+++ b/balancer/net/downstream/protocols.py
@@ -52,6 +52,15 @@
     handler: RequestHandler[Connection]
     events: TrafficEvents
 
+    def relieve_memory(self) -> None:
+        """Let the connections that hold the most give way, if buffered bytes exceed the limit."""
+
+    def schedule_memory_relief(self) -> None:
+        """Do the same in the event loop's next iteration."""
+
+    def make_room(self, size: int) -> bool:
+        """Let connections give way for a complete request of `size` bytes, and return whether it fits."""
+
     def next_number(self) -> int:
         """Return the number of a new connection, which log lines name."""
 
--- a/balancer/net/downstream/requests.py
+++ b/balancer/net/downstream/requests.py
@@ -253,6 +253,8 @@
         if request.client is not None:
             del self.by_client[request.client]
             request.client = None
+            # An attempt that is still in flight has been written, or is not written any more.
+            request.message.discard_body()
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
         if request.exchange is None:
--- a/balancer/net/downstream/response_writer.py
+++ b/balancer/net/downstream/response_writer.py
@@ -31,6 +31,8 @@
         self.source: ResponseSource | None = None
         # Whether the streamed response is sent in chunked transfer coding.
         self.chunked = False
+        # Loop time at which the client is known to have read, while writing is paused.
+        self.read_at = 0.0
         # Whether writing is paused because the client does not read its responses.
         self.blocked = False
 
@@ -75,12 +77,16 @@
         client_socket = self.transport.get_extra_info("socket")
         client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
-    def pause(self) -> None:
+    def pause(self, now: float) -> None:
         """React to a client that does not read its responses.
 
         Count the unsent bytes, and stop reading a streamed response from its server.
+
+        Args:
+            now: The loop time.
         """
         self.blocked = True
+        self.read_at = now
         self.update_account()
         if self.source is not None:
             self.source.pause_reading()
@@ -92,6 +98,23 @@
         if self.source is not None:
             self.source.resume_reading()
 
+    def last_read_at(self, now: float) -> float:
+        """Return the loop time at which the client last read some of a response that it reads too slowly.
+
+        The result is 0 if it reads in time. Whether it has read something shows only in the size of the write
+        buffer, so the time is that of the first call that finds the buffer smaller.
+
+        Args:
+            now: The loop time.
+        """
+        if not self.blocked:
+            return 0.0
+        before = self.account.held[Holding.UNREAD_RESPONSES]
+        self.update_account()
+        if self.account.held[Holding.UNREAD_RESPONSES] < before:
+            self.read_at = now
+        return self.read_at
+
     def update_account(self) -> None:
         """Count the bytes that the client has not read, while writing is paused."""
         unread_bytes = self.transport.get_write_buffer_size() if self.blocked else 0
--- a/balancer/net/node.py
+++ b/balancer/net/node.py
@@ -95,6 +95,7 @@
             loop, self.descriptor_budget, self.requests, self.lifecycle, self.memory_budget, self.events
         )
         self.pool.evict_client = self.client_connections.evict_one
+        self.pool.relieve_memory = self.client_connections.relieve_memory
         self.client_connections.close_unused_server_connection = self.pool.close_unused
         self.fleet = self.create_fleet_runtime()
         self.management = Management(loop, self.paths(), self.log_writer.line)
--- a/balancer/net/upstream/body_streaming.py
+++ b/balancer/net/upstream/body_streaming.py
@@ -126,6 +126,11 @@
             self.buffered.clear()
             self.on_writable()
 
+    def discard(self) -> None:
+        """Discard the buffered pieces of a body that will not be sent, as its client needs no response."""
+        self.discarded_bytes = self.size
+        self.buffered.clear()
+
     def detach(self) -> None:
         """Stop forwarding the body to the server, because the attempt on that server has ended."""
         self.sink = None
--- a/balancer/net/upstream/connection.py
+++ b/balancer/net/upstream/connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol, cast
 
@@ -72,6 +73,8 @@
 
     loop: asyncio.AbstractEventLoop
     memory_budget: MemoryBudget
+    # Lets the clients that hold the most memory give way, if buffered bytes exceed the limit.
+    relieve_memory: Callable[[], None]
 
     def release(self, connection: Connection) -> None:
         """Return an idle connection to the pool for reuse."""
@@ -261,6 +264,7 @@
             self.has_protocol_error = True
         self.last_progress_at = self.pool.loop.time()
         self.finish_if_complete()
+        self.pool.relieve_memory()
 
     def eof_received(self) -> None:
         """Complete a response that states no length: the end of the connection is its end."""
--- a/balancer/net/upstream/pool.py
+++ b/balancer/net/upstream/pool.py
@@ -43,6 +43,8 @@
         # Closes a client's connection that has no request in flight; returns whether one was closed.
         self.evict_client: Callable[[], bool] = lambda: False
         self.memory_budget = memory_budget
+        # Lets the clients that hold the most memory give way, if buffered bytes exceed the limit.
+        self.relieve_memory: Callable[[], None] = lambda: None
         self.connect_timeout = connect_timeout
         self.idle_timeout_s = max(idle_timeout_s - IDLE_CLOSE_MARGIN_S, idle_timeout_s / 2)
         self.opened_count = 0  # Connections opened since the start of the process.
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -40,7 +40,17 @@
 
 
 @pytest.mark.parametrize("sockets", [1024])
-@pytest.mark.parametrize("script", ["cut_off_head", "complete_heads", "stopped_short_body"])
+@pytest.mark.parametrize(
+    "script",
+    [
+        "cut_off_head",
+        "cut_off_long_head",
+        "complete_heads",
+        "stopped_short_body",
+        "stopped_short_chunks",
+        "slow_short_body",
+    ],
+)
 def test_peers_stay_within_memory_limit(tmp_path: Path, script: str, sockets: int) -> None:
     """The node's platform kills a process that passes its limit, with all requests that it has taken."""
     result = load_node(tmp_path, script, sockets)
