Closed connections are released at once, not with a timer or the garbage collector

What callers saw: memory that grew while one client sent unsound requests at full speed, on connections that it opened again and again. Cause: after each error response ClientConnection.linger was due a second later, and its timer kept the closed connection; the connection and its parser also keep each other alive until a garbage collection. Change: the timer is cancelled when the connection is lost, and both sides' parsers are replaced then.

--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -80,6 +80,8 @@
         self.reading_paused = False
         # Whether the client has had at least one response.
         self.has_served = False
+        # Calls `linger` once the last response is written.
+        self.linger_timer: asyncio.TimerHandle | None = None
         # Why the node closes the connection, and the bytes that it held then; None while it does not.
         self.close_reason: CloseReason | None = None
         self.closed_bytes = 0
@@ -406,7 +408,7 @@
         self.update_reading()
         self.transport.write_eof()
         self.finished_at = self.connections.loop.time()
-        self.connections.loop.call_later(
+        self.linger_timer = self.connections.loop.call_later(
             LINGER_S, self.linger, self.finished_at, self.transport.get_write_buffer_size()
         )
 
@@ -430,7 +432,7 @@
         if (unread and now - since < UNREAD_TIMEOUT_S) or (
             is_sending and not self.connections.lifecycle.is_draining
         ):
-            self.connections.loop.call_later(LINGER_S, self.linger, since, unread)
+            self.linger_timer = self.connections.loop.call_later(LINGER_S, self.linger, since, unread)
         else:
             self.abort(CloseReason.UNREAD)
 
@@ -455,6 +457,13 @@
         age_s = self.connections.loop.time() - self.accepted_at
         reason = self.close_reason or CloseReason.CLIENT
         self.connections.events.closed(self.number, reason, age_s, self.closed_bytes)
+        self.release_objects()
+
+    def release_objects(self) -> None:
+        """Drop the references by which the objects of a closed connection keep each other alive."""
+        if self.linger_timer is not None:
+            self.linger_timer.cancel()
+        self.parser.close()
 
     def eof_received(self) -> bool:
         """Treat the end of the client's input as a disconnect; the client may still read complete responses.
--- a/balancer/net/downstream/request_parser.py
+++ b/balancer/net/downstream/request_parser.py
@@ -34,6 +34,29 @@
         """Let the client send more of a streamed body."""
 
 
+class ClosedReceiver:
+    """The receiver of a parser whose connection is closed: it ignores everything."""
+
+    reading_stopped = True
+
+    def enqueue(self, message: ClientRequest) -> None:
+        """Ignore the request."""
+
+    def reject(self, status: int) -> None:
+        """Ignore the partial request."""
+
+    def on_head_complete(self, message: ClientRequest) -> None:
+        """Ignore the head."""
+
+    def on_upload_writable(self, message: ClientRequest) -> None:
+        """Ignore that a server could take more."""
+
+
+CLOSED_RECEIVER = ClosedReceiver()
+# The parser in place of that of a closed connection, which refers back to the connection.
+CLOSED_PARSER = httptools.HttpRequestParser(CLOSED_RECEIVER)
+
+
 class BodyEvents:
     """The parser callbacks that concern a request's body; those of its head are ignored.
 
@@ -104,6 +127,12 @@
             self.http_parser.feed_data(framing_head(self.partial_request))
             self.http_parser.feed_data(data[head_end:])
 
+    def close(self) -> None:
+        """Drop the partial request and the references to the receiver, as its connection is closed."""
+        self.partial_request = None
+        self.http_parser = CLOSED_PARSER
+        self.receiver = CLOSED_RECEIVER
+
     def drop_partial(self) -> ClientRequest | None:
         """Discard the partial request, and return it."""
         partial, self.partial_request = self.partial_request, None
--- a/balancer/net/upstream/connection.py
+++ b/balancer/net/upstream/connection.py
@@ -27,6 +27,10 @@
 MAX_NON_BODY_BYTES = 128 << 10
 
 
+# The parser in place of that of a closed connection.
+CLOSED_PARSER = httptools.HttpResponseParser(object())
+
+
 @dataclass
 class Response:
     """A server's response.
@@ -137,6 +141,7 @@
         self.account = MemoryAccount(pool.memory_budget)
         self.is_counted = False  # Whether the connection is counted in the descriptor budget.
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self.parser = CLOSED_PARSER
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its write buffer limit to zero."""
@@ -439,6 +444,8 @@
         """Remove the connection from the pool and end its exchange."""
         self.pool.on_connection_lost(self)
         self.fail_exchange()
+        # The parser refers back to the connection, which would stay until the next garbage collection.
+        self.parser = CLOSED_PARSER
 
     def has_unread_data(self) -> bool:
         """Return whether the end of this idle connection, or unexpected data, is waiting in the socket.
