A node without a descriptor for a connection to a server does not blame the server

Cause: Exchange.start reported CONNECT_FAILED when the pool had no room, which counts against the server and lets the node's loss rate rise. Change: the outcome is NOT_SENT, as after any other shortage of this machine. Evidence: test_lack_of_server_connections_is_no_failure_of_servers failed before (outcomes CONNECT_FAILED).

--- a/balancer/net/upstream/exchange.py
+++ b/balancer/net/upstream/exchange.py
@@ -78,7 +78,8 @@
         elif self.pool.has_capacity():
             self.open_connection()
         else:
-            self.finish(Outcome.CONNECT_FAILED, None)
+            # The node has no descriptor for the connection, which says nothing about the server.
+            self.finish(Outcome.NOT_SENT, None)
 
     def open_connection(self) -> None:
         """Start to open a connection, and count it in the descriptor budget at once.
--- a/tests/test_node_limits.py
+++ b/tests/test_node_limits.py
@@ -14,6 +14,7 @@
     connect_when_listening,
     free_port,
     node_config,
+    record_outcomes,
     respond_after,
     respond_with,
     run_scenario,
@@ -23,6 +24,7 @@
 )
 
 from balancer.net.downstream.read_deadline import HEAD_TIMEOUT_S
+from balancer.policy.interface import Outcome
 
 
 def test_pipelined_requests_stay_within_memory_budget():
@@ -106,6 +108,22 @@
     run_scenario(scenario)
 
 
+def test_lack_of_server_connections_is_no_failure_of_servers():
+    """A node whose clients hold all connections to servers must not eject servers for it."""
+
+    async def scenario():
+        bench = await Bench(Server(), Server()).start()
+        outcomes = record_outcomes(bench)
+        bench.node.descriptor_budget.max_servers = lambda: 0
+        for _ in range(20):
+            assert (await bench.request_once(call()))[0] == 503
+        assert set(outcomes) == {Outcome.NOT_SENT}
+        stats = bench.node.balancer.stats()
+        assert (stats["ejected"], stats["lost"]) == (0, 0)
+
+    run_scenario(scenario)
+
+
 def test_many_clients_stay_within_descriptor_limit(tmp_path):
     """A process over its descriptor limit would be killed, or could not open what it needs."""
 
