Peers' time to an error counts from their last byte

test_peers_stay_within_memory_limit[slow_short_body-*] failed beside load: its peers write at the granted pace for 2.75 s and then stop, and the test counted the 3 s from their connecting. It counts from the last byte now, which for peers that stop at once is the same. Same bound, nothing else changed.

--- a/tests/peer_load.py
+++ b/tests/peer_load.py
@@ -371,7 +371,7 @@
 
 @dataclass
 class PeerReport:
-    """What became of peers: the statuses that they got, and the seconds until their error or close."""
+    """What became of peers: the statuses that they got, and the seconds from their last byte to the end."""
 
     statuses: Counter[int] = field(default_factory=Counter)
     end_times: list[float] = field(default_factory=list)
@@ -397,13 +397,14 @@
         except OSError:
             connection.close()
             raise
-        self.opened_at = monotonic()
+        self.opened_at = self.sent_at = monotonic()
         self.socket = connection
         return self
 
     async def send(self, data: bytes) -> None:
         """Send all of these bytes."""
         await asyncio.get_running_loop().sock_sendall(self.socket, data)
+        self.sent_at = monotonic()
 
     async def wait_for_end(self, seconds: float, report: PeerReport) -> None:
         """Record the node's error or close, or that there was none within these seconds."""
@@ -415,7 +416,7 @@
             return
         except OSError:
             data = b""
-        report.end_times.append(monotonic() - self.opened_at)
+        report.end_times.append(monotonic() - self.sent_at)
         report.statuses[int(data.split(b" ", 2)[1]) if data.startswith(b"HTTP/1.1 ") else 0] += 1
 
 
@@ -557,7 +558,7 @@
     except TimeoutError:
         pass
     except OSError:
-        report.end_times.append(monotonic() - peer.opened_at)
+        report.end_times.append(monotonic() - peer.sent_at)
         report.statuses[0] += 1
         peer.socket.close()
         return
