A request's time runs while its server is slow to read a streamed body

Cause: no deadline ran for a streamed body until its last byte had left for the server, and the attempt's time began anew with each piece. The client may have written its last byte long before, into the system's buffers. Change: the deadline is suspended only while the node waits for the client to send more, and runs while the server takes nothing, from the accept to the answer. At the deadline a request whose last byte has not been sent gets 503 with Retry-After, since it cannot have run. Changed test: test_long_body_wait_for_server_counts_against_deadline waited for the deadline's timer as the sign that the body was sent; the timer runs from the start now, so it waits for the body's end and asserts the timer. Its other assertions are the same.

--- a/balancer/net/downstream/attempts.py
+++ b/balancer/net/downstream/attempts.py
@@ -139,7 +139,7 @@
         self.number = number
         self.server = server
         self.started_at = self.event_queue.now()
-        self.expires_at = min(self.started_at + timeout, request.deadline)
+        self.expires_at = min(self.started_at + timeout, request.deadline_at(self.started_at))
         # Whether the client was still sending the body when the attempt started.
         self.had_incoming_body = request.incoming_body() is not None
 
@@ -176,29 +176,13 @@
             or not self.attempts.may_write(request, request.written_at)
         ):
             return None
-        if self.had_incoming_body:
-            # The time that the client waited for a server counts against the request's deadline. From here on
-            # the client sets the pace of its upload, so the deadline's remaining time is saved and starts to
-            # run again only once the upload is complete.
-            request.remaining = request.deadline - request.written_at
         return encode_request(request.message, forwarded_budget_ms(remaining))
 
     def on_sent(self) -> None:
         """Count the attempt as sent when the request's last byte has left the process."""
         self.attempts.counters.count_send()
         if self.had_incoming_body:
-            self.on_uploaded()
-
-    def on_uploaded(self) -> None:
-        """Restart the request's deadline when the last byte of its streamed body has been sent."""
-        request = self.request
-        if request.client is not None:
-            now = self.event_queue.now()
-            request.remaining = self.attempts.requests.remaining_before_shutdown(now, request.remaining)
-            request.deadline = now + request.remaining
-            if request.stream is None:
-                self.attempts.requests.start_deadline_timer(request)
-        self.event_queue.post(self.attempts.balancer.upload, request.id, self.number, False)
+            self.event_queue.post(self.attempts.balancer.upload, self.request.id, self.number, False)
 
     def on_stream(self, response: Response, source: ResponseSource) -> ClientResponseStream | None:
         """Start to stream a long response to the client, or return None if the client has disconnected.
@@ -253,12 +237,10 @@
         )
 
     def update_request(self, outcome: Outcome) -> None:
-        """Record whether the attempt may have run, and renew the deadline if the client still uploads."""
+        """Record whether the attempt may have run."""
         request = self.request
         if outcome not in NEVER_RAN and request.ran_at is None:
             request.ran_at = request.written_at
-        if request.written_at is not None and request.incoming_body() is not None:
-            request.deadline = self.event_queue.now() + request.remaining
 
     def load_report(self, response: Response | None) -> tuple[float, ...]:
         """Return the load report in a server's response; empty unless responses carry reports."""
--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -177,6 +177,9 @@
     def update_reading(self) -> None:
         """Pause or resume reading, depending on whether a server can receive more of the upload."""
         stop = not self.reading_stopped and self.parser.is_upload_blocked()
+        partial = self.partial_request
+        if partial is not None and partial is self.current_request:
+            self.connections.handler.set_waiting_for_client(self, not stop)
         if stop == self.reading_paused or self.transport is None or self.transport.is_closing():
             return
         self.reading_paused = stop
@@ -211,6 +214,11 @@
         self.send_continue(message)
         self.parse()
 
+    def on_upload_complete(self, message: ClientRequest) -> None:
+        """Let the deadline of the current request run, as its client has sent everything."""
+        if message is self.current_request:
+            self.connections.handler.set_waiting_for_client(self, False)
+
     def on_upload_unsent(self, message: ClientRequest) -> None:
         """Count the pieces of a streamed body that its connection to a server cannot send yet."""
         self.update_account()
--- a/balancer/net/downstream/pending_request.py
+++ b/balancer/net/downstream/pending_request.py
@@ -31,6 +31,7 @@
         "deadline_timer",
         "exchange",
         "id",
+        "is_waiting_for_client",
         "last_outcome",
         "message",
         "ran_at",
@@ -54,10 +55,12 @@
         self.client: ClientConnection | None = client
         self.message = message
         self.request_class = request_class
-        # Time until the deadline, in microseconds, as of the request's arrival, or as of the time at which a
-        # server started to receive its streamed body.
+        # Time until the deadline, in microseconds, as of the request's arrival, or as of the time at which the
+        # node last began or ceased to wait for the client.
         self.remaining = remaining
         self.deadline = now + remaining
+        # Whether the client is to send more of the streamed body. The deadline does not come closer meanwhile.
+        self.is_waiting_for_client = False
         self.attempts = 0
         # The outcome of the last attempt that has ended.
         self.last_outcome: Outcome | None = None
@@ -71,6 +74,10 @@
         # The response, once it is being streamed.
         self.stream: ClientResponseStream | None = None
 
+    def deadline_at(self, now: int) -> int:
+        """Return the deadline as it is at the time `now`, both in microseconds."""
+        return now + self.remaining if self.is_waiting_for_client else self.deadline
+
     def incoming_body(self) -> RequestBodyStream | None:
         """Return the streamed body if the client has not sent all of it yet."""
         upload = self.message.upload
--- a/balancer/net/downstream/protocols.py
+++ b/balancer/net/downstream/protocols.py
@@ -37,6 +37,12 @@
         Must call `client.respond` with the status unless the request has its response.
         """
 
+    def set_waiting_for_client(self, client: ConnectionIn, waiting: bool) -> None:
+        """Record whether a current request with a streamed body waits for its client to send more.
+
+        Its deadline does not come closer meanwhile.
+        """
+
     def client_disconnected(self, client: ConnectionIn) -> None:
         """Handle a client that has disconnected while its request was in flight."""
 
--- a/balancer/net/downstream/request_parser.py
+++ b/balancer/net/downstream/request_parser.py
@@ -33,6 +33,9 @@
     def on_upload_writable(self, message: ClientRequest) -> None:
         """Let the client send more of a streamed body."""
 
+    def on_upload_complete(self, message: ClientRequest) -> None:
+        """Handle the end of a streamed body."""
+
     def on_upload_unsent(self, message: ClientRequest) -> None:
         """Count the pieces of a streamed body that its connection to a server cannot send yet."""
 
@@ -54,6 +57,9 @@
     def on_upload_writable(self, message: ClientRequest) -> None:
         """Ignore that a server could take more."""
 
+    def on_upload_complete(self, message: ClientRequest) -> None:
+        """Ignore the end of a body."""
+
     def on_upload_unsent(self, message: ClientRequest) -> None:
         """Ignore the pieces that are buffered."""
 
@@ -258,6 +264,7 @@
             return
         if message.upload is not None:
             message.upload.end()
+            self.receiver.on_upload_complete(message)
         else:
             self.receiver.enqueue(message)
 
--- a/balancer/net/downstream/requests.py
+++ b/balancer/net/downstream/requests.py
@@ -118,8 +118,7 @@
         self.last_id += 1
         request = PendingRequest(self.last_id, client, message, request_class, now, remaining)
         self.pending[request.id] = self.by_client[client] = request
-        if request.incoming_body() is None:
-            self.start_deadline_timer(request)
+        self.start_deadline_timer(request)
         self.event_queue.post(
             self.balancer.request,
             request.id,
@@ -176,6 +175,26 @@
             (request.remaining + DEADLINE_GRACE_US) / 1e6, self.deadline_expired, request
         )
 
+    def set_waiting_for_client(self, client: ClientConnection, waiting: bool) -> None:
+        """Record whether a request with a streamed body waits for its client; let its deadline run if not.
+
+        The time that a client takes for its body is not counted, and the time that a server takes is.
+        """
+        request = self.by_client.get(client)
+        if request is None or request.stream is not None or request.is_waiting_for_client == waiting:
+            return
+        now = self.event_queue.now()
+        request.is_waiting_for_client = waiting
+        if waiting:
+            request.remaining = max(0, request.deadline - now)
+            if request.deadline_timer is not None:
+                request.deadline_timer.cancel()
+                request.deadline_timer = None
+        else:
+            request.remaining = self.remaining_before_shutdown(now, request.remaining)
+            request.deadline = now + request.remaining
+            self.start_deadline_timer(request)
+
     def request_malformed(self, client: ClientConnection, status: int) -> None:
         """Respond with an error to the client's request, whose body will not be completed, and abandon it."""
         request = self.by_client.get(client)
@@ -229,8 +248,15 @@
         self.time_out(request)
 
     def time_out(self, request: PendingRequest) -> None:
-        """Respond with 504 to a request whose deadline has passed, and notify the policy."""
-        self.refuse(request.id, 504, RefusalReason.DEADLINE)
+        """Respond to a request whose deadline has passed, and notify the policy.
+
+        The status is 504, or 503 if a server lacks part of the request and so cannot have run it.
+        """
+        if request.exchange is not None and request.is_partly_written():
+            self.refuse(request.id, 503, RefusalReason.DEADLINE, self.over_capacity_headers())
+            request.exchange.abort(Outcome.CONNECT_FAILED)
+        else:
+            self.refuse(request.id, 504, RefusalReason.DEADLINE)
         self.event_queue.post(self.balancer.client_disconnected, request.id)
 
     # ---- responses --------------------------------------------------------------------------------------
--- a/tests/peer_load.py
+++ b/tests/peer_load.py
@@ -112,6 +112,8 @@
         if headers.get("transfer-encoding") == "chunked":
             while size := int((await read_line(reader)).partition(b";")[0], 16):
                 await reader.readexactly(size + 2)
+                if self.read_rate is not None:
+                    await asyncio.sleep(size / self.read_rate)
             await read_line(reader)
             return
         remaining = int(headers.get("content-length", 0))
--- a/tests/test_operator_terms_deadline.py
+++ b/tests/test_operator_terms_deadline.py
@@ -166,7 +166,8 @@
         (request,) = bench.node.requests.pending.values()
         clock.advance(delay_s)
         loop.connect_allowed.set()
-        await wait_until(lambda: request.deadline_timer is not None)
+        await wait_until(lambda: request.incoming_body() is None)
+        assert request.deadline_timer is not None
         assert len(clock.write_times) == 1 and request.incoming_body() is None
         assert request.deadline <= int((sent_at + BUDGET_S) * 1e6)
         client.writer.transport.abort()
--- a/tests/test_upgrade_offers.py
+++ b/tests/test_upgrade_offers.py
@@ -157,6 +157,9 @@
     def on_upload_writable(self, message: ClientRequest) -> None:
         pass
 
+    def on_upload_complete(self, message: ClientRequest) -> None:
+        pass
+
     def on_upload_unsent(self, message: ClientRequest) -> None:
         pass
 
