A slow answer without a length is passed on at its deadline, not cut off

Cause: an answer of unknown length is buffered until 64 KiB have come, and its attempt timed out before that. Change: when an attempt that may last until the request's deadline times out, a 200 answer without a length of which some body has come is streamed from there on, under the timeouts of any streamed answer. An attempt that another can follow is given up as before.

--- a/balancer/net/downstream/attempts.py
+++ b/balancer/net/downstream/attempts.py
@@ -154,12 +154,17 @@
             self.on_sent,
             self.on_stream,
             request.message.upload,
+            self.ends_with_request,
         )
         request.written_at = None
         if self.had_incoming_body:
             self.event_queue.post(self.attempts.balancer.upload, request.id, self.number, True)
         request.exchange.start(max(0, self.expires_at - self.started_at) / 1e6)
 
+    def ends_with_request(self) -> bool:
+        """Return whether the attempt may last until the request's deadline, so that no other can follow."""
+        return self.expires_at >= self.request.deadline
+
     def compose(self) -> bytes | None:
         """Return the encoded request just before it is written to the server.
 
--- a/balancer/net/downstream/pending_request.py
+++ b/balancer/net/downstream/pending_request.py
@@ -55,11 +55,11 @@
         self.client: ClientConnection | None = client
         self.message = message
         self.request_class = request_class
-        # Time until the deadline, in microseconds, as of the request's arrival, or as of the time at which the
-        # node last began or ceased to wait for the client.
+        # Time until the deadline, in microseconds, as of the request's arrival, or as of when the node last
+        # began or ceased to wait for the client.
         self.remaining = remaining
         self.deadline = now + remaining
-        # Whether the client is to send more of the streamed body. The deadline does not come closer meanwhile.
+        # Whether the client is to send more of the streamed body. The deadline is suspended meanwhile.
         self.is_waiting_for_client = False
         self.attempts = 0
         # The outcome of the last attempt that has ended.
--- a/balancer/net/upstream/connection.py
+++ b/balancer/net/upstream/connection.py
@@ -335,6 +335,20 @@
         size = max(len(self.body), self.length or 0)
         return size <= MAX_BUFFERED_BYTES and self.pool.memory_budget.can_reserve(0)
 
+    def stream_partial(self) -> bool:
+        """Start to stream a response without a length, if some of its body has come and may be passed on.
+
+        Such a response is otherwise buffered until it is known to be too long.
+
+        Returns:
+            Whether the response is streamed now, or the exchange has ended.
+        """
+        is_coming = self.head_complete and self.length is None and len(self.body) > 0
+        if not is_coming or self.parser.get_status_code() != 200:
+            return False
+        self.open_stream()
+        return True
+
     def open_stream(self) -> None:
         """Start to stream a response too long to buffer; fail the exchange if it cannot be streamed.
 
--- a/balancer/net/upstream/exchange.py
+++ b/balancer/net/upstream/exchange.py
@@ -38,6 +38,8 @@
         on_sent: Called when the last byte of the request, including the body `upload`, has been written.
         on_stream: Called with a long response; returns the stream that accepts it, or None if no client can.
         upload: The body of the request if it is streamed.
+        may_stream_at_timeout: Returns whether a response without a length that is still coming at the timeout
+            is passed on to the client as it comes, because no other attempt can follow.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         on_sent: OnSent = lambda: None,
         on_stream: OnStream | None = None,
         upload: RequestBodyStream | None = None,
+        may_stream_at_timeout: Callable[[], bool] = lambda: False,
     ) -> None:
         self.pool = pool
         self.endpoint = endpoint
@@ -57,6 +60,7 @@
         self.on_sent = on_sent
         self.on_stream = on_stream
         self.upload = upload
+        self.may_stream_at_timeout = may_stream_at_timeout
         self.ended = False
         self.connection: Connection | None = None
         self.connect_task: asyncio.Task[None] | None = None
@@ -203,14 +207,15 @@
             self.timer = self.pool.loop.call_later(max(remaining, 0.1), self.check_progress, connection)
 
     def on_timeout(self) -> None:
-        """Abort the exchange at its timeout.
+        """Abort the exchange at its timeout, or stream a response that is still coming.
 
         A server that lacks part of the request cannot have run it, so the outcome is then a failed connect.
         """
-        if self.connection is None:
+        connection = self.connection
+        if connection is None:
             self.abort(self.connect_failure_outcome())
-        else:
-            self.abort(Outcome.CONNECT_FAILED if self.connection.has_unsent_data() else Outcome.TIMEOUT)
+        elif not (self.may_stream_at_timeout() and connection.stream_partial()):
+            self.abort(Outcome.CONNECT_FAILED if connection.has_unsent_data() else Outcome.TIMEOUT)
 
     def abort(self, outcome: Outcome) -> None:
         """End the exchange with this outcome and close its connection, which cannot be reused.
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -6,7 +6,7 @@
 from time import monotonic
 
 import pytest
-from loopback import Bench, Client, run_scenario, wait_until
+from loopback import Bench, Client, call, run_scenario, wait_until
 from peer_load import ANSWER_GRACE_S, EchoServer
 from streaming_support import RawServer, chunks, receive, upload
 
@@ -66,3 +66,36 @@
         assert (await receive(client))[1] == b"ok"
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 100000", b"Transfer-Encoding: chunked", b"X-Nothing: 1"]
+)
+def test_long_response_that_is_still_coming_is_not_cut_off(framing: bytes) -> None:
+    """Without a length, a response was held until 64 KiB had come, and cut off at the deadline."""
+    body = bytes(100_000)
+
+    async def scenario() -> None:
+        async def write_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n\r\n" % framing)
+            for start in range(0, len(body), 5000):
+                part = body[start : start + 5000]
+                writer.write(b"%x\r\n%b\r\n" % (len(part), part) if b"chunked" in framing else part)
+                await asyncio.sleep(0.1)
+            writer.write(b"0\r\n\r\n" if b"chunked" in framing else b"")
+            writer.close()
+
+        server = RawServer()
+        server.serve = write_slowly  # type: ignore[method-assign]
+        bench = await Bench(server).start()
+        client = await bench.client()
+        started_at = monotonic()
+        client.send(call("invite", budget=500))
+        head = await client.reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert monotonic() - started_at <= 0.5 + ANSWER_GRACE_S
+        client.reader._buffer[:0] = head  # type: ignore[attr-defined]
+        assert (await receive(client))[1] == body
+
+    run_scenario(scenario)
