An unsafe request does not run again when it comes again after its client left

What callers saw: an id ran twice when it came again after its client had left. Cause: the node keeps nothing of a request whose client has left, so the same id on a new connection was a new request, also while the first was still out. Requests of idempotent and keyed classes run again as before. The other process of an upgrade doesn't know these ids yet.

--- a/balancer/net/downstream/attempts.py
+++ b/balancer/net/downstream/attempts.py
@@ -11,7 +11,7 @@
 from balancer.net.config import Config
 from balancer.net.downstream.forwarding import encode_request, forwarded_budget_ms
 from balancer.net.downstream.pending_request import ClientResponseStream, PendingRequest
-from balancer.net.downstream.requests import Requests
+from balancer.net.downstream.requests import CALL_ID_HEADER, Requests
 from balancer.net.process.counters import Counters
 from balancer.net.process.event_queue import EventQueue
 from balancer.net.process.traffic_events import RefusalReason
@@ -224,6 +224,8 @@
         report = self.load_report(response)
         self.respond(outcome, response)
         is_final = request.client is None
+        if is_final and request.ran_at is None:
+            self.attempts.requests.abandoned.forget(request.message.headers[CALL_ID_HEADER])
         if is_final:
             self.attempts.requests.pending.pop(request.id, None)
         ended_at = self.event_queue.now() if request.stream is None else request.stream.first_byte_at
--- a/balancer/net/downstream/requests.py
+++ b/balancer/net/downstream/requests.py
@@ -7,6 +7,7 @@
 from time import monotonic
 
 from balancer.net.config import Config
+from balancer.net.downstream.abandoned_requests import AbandonedRequests
 from balancer.net.downstream.client_connection import ClientConnection
 from balancer.net.downstream.message import ClientRequest
 from balancer.net.downstream.pending_request import PendingRequest
@@ -19,8 +20,9 @@
 from balancer.net.process.log import Log
 from balancer.net.process.traffic_events import RefusalReason, TrafficEvents
 from balancer.policy import Balancer
-from balancer.policy.interface import Outcome
+from balancer.policy.interface import Effect, Outcome
 
+CALL_ID_HEADER = b"x-call-id"
 # Time after its deadline at which a request that the policy has left open gets a 504 response.
 DEADLINE_GRACE_US = 10_000
 # Delay that the Retry-After header of a rejection for lack of capacity in the node advises.
@@ -69,6 +71,7 @@
         self.by_client: dict[ClientConnection, PendingRequest] = {}
         self.stream_limit = StreamLimit(loop, descriptor_budget, self.by_client)
         self.last_id = 0
+        self.abandoned = AbandonedRequests()
         # Time by which a node that shuts down must have sent its last response, in microseconds.
         self.last_response_at: int | None = None
         # Requests that the policy left open past their deadline.
@@ -103,6 +106,12 @@
             self.events.refused(client.number, RefusalReason.INPUT, error.status)
             client.respond(error.status, headers=error.headers)
             return
+        is_unsafe = self.settings.classes[request_class].effect == Effect.NOT_IDEMPOTENT
+        if is_unsafe and self.abandoned.may_have_run(message.headers[CALL_ID_HEADER], now):
+            self.events.refused(client.number, RefusalReason.REPEATED, 502)
+            self.counters.count_finished(request_class, 502)
+            client.respond(502)
+            return
         if len(self.pending) >= self.settings.max_open:
             self.reject_over_capacity(client, message, RefusalReason.MAX_OPEN)
             return
@@ -224,9 +233,18 @@
         cancelled as well; any other attempt is left to the policy.
         """
         self.event_queue.post(self.balancer.client_disconnected, request.id)
+        if self.may_run(request):
+            self.abandoned.remember(request.message.headers[CALL_ID_HEADER], self.event_queue.now())
         if request.exchange is not None and (request.stream is not None or request.is_partly_written()):
             request.exchange.abort(Outcome.CANCELLED)
 
+    def may_run(self, request: PendingRequest) -> bool:
+        """Return whether a request that must not run twice may have run, or may yet run at its server."""
+        if self.settings.classes[request.request_class].effect != Effect.NOT_IDEMPOTENT:
+            return False
+        is_out = request.exchange is not None and request.exchange.connection is not None
+        return request.ran_at is not None or (is_out and not request.is_partly_written())
+
     def limit_deadlines(self, last_response_at: int) -> None:
         """Limit the deadlines of pending and later requests to `last_response_at`, as the node shuts down.
 
--- a/balancer/net/process/traffic_events.py
+++ b/balancer/net/process/traffic_events.py
@@ -47,6 +47,7 @@
         POLICY: The policy rejected it before any attempt, at its limit or without a server.
         ATTEMPTS: Its attempts failed, and the policy gave it up.
         DEADLINE: It had no response at its deadline.
+        REPEATED: It came again after its client had left, and may have run already.
         MAX_OPEN: The node has as many requests as its settings allow.
         CONNECTIONS: The node has too many connections of clients.
         UPLOADS: As many streamed bodies as the node allows are being sent.
@@ -59,6 +60,7 @@
     POLICY = "policy"
     ATTEMPTS = "attempts"
     DEADLINE = "deadline"
+    REPEATED = "repeated"
     MAX_OPEN = "max_open"
     UPLOADS = "uploads"
     CONNECTIONS = "connections"
