Test of the memory budget gives each request an id of its own

The protocol asks for a new id for every request; the second client has its own. Assertions unchanged.

--- a/tests/test_node_limits.py
+++ b/tests/test_node_limits.py
@@ -39,7 +39,7 @@
         large = call("invite", body=b"x" * 60000)
         (first := await bench.client()).send(large)
         await wait_until(lambda: len(server.requests) == 1)
-        (second := await bench.client()).send(large)
+        (second := await bench.client()).send(large.replace(b"X-Call-Id: 9b1f", b"X-Call-Id: 9b20"))
         await wait_until(lambda: memory_budget.held_bytes > 120_000)
         status, headers, _ = await bench.request_once(large)
         assert status == 503 and float(headers["retry-after"]) > 0
