--- a/tests/peer_load.py
+++ b/tests/peer_load.py
@@ -51,6 +51,7 @@
 
     def __init__(self, read_rate: int | None = None) -> None:
         self.read_rate = read_rate
+        self.hangs = False  # Whether requests are read and never answered.
         self.runs: Counter[str] = Counter()
         self.completed_at: dict[str, float] = {}
         self.connections = 0
@@ -101,6 +102,8 @@
         call_id = headers.get("x-call-id", "")
         self.runs[call_id] += 1
         self.completed_at[call_id] = monotonic()
+        while self.hangs:
+            await asyncio.sleep(0.1)
         query = dict(pair.partition("=")[::2] for pair in target.partition("?")[2].split("&"))
         if "delay" in query:
             await asyncio.sleep(float(query["delay"]))
@@ -214,9 +217,14 @@
         )
         self.table["limits"] = {"memory_mb": self.memory_mb, "sockets": self.sockets}
         path = os.pathsep.join([str(Path(__file__).parent), str(Path(__file__).parents[1])])
-        self.process = await spawn_node(
-            tmp_path, self.table, program=NodeProgram(self.program), PYTHONPATH=path
-        )
+        self.python_path = path
+        return await self.restart(tmp_path)
+
+    async def restart(self, tmp_path: Path) -> LoadedNode:
+        """Start a process of the node, whose memory is recorded anew, and wait until it listens."""
+        self.peak = MemoryPeak()
+        program = NodeProgram(self.program)
+        self.process = await spawn_node(tmp_path, self.table, program=program, PYTHONPATH=self.python_path)
         self.tasks = [asyncio.create_task(self.read_log()), asyncio.create_task(self.watch_memory())]
         await connect_when_listening(client := LoopbackClient(self.port))
         client.writer.close()
