Unsafe requests of an upgrade's other process do not run again

What callers saw: an id ran twice when it came again at the other process of an upgrade. Cause: the two processes share limits only; what the old one has forwarded and not answered (its client left, or it was killed) was a new request at the new one. Without an upgrade there is no file and no call.

--- a/balancer/net/downstream/attempts.py
+++ b/balancer/net/downstream/attempts.py
@@ -181,6 +181,7 @@
             or not self.attempts.may_write(request, request.written_at)
         ):
             return None
+        self.attempts.requests.on_written(request)
         return encode_request(request.message, forwarded_budget_ms(remaining))
 
     def on_sent(self) -> None:
--- a/balancer/net/downstream/requests.py
+++ b/balancer/net/downstream/requests.py
@@ -18,6 +18,7 @@
 from balancer.net.process.event_queue import EventQueue
 from balancer.net.process.lifecycle import Lifecycle
 from balancer.net.process.log import Log
+from balancer.net.process.shared_digests import SharedDigests
 from balancer.net.process.traffic_events import RefusalReason, TrafficEvents
 from balancer.policy import Balancer
 from balancer.policy.interface import Effect, Outcome
@@ -44,6 +45,7 @@
         event_queue: Passes events to the policy.
         events: Records why requests are refused.
         descriptor_budget: Bounds the connections that streamed bodies take.
+        shared_digests: What the processes of the node share of requests that must not run twice.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         event_queue: EventQueue,
         events: TrafficEvents,
         descriptor_budget: DescriptorBudget,
+        shared_digests: SharedDigests,
     ) -> None:
         self.settings = config.settings
         self.loop = loop
@@ -71,7 +74,7 @@
         self.by_client: dict[ClientConnection, PendingRequest] = {}
         self.stream_limit = StreamLimit(loop, descriptor_budget, self.by_client)
         self.last_id = 0
-        self.abandoned = AbandonedRequests()
+        self.abandoned = AbandonedRequests(shared_digests)
         # Time by which a node that shuts down must have sent its last response, in microseconds.
         self.last_response_at: int | None = None
         # Requests that the policy left open past their deadline.
@@ -106,8 +109,8 @@
             self.events.refused(client.number, RefusalReason.INPUT, error.status)
             client.respond(error.status, headers=error.headers)
             return
-        is_unsafe = self.settings.classes[request_class].effect == Effect.NOT_IDEMPOTENT
-        if is_unsafe and self.abandoned.may_have_run(message.headers[CALL_ID_HEADER], now):
+        call_id = message.headers[CALL_ID_HEADER]
+        if self.is_unsafe(request_class) and self.abandoned.may_have_run(call_id, now):
             self.events.refused(client.number, RefusalReason.REPEATED, 502)
             self.counters.count_finished(request_class, 502)
             client.respond(502)
@@ -238,9 +241,26 @@
         if request.exchange is not None and (request.stream is not None or request.is_partly_written()):
             request.exchange.abort(Outcome.CANCELLED)
 
+    def is_unsafe(self, request_class: int) -> bool:
+        """Return whether requests of this class must not run twice."""
+        return self.settings.classes[request_class].effect == Effect.NOT_IDEMPOTENT
+
+    def on_written(self, request: PendingRequest) -> None:
+        """Tell another process of the node of a request that is being written and must not run twice."""
+        if self.is_unsafe(request.request_class):
+            self.abandoned.on_written(request.message.headers[CALL_ID_HEADER])
+
+    def set_shared(self, shared: bool) -> None:
+        """Begin or cease to share what must not run twice, as another process of the node starts or ends."""
+        if shared:
+            written = [r for r in self.pending.values() if self.is_unsafe(r.request_class) and r.attempts]
+            self.abandoned.start_sharing(r.message.headers[CALL_ID_HEADER] for r in written)
+        else:
+            self.abandoned.stop_sharing(self.event_queue.now())
+
     def may_run(self, request: PendingRequest) -> bool:
         """Return whether a request that must not run twice may have run, or may yet run at its server."""
-        if self.settings.classes[request.request_class].effect != Effect.NOT_IDEMPOTENT:
+        if not self.is_unsafe(request.request_class):
             return False
         is_out = request.exchange is not None and request.exchange.connection is not None
         return request.ran_at is not None or (is_out and not request.is_partly_written())
--- a/balancer/net/node.py
+++ b/balancer/net/node.py
@@ -34,6 +34,7 @@
 )
 from balancer.net.process.management import JSON, Management, Page, PageResponse, Pages
 from balancer.net.process.memory_budget import MemoryBudget, resident_bytes
+from balancer.net.process.shared_digests import SharedDigests
 from balancer.net.process.system_faults import is_shortage, retry_shortage
 from balancer.net.process.traffic_events import TrafficEvents
 from balancer.net.upstream.connection import Response
@@ -97,6 +98,7 @@
             self.event_queue,
             self.events,
             self.descriptor_budget,
+            SharedDigests(config.handover_directory, self.log_writer),
         )
         self.attempts = Attempts(config, self.pool, self.event_queue, self.counters, self.requests)
         self.client_connections = ClientConnections(
@@ -250,6 +252,7 @@
             shared: Whether another process of this node runs.
         """
         self.process_count = 2 if shared else 1
+        self.requests.set_shared(shared)
         self.memory_budget.resize(self.config.memory_bytes // self.process_count)
         self.limit_connections()
         if self.handover.is_older:
