At the limit of connections, clients that have stalled give way to waiting ones

Cause: the listener is paused at the limit, and only an accepted connection evicted others, so those that wait in the backlog waited until a stopped client was late (2.2 s).

--- a/balancer/net/downstream/client_connections.py
+++ b/balancer/net/downstream/client_connections.py
@@ -161,11 +161,12 @@
             self.connections.discard(client)
             self.descriptor_budget.remove_client()
 
-    def evict_one(self, linger: bool = False) -> bool:
+    def evict_one(self, linger: bool = False, max_rank: EvictionRank = EvictionRank.WRITING_HEAD) -> bool:
         """Evict a client connection without a request, or close an unused connection to a server, if any.
 
         Args:
             linger: Whether the descriptor may be released some time later, if the client gets an error first.
+            max_rank: The last rank, in the order of eviction, of connections that may be evicted.
 
         Returns:
             Whether a connection was closed.
@@ -177,6 +178,8 @@
             if (priority := eviction_priority(c, now)) is not None
         ]
         for (rank, _), _, client in sorted(candidates):
+            if rank > max_rank:
+                break
             if rank == EvictionRank.WRITING_HEAD and self.close_unused_server_connection():
                 return True
             if client.has_unread_data():
@@ -185,6 +188,17 @@
             return True
         return False
 
+    def evict_stalled(self) -> None:
+        """At the limit of connections, evict clients that have stalled, so that waiting ones can be accepted.
+
+        The listener is paused at the limit, so no new connection would evict them.
+        """
+        if self.has_capacity():
+            return
+        for _ in range(MAX_REJECTING_CONNECTIONS):
+            if not self.evict_one(linger=True, max_rank=EvictionRank.STALLED):
+                break
+
     def evict(self, client: ClientConnection, rank: EvictionRank, linger: bool) -> None:
         """Close a connection; a client that has stopped within a body first gets an error if `linger`."""
         self.connections.discard(client)
@@ -234,6 +248,7 @@
             elif client.transport is not None and client.is_idle():
                 self.counts["silent"] += 1
                 client.abort(CloseReason.SILENT)
+        self.evict_stalled()
         self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
 
     def start_draining(self) -> None:
--- a/tests/test_stream_limit.py
+++ b/tests/test_stream_limit.py
@@ -9,6 +9,7 @@
 from streaming_support import LONG, RawServer, receive, upload
 
 from balancer.net.downstream import client_connection
+from balancer.net.downstream.read_deadline import HEAD_TIMEOUT_S
 
 HALF_UPLOAD = upload(LONG[:100_000], b"Content-Length: %d" % len(LONG))
 HALF_BODY = call("offer", body=b"x" * 100)[:-50]
@@ -106,3 +107,24 @@
         assert (await idle.request(call()))[0] == 200
 
     run_scenario(scenario)
+
+
+def test_waiting_client_is_accepted_once_others_have_stalled() -> None:
+    """At the limit of connections nothing is accepted, so a new client waited until a stopped one was late."""
+
+    async def scenario() -> None:
+        bench = await Bench(Server(), config=SMALL_LIMITS).start()
+        client_connections = bench.node.client_connections
+        clients = []
+        while client_connections.has_capacity():
+            client = await bench.client()
+            client.send(HALF_BODY)
+            clients.append(client)
+            await wait_until(lambda: bench.node.descriptor_budget.clients == len(clients))
+        waiting = await bench.client()
+        started_at = bench.node.loop.time()
+        assert (await waiting.request(call()))[0] == 200
+        assert bench.node.loop.time() - started_at < HEAD_TIMEOUT_S / 2
+        assert client_connections.counts["gave_way_stalled"] > 0
+
+    run_scenario(scenario)
