Only clients that the node waits for have stalled; active ones give way only down to the limit

Found on reading the change: a client with requests behind one in flight counted as stalled, and clients that write without a pause gave way down to 7/8 of the limit like stalled ones. Both only while the limit is exceeded. Change: a client has stalled only if the node waits for its input or it doesn't read; the low-water mark holds for stalled ones. Refusals of clients that gave way have a reason of their own.

--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -238,7 +238,7 @@
         message.received_at = self.read_at
         self.pipelined.append(message)
 
-    def reject(self, status: int) -> None:
+    def reject(self, status: int, reason: RefusalReason = RefusalReason.INPUT) -> None:
         """Respond to the partial request with an error and stop reading; earlier ones still get responses."""
         if self.reading_stopped:
             return
@@ -247,12 +247,12 @@
         partial = self.parser.drop_partial()
         self.read_deadline.clear()
         if partial is None or partial.upload is None:
-            self.pipelined.append(ClientRequest(status))
+            self.pipelined.append(ClientRequest(status, reason))
         elif partial is self.current_request:
             partial.keep_alive = False
-            self.connections.handler.request_malformed(self, status)
+            self.connections.handler.request_malformed(self, status, reason)
         else:
-            partial.error_status, partial.keep_alive = status, False
+            partial.error_status, partial.refusal_reason, partial.keep_alive = status, reason, False
 
     def reclaimable_bytes(self) -> int:
         """Return the buffered bytes that are released if the connection gives way.
@@ -273,7 +273,8 @@
         Args:
             now: The loop time.
         """
-        return not self.reading_paused and now - self.last_progress_at() >= STALL_S
+        is_sending = self.partial_request is not None and not self.reading_paused
+        return (is_sending or self.writer.blocked) and now - self.last_progress_at() >= STALL_S
 
     def give_way(self, reason: CloseReason = CloseReason.MEMORY) -> None:
         """Release what the connection holds, because all connections together hold too much.
@@ -292,9 +293,9 @@
         has_partial = self.partial_request is not None or bool(self.unparsed)
         self.unparsed.clear()
         for message in self.pipelined:
-            message.refuse(RefusalReason.MEMORY)
+            message.refuse(RefusalReason.GAVE_WAY)
         if has_partial:
-            self.reject(503)
+            self.reject(503, RefusalReason.GAVE_WAY)
         elif self.pipelined:
             self.stop_reading()
             self.pipelined[-1].keep_alive = False
--- a/balancer/net/downstream/memory_relief.py
+++ b/balancer/net/downstream/memory_relief.py
@@ -8,7 +8,8 @@
 from balancer.net.downstream.client_connection import ClientConnection
 from balancer.net.process.memory_budget import MemoryBudget
 
-# Connections give way until this part of the limit is used, so that not each further read needs another one.
+# Stalled clients give way until this part of the limit is used, so that not each further read needs another
+# one.
 LOW_WATER_RATIO = 7 / 8
 
 
@@ -62,9 +63,9 @@
         self.relieve()
 
     def relieve(self) -> None:
-        """Let connections give way until the low-water mark, if the limit is exceeded."""
+        """Let connections give way if the limit is exceeded."""
         if not self.budget.can_reserve(0):
-            self.release(int(LOW_WATER_RATIO * self.budget.max_held_bytes), HoldingRank(False, 0))
+            self.release(self.budget.max_held_bytes, HoldingRank(False, 0))
 
     def make_room(self, size: int) -> bool:
         """Let connections give way for a complete request of `size` bytes.
@@ -79,13 +80,17 @@
         return self.budget.can_reserve(size)
 
     def release(self, target_bytes: int, above: HoldingRank) -> None:
-        """Let connections with a rank above `above` give way until `target_bytes` are buffered."""
+        """Let connections with a rank above `above` give way until `target_bytes` are buffered.
+
+        Those that have stalled give way until `LOW_WATER_RATIO` of that are.
+        """
         now = self.loop.time()
         ranked = [
             (holding_rank(connection, now), connection.number, connection) for connection in self.connections
         ]
         for rank, _, connection in sorted(ranked, reverse=True):
-            if self.budget.held_bytes <= target_bytes or rank <= above:
+            enough_bytes = int(LOW_WATER_RATIO * target_bytes) if rank.stalled else target_bytes
+            if self.budget.held_bytes <= enough_bytes or rank <= above:
                 return
             if rank.size > 0:
                 connection.give_way()
--- a/balancer/net/downstream/message.py
+++ b/balancer/net/downstream/message.py
@@ -46,6 +46,7 @@
 
     Args:
         error_status: The status of the response if the request is rejected unhandled; 0 otherwise.
+        refusal_reason: Why the request is rejected, if it is.
     """
 
     __slots__ = (
@@ -66,10 +67,9 @@
         "version",
     )
 
-    def __init__(self, error_status: int = 0) -> None:
+    def __init__(self, error_status: int = 0, refusal_reason: RefusalReason = RefusalReason.INPUT) -> None:
         self.error_status = error_status
-        # Why the request is rejected, if it is.
-        self.refusal_reason = RefusalReason.INPUT
+        self.refusal_reason = refusal_reason
         self.method = b""
         self.target = b""
         self.version = "1.1"
--- a/balancer/net/downstream/protocols.py
+++ b/balancer/net/downstream/protocols.py
@@ -31,8 +31,8 @@
     ) -> None:
         """Reject a request for which the node has no capacity; must call `client.respond` once."""
 
-    def request_malformed(self, client: ConnectionIn, status: int) -> None:
-        """Handle a current request whose body is malformed, too large or overdue, and will not be completed.
+    def request_malformed(self, client: ConnectionIn, status: int, reason: RefusalReason) -> None:
+        """Handle a current request whose body will not be completed.
 
         Must call `client.respond` with the status unless the request has its response.
         """
--- a/balancer/net/downstream/requests.py
+++ b/balancer/net/downstream/requests.py
@@ -207,14 +207,15 @@
             request.deadline = now + request.remaining
             self.start_deadline_timer(request)
 
-    def request_malformed(self, client: ClientConnection, status: int) -> None:
+    def request_malformed(self, client: ClientConnection, status: int, reason: RefusalReason) -> None:
         """Respond with an error to the client's request, whose body will not be completed, and abandon it."""
         request = self.by_client.get(client)
         if request is not None:
             if request.stream is not None:
                 # A response that has started is aborted, because the client would wait for its end.
                 request.stream.abort()
-            self.refuse(request.id, status, RefusalReason.INPUT)
+            headers = self.over_capacity_headers() if status == 503 else b""
+            self.refuse(request.id, status, reason, headers)
             self.abandon(request)
 
     def client_disconnected(self, client: ClientConnection) -> None:
--- a/balancer/net/process/traffic_events.py
+++ b/balancer/net/process/traffic_events.py
@@ -51,6 +51,7 @@
         MAX_OPEN: The node has as many requests as its settings allow.
         CONNECTIONS: The node has too many connections of clients.
         UPLOADS: As many streamed bodies as the node allows are being sent.
+        GAVE_WAY: Its client held too much, or had stalled, and gave way to others.
         MEMORY: Its bytes exceed the limit on buffered bytes.
         INPUT: It was malformed, too large, overdue or sent behind too many others.
         UPLOAD: Its streamed body broke off on the way to a server.
@@ -64,6 +65,7 @@
     MAX_OPEN = "max_open"
     UPLOADS = "uploads"
     CONNECTIONS = "connections"
+    GAVE_WAY = "gave_way"
     MEMORY = "memory"
     INPUT = "input"
     UPLOAD = "upload"
--- a/tests/test_stream_limit.py
+++ b/tests/test_stream_limit.py
@@ -110,7 +110,7 @@
 
 
 def test_waiting_client_is_accepted_once_others_have_stalled() -> None:
-    """At the limit of connections nothing is accepted, so a new client waited until a stopped one was late."""
+    """At the limit nothing is accepted, so a new client waited until a stopped one was late."""
 
     async def scenario() -> None:
         bench = await Bench(Server(), config=SMALL_LIMITS).start()
