Fast senders yield to other connections, and lingering ones give way at the limit

Cause: the event loop reads up to 32 times from each connection before it goes on to the next, so one iteration handled tens of MB; in short slices also of bodies, once half of the budget was used. Change: a connection pauses until the next iteration after 16 KiB. Slices are short for heads alone.

--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -21,6 +21,8 @@
 # cost many times their bytes, so slices are shorter once much of the memory budget is used.
 PARSE_SLICE_BYTES = 8192
 SHORT_SLICE_BYTES = 512
+# Bytes read from one connection in an iteration of the event loop.
+MAX_BURST_BYTES = 16384
 # Complete requests that may wait on one connection while an earlier one is in flight.
 MAX_PIPELINED_REQUESTS = 8
 # Memory of unparsed bytes that may wait behind the pipelined requests. A client that sends more is rejected,
@@ -78,7 +80,13 @@
         self.pipelined: list[ClientRequest] = []
         self.current_request: ClientRequest | None = None
         self.input_state = InputState.OPEN
+        # Whether reading is paused because a server must take more of the upload first.
         self.reading_paused = False
+        # Whether reading is paused until the event loop's next iteration.
+        self.has_yielded = False
+        self.transport_paused = False
+        # Bytes read in the event loop's current iteration.
+        self.burst_bytes = 0
         # Whether the client has had at least one response.
         self.has_served = False
         # Calls `linger` once the last response is written.
@@ -123,7 +131,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Queue the bytes that were read, and parse them."""
-        self.last_active_at = self.connections.loop.time()
+        self.yield_after_burst(nbytes)
         if self.reading_stopped:
             return
         self.unparsed.append(
@@ -139,6 +147,36 @@
             self.update_account()
         self.connections.relieve_memory()
 
+    def yield_after_burst(self, nbytes: int) -> None:
+        """Record a read, and pause until the loop's next iteration once many bytes were read in this one.
+
+        The event loop otherwise reads on from a client that sends fast, and others wait meanwhile.
+        """
+        now = self.connections.loop.time()  # Constant within an iteration of the event loop.
+        self.burst_bytes = nbytes if now != self.last_active_at else self.burst_bytes + nbytes
+        self.last_active_at = now
+        if self.burst_bytes >= MAX_BURST_BYTES and not self.has_yielded:
+            self.has_yielded = True
+            self.connections.loop.call_soon(self.end_yield)
+            self.apply_reading()
+
+    def end_yield(self) -> None:
+        """Read again after a pause for other connections."""
+        self.has_yielded = False
+        self.burst_bytes = 0
+        self.apply_reading()
+
+    def apply_reading(self) -> None:
+        """Pause or resume the transport if the reasons to pause have changed."""
+        pause = self.reading_paused or self.has_yielded
+        if pause == self.transport_paused or self.transport is None or self.transport.is_closing():
+            return
+        self.transport_paused = pause
+        if pause:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
     def parse(self) -> None:
         """Parse the queued bytes until they end or parsing must wait, then pause or resume reading."""
         if self.parsing:
@@ -146,8 +184,7 @@
         self.parsing = True
         while True:
             while self.unparsed and not self.reading_stopped and not self.is_parsing_blocked():
-                is_scarce = self.connections.memory_budget.is_scarce()
-                data, self.read_at = self.unparsed.take(SHORT_SLICE_BYTES if is_scarce else PARSE_SLICE_BYTES)
+                data, self.read_at = self.unparsed.take(self.slice_bytes())
                 self.parser.feed(data)
             self.start_next_request()
             if not self.unparsed or self.reading_stopped or self.is_parsing_blocked():
@@ -156,6 +193,11 @@
         self.update_reading()
         self.update_account()
 
+    def slice_bytes(self) -> int:
+        """Return how many bytes to pass to the parser at once."""
+        is_short = self.connections.memory_budget.is_scarce() and not self.parser.is_reading_body()
+        return SHORT_SLICE_BYTES if is_short else PARSE_SLICE_BYTES
+
     def update_account(self) -> None:
         """Count the bytes that the connection's requests hold now in the memory budget."""
         account = self.account
@@ -183,10 +225,7 @@
         if stop == self.reading_paused or self.transport is None or self.transport.is_closing():
             return
         self.reading_paused = stop
-        if stop:
-            self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
+        self.apply_reading()
         if self.partial_request is not None and self.partial_request.upload is not None:
             if stop:
                 self.read_deadline.suspend()
--- a/balancer/net/downstream/client_connections.py
+++ b/balancer/net/downstream/client_connections.py
@@ -28,6 +28,8 @@
 # Time that an idle connection is kept after its last use while the node drains, since the client's next
 # request may be on its way.
 SETTLE_S = 0.2
+# At the limit of connections, at most this part of them is evicted in one sweep.
+MAX_STALLED_EVICTIONS_DIVISOR = 4
 # Time between two checks for overdue requests.
 SWEEP_INTERVAL_S = HEAD_TIMEOUT_S / 16
 # Time that an evicted client has to read its error response.
@@ -161,25 +163,16 @@
             self.connections.discard(client)
             self.descriptor_budget.remove_client()
 
-    def evict_one(self, linger: bool = False, max_rank: EvictionRank = EvictionRank.WRITING_HEAD) -> bool:
+    def evict_one(self, linger: bool = False) -> bool:
         """Evict a client connection without a request, or close an unused connection to a server, if any.
 
         Args:
             linger: Whether the descriptor may be released some time later, if the client gets an error first.
-            max_rank: The last rank, in the order of eviction, of connections that may be evicted.
 
         Returns:
             Whether a connection was closed.
         """
-        now = self.loop.time()
-        candidates = [
-            (priority, id(c), c)
-            for c in self.connections
-            if (priority := eviction_priority(c, now)) is not None
-        ]
-        for (rank, _), _, client in sorted(candidates):
-            if rank > max_rank:
-                break
+        for rank, client in self.eviction_candidates():
             if rank == EvictionRank.WRITING_HEAD and self.close_unused_server_connection():
                 return True
             if client.has_unread_data():
@@ -188,6 +181,16 @@
             return True
         return False
 
+    def eviction_candidates(self) -> list[tuple[EvictionRank, ClientConnection]]:
+        """Return the connections that may be evicted, in the order of eviction."""
+        now = self.loop.time()
+        candidates = [
+            (priority, client.number, client)
+            for client in self.connections
+            if (priority := eviction_priority(client, now)) is not None
+        ]
+        return [(priority.rank, client) for priority, _, client in sorted(candidates)]
+
     def evict_stalled(self) -> None:
         """At the limit of connections, evict clients that have stalled, so that waiting ones can be accepted.
 
@@ -195,9 +198,12 @@
         """
         if self.has_capacity():
             return
-        for _ in range(MAX_REJECTING_CONNECTIONS):
-            if not self.evict_one(linger=True, max_rank=EvictionRank.STALLED):
-                break
+        now = self.loop.time()
+        stalled = [c for c in self.eviction_candidates() if c[0] <= EvictionRank.STALLED]
+        for rank, client in stalled[: max(1, self.max_served() // MAX_STALLED_EVICTIONS_DIVISOR)]:
+            has_finished = client.finished_at and now - client.finished_at >= EVICTION_LINGER_S
+            if has_finished or not client.has_unread_data():
+                self.evict(client, rank, linger=True)
 
     def evict(self, client: ClientConnection, rank: EvictionRank, linger: bool) -> None:
         """Close a connection; a client that has stopped within a body first gets an error if `linger`."""
