--- a/balancer/net/downstream/client_eviction.py
+++ b/balancer/net/downstream/client_eviction.py
@@ -12,6 +12,8 @@
 HEAD_WRITE_GRACE_S = 2.0
 
 
+# Time without sending any of a body after which a client is evicted for others.
+BODY_PAUSE_S = 0.05
 # Time without reading any of a response after which a client is evicted for others.
 UNREAD_STALL_S = 0.25
 
@@ -52,7 +54,8 @@
         return EvictionPriority(EvictionRank.STALLED, connection.last_progress_at())
     if connection.pipelined:
         return None
-    if connection.is_waiting_for_body() and connection.is_stalled(now):
+    is_pausing = now - connection.last_active_at >= BODY_PAUSE_S and not connection.reading_paused
+    if connection.is_waiting_for_body() and is_pausing:
         return EvictionPriority(EvictionRank.STALLED, connection.last_active_at)
     if connection.current_request is not None:
         return None
