--- a/review/harness2.py
+++ b/review/harness2.py
@@ -202,22 +202,24 @@
         servers = [s.entry() for s in self.servers if s.state != "gone"]
         return {"version": self.version, "full": True, "servers": servers}
 
+    async def answer(self, first: str) -> dict[str, Any]:
+        """Return the answer to a call, given its request line; a watch waits for a change."""
+        query = dict(p.split("=") for p in first.split(" ")[1].partition("?")[2].split("&") if p)
+        if "since" not in query:
+            return self.full()
+        since = int(query["since"])
+        if since >= self.version:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), int(query["timeout_ms"]) / 1000)
+        entries = [e for v, e in self.changes if v > since]
+        return {"version": self.version, "full": False, "servers": entries}
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
         try:
             while True:
                 first, _ = await read_head(reader)
-                query = dict(p.split("=") for p in first.split(" ")[1].partition("?")[2].split("&") if p)
-                answer = self.full()
-                if "since" in query:
-                    since = int(query["since"])
-                    if since >= self.version:
-                        wait = int(query["timeout_ms"]) / 1000
-                        with contextlib.suppress(TimeoutError):
-                            await asyncio.wait_for(self.changed.wait(), wait)
-                    entries = [e for v, e in self.changes if v > since]
-                    answer = {"version": self.version, "full": False, "servers": entries}
-                body = json.dumps(answer).encode()
+                body = json.dumps(await self.answer(first)).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
