--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,9 +15,12 @@
 
 OLD_SERVERS = 6
 REPLACED = 3
-CLIENTS = 8
+CLIENTS = 24
 QUIET_SECONDS = 3.0
 SECONDS = 20.0  # From the change to the end.
+OLD_END_AFTER_S = 14.0  # The servers that drain end this long after the change.
+ALERT_SHARE = 0.2
+WORK_S = (0.2, 0.35)  # Of a tile-get at riga-tiles.
 # An answer that carries the change is whole this long after its call; the first one never is.
 STALL_S = 3.2
 # Told at the latest 6 s after the change; 0.5 s of grace, 0.05 s of slack on sockets, 0.15 s for a node that
@@ -73,7 +76,7 @@
     def __init__(self, record: h.Record) -> None:
         self.record = record
         self.changed_at = float("inf")
-        self.asked = self.served = self.late = self.at_new = 0
+        self.asked = self.served = self.late = self.at_new = self.alerts_failed = 0
 
     async def handle(self, server: h.Server, reader, writer, first: str, headers: h.Headers) -> bool:
         """Answer a request, and record an attempt at a server that drains."""
@@ -85,7 +88,7 @@
             )
             self.late += age_s > JUDGED_AFTER_S
         self.at_new += server.name.startswith("new")
-        await asyncio.sleep(random.uniform(0.02, 0.035))
+        await asyncio.sleep(random.uniform(*WORK_S))
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntile")
         return True
 
@@ -96,14 +99,27 @@
             reader, writer = await asyncio.open_connection(node.host, node.port)
             keep = True
             while keep and loop.time() < ends_at:
-                writer.write(h.request("/tile-get/7", h.call_id()))
-                self.asked += 1
-                status, headers, _ = await h.read_answer(reader)
-                self.served += status == 200
-                keep = headers.get("connection") != "close"
+                keep = await self.ask(reader, writer)
                 await asyncio.sleep(random.uniform(0.02, 0.08))
             writer.close()
 
+    async def ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """Send a request, read its answer, and return whether the connection is kept."""
+        number = h.call_id()
+        is_alert = random.random() < ALERT_SHARE
+        if is_alert:
+            key = f"Idempotency-Key: {number}\r\nContent-Length: 0\r\n"
+            writer.write(h.request("/alert-set/7", number, method="POST", headers=key))
+        else:
+            writer.write(h.request("/tile-get/7", number))
+        self.asked += 1
+        status, headers, _ = await h.read_answer(reader)
+        self.served += status == 200
+        if status != 200:
+            self.alerts_failed += is_alert
+            self.record.line(f"client id={number} alert={is_alert} status={status}")
+        return headers.get("connection") != "close"
+
 
 async def play(record: h.Record, trouble: bool) -> int:
     """Play the case."""
@@ -118,13 +134,15 @@
     loop = asyncio.get_running_loop()
 
     def replace() -> None:
-        """Replace half of the servers, in one change; the old ones stay up."""
+        """Replace half of the servers, in one change; the old ones end some seconds later."""
         traffic.changed_at = loop.time()
         for server in old[:REPLACED]:
             server.state = "draining"
         agent.servers += new
         record.line("discovery has the change")
         agent.change(*old[:REPLACED], *new)
+        for server in old[:REPLACED]:
+            loop.call_later(OLD_END_AFTER_S, server.end)
 
     try:
         await node.start()
@@ -134,7 +152,8 @@
     finally:
         await node.stop()
     record.line(
-        f"asked={traffic.asked} served={traffic.served} at_new={traffic.at_new}"
+        f"asked={traffic.asked} served={traffic.served} alerts_failed={traffic.alerts_failed}"
+        f" at_new={traffic.at_new}"
         f" at draining servers later than {JUDGED_AFTER_S} s after the change={traffic.late}"
     )
     if traffic.served < traffic.asked / 2:
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -139,7 +139,7 @@
     def __init__(self, record: Record, name: str, cell: int, handle: Handler) -> None:
         self.record, self.name, self.cell, self.handle = record, name, cell, handle
         self.state, self.started_ms = "ready", 0
-        self.heads = 0
+        self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
         self.address = ""
 
@@ -150,17 +150,25 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
+        self.writers.add(writer)
         try:
             while True:
                 first, headers = await read_head(reader)
-                self.heads += 1
                 if not await self.handle(self, reader, writer, first, headers):
                     break
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
+    def end(self) -> None:
+        """End as a process does: new connections are refused, and open ones are reset."""
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     def entry(self) -> dict[str, Any]:
         """Return this server's entry in the list."""
         return {
