Log lines for clients that give way, responses that are cut off and requests that come late

`close reason=stalled` had one wording for four places that end a client, and nothing said what the client had last done; a time-out did not say whether a response was coming; nothing said when a request came after SIGTERM.

Change: `give_way` (what the node lacked, time since the client's last progress as the node knows it, bytes in the process and in the kernel), `cut_off` (the bytes of the response that an ended attempt had, its stated length), `late` (time since SIGTERM).

--- a/balancer/net/downstream/attempts.py
+++ b/balancer/net/downstream/attempts.py
@@ -217,7 +217,16 @@
     def on_ended(self, outcome: Outcome, response: Response | None) -> None:
         """Handle the end of the attempt: respond to the client at once, then notify the policy."""
         request = self.request
-        connect_seconds = request.exchange.connect_duration_s if request.exchange is not None else 0.0
+        exchange = request.exchange
+        connect_seconds = exchange.connect_duration_s if exchange is not None else 0.0
+        if exchange is not None and exchange.received_bytes:
+            self.attempts.requests.events.cut_off(
+                request.id,
+                self.number,
+                outcome.name.lower(),
+                exchange.received_bytes,
+                exchange.stated_length,
+            )
         request.exchange = None
         request.last_outcome = outcome
         self.update_request(outcome)
--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -13,8 +13,8 @@
 from balancer.net.downstream.request_parser import RequestParser
 from balancer.net.downstream.response_writer import ResponseWriter
 from balancer.net.process.memory_budget import Holding, MemoryAccount
-from balancer.net.process.sockets import PEER_CLOSED, READABLE, has_event
-from balancer.net.process.traffic_events import CloseReason, RefusalReason
+from balancer.net.process.sockets import PEER_CLOSED, READABLE, has_event, unacknowledged_bytes
+from balancer.net.process.traffic_events import CloseReason, GiveWayCause, RefusalReason
 from balancer.net.upstream.body_streaming import ResponseSource
 
 # Bytes passed to the parser in one call. All requests that a slice completes are kept, and the shortest ones
@@ -315,13 +315,23 @@
         is_sending = self.partial_request is not None and not self.reading_paused
         return (is_sending or self.writer.blocked) and now - self.last_progress_at() >= STALL_S
 
-    def give_way(self, reason: CloseReason = CloseReason.MEMORY) -> None:
+    def give_way(self, cause: GiveWayCause) -> None:
         """Release what the connection holds, because all connections together hold too much.
 
         A client that does not read its response is disconnected. Otherwise requests that were not passed on,
         the partial one among them, get a 503 response, and the connection is closed after them.
+
+        Args:
+            cause: What the node lacks.
         """
-        self.mark_closing(reason)
+        self.connections.events.gave_way(
+            self.number,
+            cause,
+            self.connections.loop.time() - self.last_progress_at(),
+            self.account.held[Holding.UNREAD_RESPONSES],
+            unacknowledged_bytes(self.transport),
+        )
+        self.mark_closing(CloseReason.MEMORY if cause is GiveWayCause.MEMORY else CloseReason.STALLED)
         if self.writer.blocked:
             if self.writer.source is not None:
                 self.abort_stream()
--- a/balancer/net/downstream/client_connections.py
+++ b/balancer/net/downstream/client_connections.py
@@ -16,7 +16,7 @@
 from balancer.net.process.lifecycle import Lifecycle, Stage
 from balancer.net.process.listener import Listener
 from balancer.net.process.memory_budget import MemoryBudget
-from balancer.net.process.traffic_events import CloseReason, TrafficEvents
+from balancer.net.process.traffic_events import CloseReason, GiveWayCause, TrafficEvents
 
 # Maximum number of connections that are open beyond the limit only to have their requests rejected with 503.
 # They are at most a sixteenth of the client connections that the budget allows, but at least one.
@@ -211,7 +211,7 @@
         count, reason = EVICTION_REASONS[rank]
         self.counts[count] += 1
         if rank == EvictionRank.STALLED:
-            client.give_way(reason)
+            client.give_way(GiveWayCause.CONNECTIONS)
         if rank == EvictionRank.STALLED and linger:
             self.loop.call_later(EVICTION_LINGER_S, client.abort, reason)
         else:
--- a/balancer/net/downstream/memory_relief.py
+++ b/balancer/net/downstream/memory_relief.py
@@ -7,6 +7,7 @@
 
 from balancer.net.downstream.client_connection import ClientConnection
 from balancer.net.process.memory_budget import MemoryBudget
+from balancer.net.process.traffic_events import GiveWayCause
 
 # Stalled clients give way until this part of the limit is used, so that not each further read needs another
 # one.
@@ -93,4 +94,4 @@
             if self.budget.held_bytes <= enough_bytes or rank <= above:
                 return
             if rank.size > 0:
-                connection.give_way()
+                connection.give_way(GiveWayCause.MEMORY)
--- a/balancer/net/downstream/requests.py
+++ b/balancer/net/downstream/requests.py
@@ -77,6 +77,8 @@
         self.abandoned = AbandonedRequests(shared_digests)
         # Time by which a node that shuts down must have sent its last response, in microseconds.
         self.last_response_at: int | None = None
+        # Time at which the shutdown began, in microseconds.
+        self.shutdown_at: int | None = None
         # Requests that the policy left open past their deadline.
         self.overdue_count = 0
         self.validator = RequestValidator(config)
@@ -127,6 +129,8 @@
         # not advance within an iteration.
         waited = max(0, int((monotonic() - message.received_at) * 1e6))
         remaining = self.remaining_before_shutdown(now, max(0, parameters.budget_us - waited))
+        if self.shutdown_at is not None:
+            self.events.came_late(client.number, (now - self.shutdown_at) / 1e6)
         self.last_id += 1
         request = PendingRequest(self.last_id, client, message, request_class, now, remaining)
         self.pending[request.id] = self.by_client[client] = request
@@ -271,6 +275,7 @@
 
         A request with a longer deadline would still be open when the process is killed.
         """
+        self.shutdown_at = self.event_queue.now()
         self.last_response_at = last_response_at
         for request in self.pending.values():
             is_waiting = request.client is not None and request.stream is None
--- a/balancer/net/downstream/stream_limit.py
+++ b/balancer/net/downstream/stream_limit.py
@@ -8,7 +8,7 @@
 from balancer.net.downstream.client_connection import ClientConnection
 from balancer.net.downstream.pending_request import PendingRequest
 from balancer.net.process.descriptor_budget import DescriptorBudget
-from balancer.net.process.traffic_events import CloseReason
+from balancer.net.process.traffic_events import GiveWayCause
 
 # Request bodies that are streamed, and streamed responses that are not read, each take at most this part of
 # the connections to servers. The policy's limit on requests in flight does not count them.
@@ -42,7 +42,9 @@
         uploading = [
             client for client, request in self.by_client.items() if request.incoming_body() is not None
         ]
-        return len(uploading) < self.max_streams() or self.end_longest_stalled(uploading)
+        return len(uploading) < self.max_streams() or self.end_longest_stalled(
+            uploading, GiveWayCause.UPLOADS
+        )
 
     def end_excess_unread(self) -> None:
         """Make stalled clients that do not read streamed responses give way, as many as exceed the limit."""
@@ -52,7 +54,9 @@
             if request.stream is not None and client.write_blocked
         ]
         for _ in range(len(unread) - self.max_streams()):
-            self.end_longest_stalled(client for client in unread if client.write_blocked)
+            self.end_longest_stalled(
+                (client for client in unread if client.write_blocked), GiveWayCause.UNREAD_RESPONSES
+            )
 
     def max_streams(self) -> int:
         """Return the maximum number of streamed bodies, and that of unread streamed responses."""
@@ -65,12 +69,17 @@
             for client, request in self.by_client.items()
             if request.incoming_body() is not None or request.stream is not None
         ]
-        return self.end_longest_stalled(holding)
+        return self.end_longest_stalled(holding, GiveWayCause.SERVER_CONNECTIONS)
 
-    def end_longest_stalled(self, clients: Iterable[ClientConnection]) -> bool:
-        """Make the longest stalled of these clients give way, and return whether one has stalled."""
+    def end_longest_stalled(self, clients: Iterable[ClientConnection], cause: GiveWayCause) -> bool:
+        """Make the longest stalled of these clients give way, and return whether one has stalled.
+
+        Args:
+            clients: The clients to choose from.
+            cause: What the node lacks.
+        """
         now = self.loop.time()
         stalled = [client for client in clients if client.is_stalled(now)]
         if stalled:
-            min(stalled, key=ClientConnection.last_progress_at).give_way(CloseReason.STALLED)
+            min(stalled, key=ClientConnection.last_progress_at).give_way(cause)
         return bool(stalled)
--- a/balancer/net/process/traffic_events.py
+++ b/balancer/net/process/traffic_events.py
@@ -40,6 +40,24 @@
     BROKEN_RESPONSE = "broken_response"
 
 
+class GiveWayCause(Enum):
+    """What the node lacked when it made a client give way to others; logs show the value.
+
+    Attributes:
+        CONNECTIONS: Connections of clients.
+        SERVER_CONNECTIONS: Connections to servers.
+        UPLOADS: Streamed request bodies.
+        UNREAD_RESPONSES: Streamed responses that are not read.
+        MEMORY: Memory for buffered bytes.
+    """
+
+    CONNECTIONS = "connections"
+    SERVER_CONNECTIONS = "server_connections"
+    UPLOADS = "uploads"
+    UNREAD_RESPONSES = "unread_responses"
+    MEMORY = "memory"
+
+
 class RefusalReason(Enum):
     """Why a request got no response from a server; logs and management pages show the value.
 
@@ -126,6 +144,50 @@
         self.retries[reason] += 1
         self.log.line(f"retry request={request} attempt={attempt} after={reason}")
 
+    def gave_way(
+        self, client: int, cause: GiveWayCause, waited_s: float, unread_bytes: int, unacknowledged_bytes: int
+    ) -> None:
+        """Record a client that gives way to others within a request or a response.
+
+        Args:
+            client: The number of the connection.
+            cause: What the node lacked.
+            waited_s: The time since the client last sent or read something, as far as the node knows.
+            unread_bytes: The bytes of responses that the process buffers for it.
+            unacknowledged_bytes: The bytes of responses that the kernel holds for it.
+        """
+        self.log.line(
+            f"give_way client={client} for={cause.value} waited={waited_s:.2f} unread={unread_bytes}"
+            f" unacknowledged={unacknowledged_bytes}"
+        )
+
+    def cut_off(
+        self, request: int, attempt: int, reason: str, received_bytes: int, length: int | None
+    ) -> None:
+        """Record an attempt that the node ended within a response that it had not passed on.
+
+        Args:
+            request: The number of the request.
+            attempt: The number of the attempt within its request, from 0.
+            reason: The outcome of the attempt, in lower case.
+            received_bytes: The bytes of the response's body that had come.
+            length: The length that the response's head states; None if it states none.
+        """
+        stated = "none" if length is None else str(length)
+        self.log.line(
+            f"cut_off request={request} attempt={attempt} after={reason}"
+            f" received={received_bytes} length={stated}"
+        )
+
+    def came_late(self, client: int, after_s: float) -> None:
+        """Record a request that came while the node shuts down.
+
+        Args:
+            client: The number of the client's connection.
+            after_s: The time since the shutdown began, in seconds.
+        """
+        self.log.line(f"late client={client} after={after_s:.2f}")
+
     def figures(self) -> dict[str, int]:
         """Return all counts by the names of the log."""
         groups = {"closed": self.closes, "refused": self.refusals, "retried": self.retries}
--- a/balancer/net/upstream/exchange.py
+++ b/balancer/net/upstream/exchange.py
@@ -65,6 +65,10 @@
         self.connection: Connection | None = None
         self.connect_task: asyncio.Task[None] | None = None
         self.connect_duration_s = 0.0
+        # The part of a buffered response that had come when the exchange was aborted: the bytes of its body,
+        # and the length that its head states, if any.
+        self.received_bytes = 0
+        self.stated_length: int | None = None
         self.lacks_resources = False  # Whether the last connect failed because this machine lacked resources.
         self.timer: asyncio.TimerHandle | None = None
         endpoint.active_exchanges += 1
@@ -225,6 +229,8 @@
         if self.ended:
             return
         if self.connection is not None:
+            self.received_bytes = len(self.connection.body)
+            self.stated_length = self.connection.length
             self.connection.exchange = None
             self.connection.stream = None
             self.connection.upload = None
--- a/tests/test_traffic_events.py
+++ b/tests/test_traffic_events.py
@@ -81,3 +81,27 @@
     assert any(line.endswith("refuse client=2 reason=attempts status=503 after=rejected") for line in lines)
     assert any("retry request=1 attempt=1 after=rejected" in line for line in lines)
     assert any("closed_no_request=1" in line and "held_bytes=0" in line for line in lines)
+
+
+def test_clients_and_responses_that_are_cut_off_are_logged(capsys: pytest.CaptureFixture[str]) -> None:
+    """Without the lines, nothing tells a client that stopped from one that was cut off too soon."""
+
+    async def scenario() -> None:
+        partial_response = OK.replace(b": 2", b": 100")
+        bench = await Bench(Server(respond_with(partial_response))).start()
+        assert (await bench.request_once(call(budget=100)))[0] in (503, 504)
+        client = await bench.client()
+        client.send(call("offer", body=b"x" * 5000)[:-1000])
+        connections = bench.node.client_connections.connections
+        await wait_until(lambda: any(c.parser.is_reading_body() for c in connections))
+        (connection,) = connections
+        connection.last_active_at -= 5
+        assert bench.node.client_connections.evict_one()
+        bench.node.requests.limit_deadlines(bench.node.event_queue.now() + 10**6)
+        assert (await bench.request_once(call(budget=100)))[0] in (503, 504)
+
+    run_scenario(scenario)
+    lines = capsys.readouterr().err.splitlines()
+    assert any("cut_off request=1 attempt=0 after=timeout received=2 length=100" in line for line in lines)
+    assert any("give_way client=2 for=connections waited=5." in line for line in lines)
+    assert any("late client=3 after=0.0" in line for line in lines)
