A slow response without a length is passed on while its server sends, at whatever time-out

Cause: such a response is held back until 64 KiB have come, and the attempt's time-out (half of the time, or the class's objective) ended it before. It was passed on only where the attempt lasted up to the client's deadline. Evidence: `cut_off after=timeout received=64000 length=none` at each attempt, while the server's record shows it sending.

Change: at the time-out a response that is still coming is passed on; one whose server has paused for 0.1 s and twice its longest pause is given up and repeated as before. The beginning is held back for 1.5 s at most. The policy gets the latency of the first bytes.

Why it works: the decision no longer depends on which bound ends the attempt, but on whether the server sends.

--- a/balancer/net/downstream/attempts.py
+++ b/balancer/net/downstream/attempts.py
@@ -154,14 +154,14 @@
             self.on_sent,
             self.on_stream,
             request.message.upload,
-            self.ends_with_request,
+            self.is_last,
         )
         request.written_at = None
         if self.had_incoming_body:
             self.event_queue.post(self.attempts.balancer.upload, request.id, self.number, True)
         request.exchange.start(max(0, self.expires_at - self.started_at) / 1e6)
 
-    def ends_with_request(self) -> bool:
+    def is_last(self) -> bool:
         """Return whether the attempt may last until the request's deadline, so that no other can follow."""
         return self.expires_at >= self.request.deadline
 
@@ -200,8 +200,8 @@
         request = self.request
         if request.client is None or request.exchange is None:
             return None
-        now = self.event_queue.now()
-        request.stream = ClientResponseStream(self.attempts.requests, request, request.client, now)
+        first_byte_at = max(self.started_at, self.event_queue.now() - int(response.held_s * 1e6))
+        request.stream = ClientResponseStream(self.attempts.requests, request, request.client, first_byte_at)
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
         request.client.begin_stream(source, response.length, content_type_header(response))
@@ -210,7 +210,7 @@
             request.id,
             self.number,
             self.server,
-            now - self.started_at,
+            first_byte_at - self.started_at,
         )
         return request.stream
 
--- a/balancer/net/upstream/connection.py
+++ b/balancer/net/upstream/connection.py
@@ -26,7 +26,10 @@
 
 # Limit on consecutive bytes of a response outside its body: heads, interim responses and trailers.
 MAX_NON_BODY_BYTES = 128 << 10
-
+# A server that has sent nothing of a response for this long has paused, unless it has paused longer before.
+RESPONSE_PAUSE_S = 0.1
+# A server whose pause is this many times the longest one before has stopped.
+MAX_PAUSE_FACTOR = 2
 
 # The parser in place of that of a closed connection.
 CLOSED_PARSER = httptools.HttpResponseParser(object())
@@ -45,6 +48,7 @@
         report: The value of the X-Load-Report header, with which the server states its load; empty if
             missing.
         length: The value of the Content-Length header; None if the server sent none.
+        held_s: The time for which the first part of a streamed response's body was held back, in seconds.
     """
 
     status: int
@@ -53,6 +57,7 @@
     rejected: bool
     report: bytes
     length: int | None = None
+    held_s: float = 0.0
 
 
 class ExchangeProtocol(Protocol):
@@ -66,6 +71,9 @@
     def on_request_sent(self) -> None:
         """Record that the last byte of the request has been written."""
 
+    def limit_holding(self) -> None:
+        """Limit the time for which a response is held back, as the first part of its body has come."""
+
     def open_stream(self, response: Response, connection: Connection) -> ResponseStream | None:
         """Return the stream that passes a long response on to the client; None if no client can accept it."""
 
@@ -138,6 +146,10 @@
         self.streamed_bytes = 0
         self.reading_paused = False  # True while the client cannot accept more data.
         self.last_progress_at = 0.0
+        # Loop time at which the first part of the response's body came.
+        self.body_began_at = 0.0
+        # The longest time between two parts of the response's body so far, in seconds.
+        self.longest_pause_s = 0.0
         self.non_body_bytes = 0  # Consecutive bytes received outside the response's body.
         self.account = MemoryAccount(pool.memory_budget)
         self.is_counted = False  # Whether the connection is counted in the descriptor budget.
@@ -272,6 +284,9 @@
             self.close()
             return
         self.non_body_bytes += nbytes
+        now = self.pool.loop.time()
+        if self.body:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.last_progress_at)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -280,7 +295,7 @@
         if self.non_body_bytes > MAX_NON_BODY_BYTES and not self.complete:
             # An endless head, trailer or run of interim responses must not exhaust the memory.
             self.has_protocol_error = True
-        self.last_progress_at = self.pool.loop.time()
+        self.last_progress_at = now
         self.finish_if_complete()
         self.pool.relieve_memory()
 
@@ -325,6 +340,7 @@
             self.rejected,
             self.report,
             length=self.length,
+            held_s=self.pool.loop.time() - self.body_began_at if self.body else 0.0,
         )
 
     def is_buffered(self) -> bool:
@@ -335,6 +351,11 @@
         size = max(len(self.body), self.length or 0)
         return size <= MAX_BUFFERED_BYTES and self.pool.memory_budget.can_reserve(0)
 
+    def is_response_coming(self) -> bool:
+        """Return whether the server is in the middle of a response's body and has not stopped there."""
+        pause = self.pool.loop.time() - self.last_progress_at
+        return bool(self.body) and pause <= max(RESPONSE_PAUSE_S, MAX_PAUSE_FACTOR * self.longest_pause_s)
+
     def stream_partial(self) -> bool:
         """Start to stream a response without a length, if some of its body has come and may be passed on.
 
@@ -425,9 +446,18 @@
             else:
                 self.stream.write(body)
         else:
+            if not self.body:
+                self.begin_body()
             self.body.append(body)
             self.account.set(Holding.RESPONSES, self.body.held_bytes())
 
+    def begin_body(self) -> None:
+        """Record that a body begins; one whose length is not known may not be held back for long."""
+        self.body_began_at = self.pool.loop.time()
+        self.longest_pause_s = 0.0
+        if self.length is None and self.exchange is not None and self.parser.get_status_code() == 200:
+            self.exchange.limit_holding()
+
     def on_message_complete(self) -> None:
         """Record the end of the response; ignore interim ones and any that follow the complete response."""
         status = self.parser.get_status_code()
--- a/balancer/net/upstream/exchange.py
+++ b/balancer/net/upstream/exchange.py
@@ -19,6 +19,9 @@
 SERVER_STALL_TIMEOUT_S = 10.0
 # A streamed response is aborted if its client accepts nothing for this time.
 CLIENT_STALL_TIMEOUT_S = 30.0
+# Time for which the beginning of a response without a length is held back at most. Until then the request can
+# be repeated at another server if the response breaks off.
+MAX_HOLD_S = 1.5
 
 ComposeRequest = Callable[[], bytes | None]
 OnDone = Callable[[Outcome, Response | None], None]
@@ -38,8 +41,8 @@
         on_sent: Called when the last byte of the request, including the body `upload`, has been written.
         on_stream: Called with a long response; returns the stream that accepts it, or None if no client can.
         upload: The body of the request if it is streamed.
-        may_stream_at_timeout: Returns whether a response without a length that is still coming at the timeout
-            is passed on to the client as it comes, because no other attempt can follow.
+        is_last_attempt: Returns whether no other attempt can follow. Then a response without a length that
+            has begun is passed on to the client at the timeout, even if its server has stopped.
     """
 
     def __init__(
@@ -51,7 +54,7 @@
         on_sent: OnSent = lambda: None,
         on_stream: OnStream | None = None,
         upload: RequestBodyStream | None = None,
-        may_stream_at_timeout: Callable[[], bool] = lambda: False,
+        is_last_attempt: Callable[[], bool] = lambda: False,
     ) -> None:
         self.pool = pool
         self.endpoint = endpoint
@@ -60,11 +63,14 @@
         self.on_sent = on_sent
         self.on_stream = on_stream
         self.upload = upload
-        self.may_stream_at_timeout = may_stream_at_timeout
+        self.is_last_attempt = is_last_attempt
         self.ended = False
         self.connection: Connection | None = None
         self.connect_task: asyncio.Task[None] | None = None
         self.connect_duration_s = 0.0
+        # Loop time at which the beginning of a response without a length must be passed on.
+        self.hold_until: float | None = None
+        self.timer_ends_hold = False  # Whether the timer expires at `hold_until`.
         # The part of a buffered response that had come when the exchange was aborted: the bytes of its body,
         # and the length that its head states, if any.
         self.received_bytes = 0
@@ -174,9 +180,17 @@
             connection.send_request(self, data, self.upload)
 
     def set_timeout(self, seconds: float | None) -> None:
-        """Restart the timer that aborts the exchange after this many seconds; None stops it."""
+        """Restart the timer that aborts the exchange after this many seconds; None stops it.
+
+        A response that is held back is passed on by the same timer.
+        """
         if self.timer is not None:
             self.timer.cancel()
+        self.timer_ends_hold = False
+        if self.hold_until is not None:
+            remaining = max(0.0, self.hold_until - self.pool.loop.time())
+            self.timer_ends_hold = seconds is None or remaining <= seconds
+            seconds = remaining if self.timer_ends_hold else seconds
         self.timer = (
             None if seconds is None or self.ended else self.pool.loop.call_later(seconds, self.on_timeout)
         )
@@ -187,6 +201,12 @@
             self.set_timeout(self.timeout)
         self.on_sent()
 
+    def limit_holding(self) -> None:
+        """Limit the time for which the response is held back; an earlier timeout of the exchange stays."""
+        now = self.pool.loop.time()
+        self.hold_until = now + MAX_HOLD_S
+        self.set_timeout(None if self.timer is None else max(0.0, self.timer.when() - now))
+
     def open_stream(self, response: Response, connection: Connection) -> ResponseStream | None:
         """Return the stream that passes a long response on to the client; None if no client can accept it.
 
@@ -194,6 +214,7 @@
         """
         stream = self.on_stream(response, connection) if self.on_stream is not None else None
         if stream is not None:
+            self.hold_until = None
             self.set_timeout(None)
             self.timer = self.pool.loop.call_later(SERVER_STALL_TIMEOUT_S, self.check_progress, connection)
         return stream
@@ -210,6 +231,14 @@
         else:
             self.timer = self.pool.loop.call_later(max(remaining, 0.1), self.check_progress, connection)
 
+    def may_stream_now(self, connection: Connection) -> bool:
+        """Return whether a response without a length is passed on now, although it is short so far.
+
+        It is not cut off while its server sends. If the server has stopped, another one may do better, unless
+        the client has waited for as long as it may.
+        """
+        return self.timer_ends_hold or connection.is_response_coming() or self.is_last_attempt()
+
     def on_timeout(self) -> None:
         """Abort the exchange at its timeout, or stream a response that is still coming.
 
@@ -218,7 +247,7 @@
         connection = self.connection
         if connection is None:
             self.abort(self.connect_failure_outcome())
-        elif not (self.may_stream_at_timeout() and connection.stream_partial()):
+        elif not (self.may_stream_now(connection) and connection.stream_partial()):
             self.abort(Outcome.CONNECT_FAILED if connection.has_unsent_data() else Outcome.TIMEOUT)
 
     def abort(self, outcome: Outcome) -> None:
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -6,7 +6,7 @@
 from time import monotonic
 
 import pytest
-from loopback import Bench, Client, call, run_scenario, wait_until
+from loopback import OK, SECOND_US, Bench, Client, call, run_scenario, settings, wait_until
 from peer_load import ANSWER_GRACE_S, EchoServer
 from streaming_support import RawServer, chunks, receive, upload
 
@@ -69,9 +69,141 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize(
-    "framing", [b"Content-Length: 100000", b"Transfer-Encoding: chunked", b"X-Nothing: 1"]
-)
+LONG_BODY = bytes(100_000)
+FRAMINGS = [b"Content-Length: %d" % len(LONG_BODY), b"Transfer-Encoding: chunked", b"X-Nothing: 1"]
+# The bytes that a slow server sends of a body in each tenth of a second.
+SLOW_PART_BYTES = 6400
+
+
+class SlowServer(RawServer):
+    """A server that sends a long body in parts, and can stop within it.
+
+    Args:
+        framing: The header that frames the body.
+        stop_after: The bytes of a body after which nothing more is sent; None for a whole one.
+        slow_response: The number of the one response that is long, from 1, among short ones; None if all are.
+    """
+
+    def __init__(
+        self, framing: bytes, stop_after: int | None = None, slow_response: int | None = None
+    ) -> None:
+        super().__init__()
+        self.framing = framing
+        self.stop_after = stop_after
+        self.slow_response = slow_response
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Respond to one request."""
+        self.writers.append(writer)
+        self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+        if self.slow_response not in (None, len(self.heads)):
+            writer.write(OK)
+            writer.close()
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n\r\n" % self.framing)
+        is_chunked = b"chunked" in self.framing
+        for start in range(0, len(LONG_BODY), SLOW_PART_BYTES):
+            if self.stop_after is not None and start >= self.stop_after:
+                return
+            part = LONG_BODY[start : start + SLOW_PART_BYTES]
+            writer.write(b"%x\r\n%b\r\n" % (len(part), part) if is_chunked else part)
+            await asyncio.sleep(0.1)
+        writer.write(b"0\r\n\r\n" if is_chunked else b"")
+        writer.close()
+
+
+def expect_short_attempts(bench: Bench) -> None:
+    """Make the policy take servers for quick ones, so that it ends an attempt when half the time is over."""
+    balancer = bench.node.balancer
+    balancer.mean_rtt[:] = [SECOND_US / 100] * len(balancer.mean_rtt)
+    for average in balancer.metrics.rtt_averages:
+        average.value = SECOND_US / 100
+        average.weight = 100
+
+
+def short_objective() -> list[dict[str, object]]:
+    """Return classes whose responses are worth nothing after 0.8 s, so that attempts end before deadlines."""
+    changes = {"goal_time": SECOND_US * 8 // 10, "late_value": 0.0}
+    return [klass | changes for klass in settings()["classes"]]
+
+
+@pytest.mark.parametrize("klass", ["view", "invite"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_long_response_is_not_cut_off_where_attempts_end_before_the_deadline(
+    framing: bytes, klass: str
+) -> None:
+    """A slow response without a length was cut off at each server's time-out, and the request refused."""
+
+    async def scenario() -> None:
+        server = SlowServer(framing)
+        bench = await Bench(server, classes=short_objective()).start()
+        expect_short_attempts(bench)
+        client = await bench.client()
+        started_at = monotonic()
+        client.send(call(klass, budget=1000))
+        head = await client.reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert monotonic() - started_at <= 0.8
+        client.reader._buffer[:0] = head  # type: ignore[attr-defined]
+        assert (await receive(client))[1] == LONG_BODY
+        assert len(server.heads) == 1  # No other attempt was made.
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_beginning_of_long_response_is_held_back_for_less_than_2_s(framing: bytes) -> None:
+    """With a long time for the attempt, the beginning of a response without a length was held for longer."""
+
+    async def scenario() -> None:
+        server = SlowServer(framing, stop_after=SLOW_PART_BYTES * 5)
+        bench = await Bench(server).start()
+        client = await bench.client()
+        client.send(call())
+        await asyncio.wait_for(client.reader.readuntil(b"\r\n\r\n"), 2.0)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS[1:])
+def test_request_is_repeated_where_a_response_stops_at_its_beginning(framing: bytes) -> None:
+    """A response of which the client has nothing yet need not fail its request when its server stops."""
+
+    async def scenario() -> None:
+        servers = [SlowServer(framing, stop_after=SLOW_PART_BYTES, slow_response=1) for _ in range(8)]
+        for server in servers:
+            server.heads = servers[0].heads  # Only the first of all responses is slow.
+        bench = await Bench(*servers).start()
+        expect_short_attempts(bench)
+        assert (await bench.request_once(call(budget=1000)))[2] == b"ok"
+        assert len(servers[0].heads) == 2
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_long_response_is_counted_by_its_first_bytes(framing: bytes) -> None:
+    """The time for which the node holds a response back is not the server's latency."""
+
+    async def scenario() -> None:
+        bench = await Bench(SlowServer(framing)).start()
+        latencies = []
+        started = bench.node.balancer.response_started
+
+        def response_started(now: int, request: int, attempt: int, server: int, latency: int) -> None:
+            latencies.append(latency)
+            started(now, request, attempt, server, latency)
+
+        bench.node.balancer.response_started = response_started  # type: ignore[method-assign]
+        client = await bench.client()
+        client.send(call(budget=1000))
+        assert (await receive(client))[1] == LONG_BODY
+        assert len(latencies) == 1 and 0 <= latencies[0] < SECOND_US // 10
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
 def test_long_response_that_is_still_coming_is_not_cut_off(framing: bytes) -> None:
     """Without a length, a response was held until 64 KiB had come, and cut off at the deadline."""
     body = bytes(100_000)
