Clients count as stalled by what their machines have acknowledged, and responses that are read are not cut off

Cause: a client had stalled when the node's write buffer had not shrunk for 0.25 s. The kernel holds megabytes behind it and takes more only when a third is free, so that a steady reader shows no progress for seconds; the bound on unread responses (57) ended such clients. Evidence: `give_way for=unread_responses waited=5.4 unacknowledged=3708928` while the clients' record shows them reading.

Change: bytes read are those acknowledged (TIOCOUTQ); one rule, ClientConnection.stalled_since, with an allowance of time that reading renews (read_pace.py); used by the limit of streams, the relief of memory and the 30 s time-outs. Readers are not bounded by number; beyond the clients' third of the descriptors those give way that have read nothing while waited for. The relief of memory lets those that only send requests give way before those that read, and cuts off no reader for a new request.

Why it works: an allowance of half the granted pace holds for steady reading in steps of any size up to 640 kB, whatever the buffers.

--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -30,7 +30,7 @@
 MAX_PIPELINED_BYTES = 32768
 # Time within which a client must read more of its last response; otherwise its connection is aborted.
 UNREAD_TIMEOUT_S = 30.0
-# A client that has sent nothing, or read nothing of its response, for this long has stalled.
+# A client that has sent nothing of its request for this long has stalled.
 STALL_S = 0.25
 # Time between the last response and the close of the connection, in which the client can read the response.
 # The time is renewed while the client still sends data or reads the response.
@@ -72,7 +72,7 @@
         self.read_deadline = ReadDeadline(connections.loop, self.last_active_at)
         self.parser = RequestParser(self, self.read_deadline)
         self.account = MemoryAccount(connections.memory_budget)
-        self.writer = ResponseWriter(self.account)
+        self.writer = ResponseWriter(self.account, self.accepted_at)
         self.unparsed = ReadQueue()
         # Loop time at which the bytes that are being parsed were read.
         self.read_at = 0.0
@@ -245,7 +245,7 @@
     def send_continue(self, message: ClientRequest) -> None:
         """Send `100 Continue` if the client waits for it before it sends the body."""
         if message.expects_continue and not self.transport.is_closing():
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         message.expects_continue = False
 
     def on_upload_writable(self, message: ClientRequest) -> None:
@@ -302,18 +302,42 @@
         is_kept = current is not None and (current.upload is None or current.upload.is_complete)
         return self.account.total - (current.size if current is not None and is_kept else 0)
 
-    def last_progress_at(self) -> float:
-        """Return the loop time at which the client last sent something or read some of a response."""
-        return max(self.last_active_at, self.writer.last_read_at(self.connections.loop.time()))
+    def stalled_since(self, now: float) -> float | None:
+        """Return the loop time since which the client has stalled; None if it has not.
 
-    def is_stalled(self, now: float) -> bool:
-        """Return whether the node waits for the client, which has made no progress for `STALL_S`.
+        This is the one rule by which clients count as stalled, whatever the node lacks when it lets them give
+        way. The node must wait for the client: to read a response, of which it takes less than `ReadPace`
+        asks for, or else to send more of a request, of which it has sent nothing for `STALL_S`.
 
         Args:
             now: The loop time.
         """
+        if self.writer.blocked:
+            return self.writer.stalled_since(now)
         is_sending = self.partial_request is not None and not self.reading_paused
-        return (is_sending or self.writer.blocked) and now - self.last_progress_at() >= STALL_S
+        return self.last_active_at if is_sending and now - self.last_active_at >= STALL_S else None
+
+    def unproven_since(self, now: float) -> float | None:
+        """Return the loop time since which a client that may not read at all is waited for; None if it reads.
+
+        Args:
+            now: The loop time.
+        """
+        return self.writer.unproven_since(now)
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the client has stalled.
+
+        Args:
+            now: The loop time.
+        """
+        return self.stalled_since(now) is not None
+
+    def last_progress_at(self) -> float:
+        """Return the loop time at which the client last sent something or is known to have read something."""
+        if not self.writer.blocked:
+            return self.last_active_at
+        return max(self.last_active_at, self.writer.pace.progressed_at)
 
     def give_way(self, cause: GiveWayCause) -> None:
         """Release what the connection holds, because all connections together hold too much.
@@ -336,7 +360,7 @@
             if self.writer.source is not None:
                 self.abort_stream()
             else:
-                self.transport.abort()
+                self.abort(CloseReason.STALLED)
             self.on_disconnected()
             return
         has_partial = self.partial_request is not None or bool(self.unparsed)
@@ -460,8 +484,9 @@
             self.closed_bytes = self.account.total
 
     def abort(self, reason: CloseReason) -> None:
-        """Close the connection at once, for this reason."""
+        """Close the connection at once, for this reason; it no longer counts among the open ones."""
         self.mark_closing(reason)
+        self.connections.connections.discard(self)
         self.transport.abort()
 
     def close_gracefully(self) -> None:
@@ -484,10 +509,10 @@
         self.transport.write_eof()
         self.finished_at = self.connections.loop.time()
         self.linger_timer = self.connections.loop.call_later(
-            LINGER_S, self.linger, self.finished_at, self.transport.get_write_buffer_size()
+            LINGER_S, self.linger, self.finished_at, self.writer.read_bytes()
         )
 
-    def linger(self, since: float, last_unread: int) -> None:
+    def linger(self, since: float, last_read_bytes: int) -> None:
         """Abort the connection unless the client still reads its last response or sends data.
 
         If the client does either, check again after LINGER_S. A client that is rejected while it uploads a
@@ -496,18 +521,19 @@
 
         Args:
             since: The loop time at which the client last read some of the response.
-            last_unread: The bytes of the response that were unsent at the previous check.
+            last_read_bytes: The bytes that the client had read at the previous check.
         """
         if self.transport.is_closing():
             return
         now = self.connections.loop.time()
         unread = self.transport.get_write_buffer_size()
-        since = now if unread != last_unread else since
+        read_bytes = self.writer.read_bytes()
+        since = now if read_bytes != last_read_bytes else since
         is_sending = now - self.last_active_at < LINGER_S and now - self.finished_at < MAX_LINGER_S
         if (unread and now - since < UNREAD_TIMEOUT_S) or (
             is_sending and not self.connections.lifecycle.is_draining
         ):
-            self.linger_timer = self.connections.loop.call_later(LINGER_S, self.linger, since, unread)
+            self.linger_timer = self.connections.loop.call_later(LINGER_S, self.linger, since, read_bytes)
         else:
             self.abort(CloseReason.UNREAD)
 
@@ -518,7 +544,7 @@
 
     def resume_writing(self) -> None:
         """Resume the response and the parsing of requests, because the client reads again."""
-        self.writer.resume()
+        self.writer.resume(self.connections.loop.time())
         self.parse()
 
     # ---- close ----------------------------------------------------------------------------------------
--- a/balancer/net/downstream/client_connections.py
+++ b/balancer/net/downstream/client_connections.py
@@ -173,13 +173,15 @@
             Whether a connection was closed.
         """
         for rank, client in self.eviction_candidates():
+            if rank >= EvictionRank.IDLE and self.handler.end_unread():
+                return True
             if rank == EvictionRank.WRITING_HEAD and self.close_unused_server_connection():
                 return True
             if client.has_unread_data():
                 continue
             self.evict(client, rank, linger)
             return True
-        return False
+        return self.handler.end_unread()
 
     def eviction_candidates(self) -> list[tuple[EvictionRank, ClientConnection]]:
         """Return the connections that may be evicted, in the order of eviction."""
@@ -238,6 +240,8 @@
         now = self.loop.time()
         self.handler.end_excess_unread()
         for client in list(self.connections):
+            if client.write_blocked:
+                client.writer.observe_reading(now)
             if client.reading_paused and not client.is_connected():
                 continue
             expires_at = client.read_deadline.expires_at
--- a/balancer/net/downstream/protocols.py
+++ b/balancer/net/downstream/protocols.py
@@ -49,6 +49,9 @@
     def end_excess_unread(self) -> None:
         """End responses that are not read, if there are too many."""
 
+    def end_unread(self) -> bool:
+        """End a response that is not read to make room for a client, and return whether there was one."""
+
 
 class ClientConnectionsProtocol(Protocol[Connection]):
     """The part of the class `ClientConnections`, which holds all connections, that one connection uses."""
--- a/balancer/net/downstream/requests.py
+++ b/balancer/net/downstream/requests.py
@@ -19,7 +19,7 @@
 from balancer.net.process.lifecycle import Lifecycle
 from balancer.net.process.log import Log
 from balancer.net.process.shared_digests import SharedDigests
-from balancer.net.process.traffic_events import RefusalReason, TrafficEvents
+from balancer.net.process.traffic_events import GiveWayCause, RefusalReason, TrafficEvents
 from balancer.policy import Balancer
 from balancer.policy.interface import Effect, Outcome
 
@@ -233,6 +233,10 @@
         """End responses that are not read, if there are too many."""
         self.stream_limit.end_excess_unread()
 
+    def end_unread(self) -> bool:
+        """End a response that is not read to make room for a client, and return whether there was one."""
+        return self.stream_limit.end_unread(GiveWayCause.CONNECTIONS)
+
     def abandon(self, request: PendingRequest) -> None:
         """Notify the policy that the client no longer waits, and cancel an attempt that need not go on.
 
--- a/balancer/net/downstream/response_writer.py
+++ b/balancer/net/downstream/response_writer.py
@@ -8,7 +8,9 @@
 from typing import cast
 
 from balancer.net.downstream.message import REASON_PHRASES
+from balancer.net.downstream.read_pace import ReadPace
 from balancer.net.process.memory_budget import Holding, MemoryAccount
+from balancer.net.process.sockets import unacknowledged_bytes
 from balancer.net.upstream.body_streaming import ResponseSource
 
 CLOSE_HEADER = b"Connection: close\r\n"
@@ -21,11 +23,12 @@
 
     Args:
         account: The bytes that are buffered for the connection.
+        now: The loop time.
     """
 
-    __slots__ = ("account", "blocked", "chunked", "read_at", "source", "transport")
+    __slots__ = ("account", "blocked", "chunked", "pace", "source", "transport", "written_bytes")
 
-    def __init__(self, account: MemoryAccount) -> None:
+    def __init__(self, account: MemoryAccount, now: float) -> None:
         self.account = account
         # The transport of the client's connection, assigned when the connection is made.
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
@@ -33,14 +36,15 @@
         self.source: ResponseSource | None = None
         # Whether the streamed response is sent in chunked transfer coding.
         self.chunked = False
-        # Loop time at which the client is known to have read, while writing is paused.
-        self.read_at = 0.0
+        self.written_bytes = 0
+        self.pace = ReadPace(now)
         # Whether writing is paused because the client does not read its responses.
         self.blocked = False
 
     def write(self, data: bytes) -> None:
         """Write bytes to the client, unless the connection is closing."""
         if not self.transport.is_closing():
+            self.written_bytes += len(data)
             self.transport.write(data)
 
     def write_response(self, status: int, body: bytes, headers: bytes, close: bool) -> None:
@@ -87,35 +91,66 @@
         Args:
             now: The loop time.
         """
+        self.observe_reading(now)
         self.blocked = True
-        self.read_at = now
         self.update_account()
         if self.source is not None:
             self.source.pause_reading()
 
-    def resume(self) -> None:
-        """Release the unsent bytes and resume reading a streamed response, as the client reads again."""
+    def resume(self, now: float) -> None:
+        """Release the unsent bytes and resume reading a streamed response, as the client reads again.
+
+        Args:
+            now: The loop time.
+        """
+        self.observe_reading(now)
         self.blocked = False
         self.update_account()
         if self.source is not None:
             self.source.resume_reading()
 
-    def last_read_at(self, now: float) -> float:
-        """Return the loop time at which the client last read some of a response that it reads too slowly.
+    def read_bytes(self) -> int:
+        """Return how many of the written bytes the client's machine has acknowledged.
+
+        The size of the write buffer alone does not tell whether a client reads: the kernel holds megabytes
+        behind it, and takes more only once a large part of them is free.
+        """
+        unread_bytes = self.transport.get_write_buffer_size() + unacknowledged_bytes(self.transport)
+        return self.written_bytes - unread_bytes
 
-        The result is 0 if it reads in time. Whether it has read something shows only in the size of the write
-        buffer, so the time is that of the first call that finds the buffer smaller.
+    def observe_reading(self, now: float) -> None:
+        """Record how much of its responses the client has read.
 
         Args:
             now: The loop time.
         """
-        if not self.blocked:
-            return 0.0
-        before = self.account.held[Holding.UNREAD_RESPONSES]
+        if self.transport.is_closing():
+            return
         self.update_account()
-        if self.account.held[Holding.UNREAD_RESPONSES] < before:
-            self.read_at = now
-        return self.read_at
+        if self.pace.observe(now, self.read_bytes(), self.blocked) and self.source is not None:
+            self.source.on_client_progress()
+
+    def stalled_since(self, now: float) -> float | None:
+        """Return the loop time since which the client reads too slowly; None if it does not.
+
+        Args:
+            now: The loop time.
+        """
+        if not self.blocked:
+            return None
+        self.observe_reading(now)
+        return self.pace.stalled_since
+
+    def unproven_since(self, now: float) -> float | None:
+        """Return the loop time since which a client that may not read at all is waited for; None if it reads.
+
+        Args:
+            now: The loop time.
+        """
+        if not self.blocked:
+            return None
+        self.observe_reading(now)
+        return self.pace.unproven_since()
 
     def update_account(self) -> None:
         """Count the bytes that the client has not read, while writing is paused."""
--- a/balancer/net/process/descriptor_budget.py
+++ b/balancer/net/process/descriptor_budget.py
@@ -32,9 +32,11 @@
             process_total: The number of all descriptors of the process.
         """
         self.total = total
+        # Clients with requests hold no more connections than this.
+        self.max_request_clients = max(1, process_total // 3)
         # Clients may use a third of all descriptors. Their idle connections leave
         # SPARE_CLIENT_DESCRIPTORS of these free, so that clients can always open a new connection.
-        self.max_idle_clients = max(1, process_total // 3 - SPARE_CLIENT_DESCRIPTORS)
+        self.max_idle_clients = max(1, self.max_request_clients - SPARE_CLIENT_DESCRIPTORS)
 
     def max_clients(self) -> int:
         """Return the current limit of client connections, which leaves a quarter of the total to servers."""
--- a/balancer/net/upstream/body_streaming.py
+++ b/balancer/net/upstream/body_streaming.py
@@ -51,6 +51,9 @@
     def resume_reading(self) -> None:
         """Read from the server again once the client can accept more data."""
 
+    def on_client_progress(self) -> None:
+        """Record that the client has read something, although it cannot accept more data yet."""
+
 
 class RequestBodyStream:
     """The body of a request, forwarded to a server as its pieces arrive from the client.
--- a/balancer/net/upstream/connection.py
+++ b/balancer/net/upstream/connection.py
@@ -406,6 +406,10 @@
             self.reading_paused = False
             self.transport.resume_reading()
 
+    def on_client_progress(self) -> None:
+        """Record that the client has read something of the streamed response."""
+        self.last_progress_at = self.pool.loop.time()
+
     def on_message_begin(self) -> None:
         """Prepare for a response; one that follows the complete response is a protocol error."""
         self.has_protocol_error = self.complete
