At the limit of connections the one rule tells who has stalled, and readers at the granted pace stay

Cause: the eviction had bounds of its own, 0.25 s without a change of the write buffer and 0.05 s without a byte of a body, both before clients that had sent no whole head. Evidence: `give_way for=connections waited=4.7 to 5.4 unacknowledged=3658752`.

Change: eviction_priority asks ClientConnection.stalled_since; the pause after which a sender has stalled is 1 s there and so in all places; a body that pauses for less shares its rank with heads that are being written, the longest silent first. Where nobody can be accepted, those that pause in a body still give way, with 503.

Why it works: a reader whose machine acknowledges bytes at half of the granted pace is no candidate, so the crowd is.

--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -31,7 +31,7 @@
 # Time within which a client must read more of its last response; otherwise its connection is aborted.
 UNREAD_TIMEOUT_S = 30.0
 # A client that has sent nothing of its request for this long has stalled.
-STALL_S = 0.25
+STALL_S = 1.0
 # Time between the last response and the close of the connection, in which the client can read the response.
 # The time is renewed while the client still sends data or reads the response.
 LINGER_S = 1.0
--- a/balancer/net/downstream/client_connections.py
+++ b/balancer/net/downstream/client_connections.py
@@ -43,7 +43,7 @@
     EvictionRank.STALE: ("gave_way_headless", CloseReason.NO_REQUEST),
     EvictionRank.STALLED: ("gave_way_stalled", CloseReason.STALLED),
     EvictionRank.IDLE: ("gave_way_idle", CloseReason.IDLE),
-    EvictionRank.WRITING_HEAD: ("gave_way_headless", CloseReason.NO_REQUEST),
+    EvictionRank.WRITING: ("gave_way_headless", CloseReason.NO_REQUEST),
 }
 
 
@@ -175,7 +175,7 @@
         for rank, client in self.eviction_candidates():
             if rank >= EvictionRank.IDLE and self.handler.end_unread():
                 return True
-            if rank == EvictionRank.WRITING_HEAD and self.close_unused_server_connection():
+            if rank == EvictionRank.WRITING and self.close_unused_server_connection():
                 return True
             if client.has_unread_data():
                 continue
@@ -194,15 +194,20 @@
         return [(priority.rank, client) for priority, _, client in sorted(candidates)]
 
     def evict_stalled(self) -> None:
-        """At the limit of connections, evict clients that have stalled, so that waiting ones can be accepted.
+        """At the limit of connections, evict clients that have stopped, so that waiting ones can be accepted.
 
+        Those that pause within a body are among them: they get a 503, and lose nothing.
         The listener is paused at the limit, so no new connection would evict them.
         """
         if self.has_capacity():
             return
         now = self.loop.time()
-        stalled = [c for c in self.eviction_candidates() if c[0] <= EvictionRank.STALLED]
-        for rank, client in stalled[: max(1, self.max_served() // MAX_STALLED_EVICTIONS_DIVISOR)]:
+        stopped = [
+            (rank, client)
+            for rank, client in self.eviction_candidates()
+            if rank <= EvictionRank.STALLED or client.is_waiting_for_body()
+        ]
+        for rank, client in stopped[: max(1, self.max_served() // MAX_STALLED_EVICTIONS_DIVISOR)]:
             has_finished = client.finished_at and now - client.finished_at >= EVICTION_LINGER_S
             if has_finished or not client.has_unread_data():
                 self.evict(client, rank, linger=True)
@@ -210,11 +215,12 @@
     def evict(self, client: ClientConnection, rank: EvictionRank, linger: bool) -> None:
         """Close a connection; a client that has stopped within a body first gets an error if `linger`."""
         self.connections.discard(client)
-        count, reason = EVICTION_REASONS[rank]
+        is_within_message = rank == EvictionRank.STALLED or client.is_waiting_for_body()
+        count, reason = EVICTION_REASONS[EvictionRank.STALLED if is_within_message else rank]
         self.counts[count] += 1
-        if rank == EvictionRank.STALLED:
+        if is_within_message:
             client.give_way(GiveWayCause.CONNECTIONS)
-        if rank == EvictionRank.STALLED and linger:
+        if is_within_message and linger:
             self.loop.call_later(EVICTION_LINGER_S, client.abort, reason)
         else:
             client.abort(reason)
--- a/balancer/net/downstream/client_eviction.py
+++ b/balancer/net/downstream/client_eviction.py
@@ -10,26 +10,23 @@
 # Time after its last activity during which a client without a complete request head is taken to be writing
 # the head. Such a client is evicted only after all others without a request.
 HEAD_WRITE_GRACE_S = 2.0
-
-
-# Time without sending any of a body after which a client is evicted for others.
+# Time without sending any of a body after which a client can be evicted at all.
 BODY_PAUSE_S = 0.05
-# Time without reading any of a response after which a client is evicted for others.
-UNREAD_STALL_S = 0.25
 
 
 class EvictionRank(IntEnum):
-    """The order in which connections without a request are evicted: the lowest rank first."""
+    """The order in which connections without a complete request are evicted: the lowest rank first."""
 
     # The node has closed its side after the last response, or the client has not completed a request head and
     # has sent nothing for HEAD_WRITE_GRACE_S.
     STALE = 0
-    # The client has stopped within the body of a request, or reads nothing of its response.
+    # The client has stopped within the body of a request, or reads its response too slowly.
     STALLED = 1
     # The client has had a response and has sent nothing of a further request.
     IDLE = 2
-    # The client may still be writing a request head, as it was active within HEAD_WRITE_GRACE_S.
-    WRITING_HEAD = 3
+    # The client may still be writing a request: its head, as it was active within HEAD_WRITE_GRACE_S, or its
+    # body, in which it has paused.
+    WRITING = 3
 
 
 class EvictionPriority(NamedTuple):
@@ -50,13 +47,14 @@
     """
     if connection.transport is None:
         return None
-    if connection.write_blocked and now - connection.last_progress_at() >= UNREAD_STALL_S:
-        return EvictionPriority(EvictionRank.STALLED, connection.last_progress_at())
+    stalled_since = connection.stalled_since(now)
+    if connection.write_blocked and stalled_since is not None:
+        return EvictionPriority(EvictionRank.STALLED, stalled_since)
     if connection.pipelined:
         return None
-    is_pausing = now - connection.last_active_at >= BODY_PAUSE_S and not connection.reading_paused
-    if connection.is_waiting_for_body() and is_pausing:
-        return EvictionPriority(EvictionRank.STALLED, connection.last_active_at)
+    if is_pausing_in_body(connection, now):
+        rank = EvictionRank.WRITING if stalled_since is None else EvictionRank.STALLED
+        return EvictionPriority(rank, connection.last_active_at)
     if connection.current_request is not None:
         return None
     if connection.finished_at:
@@ -68,10 +66,16 @@
     if connection.parser.is_reading_body():
         return None
     is_late = now - connection.last_active_at >= HEAD_WRITE_GRACE_S
-    rank = EvictionRank.STALE if is_late else EvictionRank.WRITING_HEAD
+    rank = EvictionRank.STALE if is_late else EvictionRank.WRITING
     return EvictionPriority(rank, connection.last_active_at)
 
 
+def is_pausing_in_body(connection: ClientConnection, now: float) -> bool:
+    """Return whether the node waits for more of a body, of which the client has sent nothing for a while."""
+    is_waiting = connection.is_waiting_for_body() and not connection.reading_paused
+    return is_waiting and now - connection.last_active_at >= BODY_PAUSE_S
+
+
 def priority_if_flushed(
     connection: ClientConnection, rank: EvictionRank, since: float
 ) -> EvictionPriority | None:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator, Iterable
 
 import pytest
-from loopback import OK, Bench, Client, call, run_scenario, wait_until
+from loopback import OK, Bench, Client, Server, call, run_scenario, wait_until
 from slow_readers import (
     BY_CHUNKS,
     BY_LENGTH,
@@ -109,6 +109,110 @@
     run_scenario(scenario)
 
 
+def test_start_of_a_second_process_cuts_off_no_response_at_the_granted_pace() -> None:
+    """The limits are halved then, and responses beyond the halved limit were cut off."""
+
+    async def scenario() -> None:
+        bench = await Bench(long_response_server(), config=SMALL_LIMITS).start()
+        count = bench.node.descriptor_budget.max_servers() // 2 - 1
+        async with slow_readers(bench, [PACE] * count):
+            await wait_until_proven(bench, count)
+            bench.node.on_shared(True)
+            await asyncio.sleep(1.0)
+            assert not bench.node.events.closes
+
+    run_scenario(scenario)
+
+
+class Crowd:
+    """Clients that connect one after the other, send a part of a head and stay.
+
+    Args:
+        port: The node's port.
+    """
+
+    INTERVAL_S = 0.005
+    HEAD_PART = b"GET /view HTTP/1.1\r\nHost: app\r\n"
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.clients: list[Client] = []
+
+    async def grow(self, seconds: float) -> None:
+        """Add clients for this time."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        while loop.time() < ends_at:
+            client = await Client(self.port).open()
+            client.send(self.HEAD_PART)
+            self.clients.append(client)
+            await asyncio.sleep(self.INTERVAL_S)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self.clients:
+            client.writer.transport.abort()
+
+
+async def write_body_slowly(client: Client) -> int:
+    """Send a request whose body comes at the granted pace, and return the status of its response."""
+    head, body = call("offer", body=bytes(64_000)).split(b"\r\n\r\n")
+    client.send(head + b"\r\n\r\n")
+    for start in range(0, len(body), PACE.piece_bytes):
+        client.send(body[start : start + PACE.piece_bytes])
+        await asyncio.sleep(PACE.pause_s)
+    return (await client.receive())[0]
+
+
+def test_crowd_without_requests_cuts_off_no_response_at_the_granted_pace() -> None:
+    """A crowd that never finished a head made the node cut off responses that were read, and kept itself."""
+
+    async def scenario() -> None:
+        server = long_response_server()
+        bench = await Bench(server, config=SMALL_LIMITS).start()
+        async with slow_readers(bench, [PACE] * 6):
+            readers = set(blocked_connections(bench))
+            crowd = Crowd(bench.port)
+            await crowd.grow(2.0)
+            crowd.close()
+            assert readers <= bench.node.client_connections.connections
+            assert bench.node.client_connections.counts["gave_way_headless"] > 50
+
+    run_scenario(scenario)
+
+
+def test_clients_that_stop_reading_give_way_to_a_crowd() -> None:
+    """A client that reads nothing any more is closed before the clients that may be writing a head."""
+
+    async def scenario() -> None:
+        bench = await Bench(long_response_server(), config=SMALL_LIMITS).start()
+        async with slow_readers(bench, [STOPPED_READINGS["never"]] * 6):
+            readers = set(blocked_connections(bench))
+            await wait_until(lambda: all(c.is_stalled(bench.node.loop.time()) for c in readers))
+            crowd = Crowd(bench.port)
+            await crowd.grow(1.0)
+            crowd.close()
+            assert not readers & bench.node.client_connections.connections
+
+    run_scenario(scenario)
+
+
+def test_crowd_without_requests_leaves_bodies_at_the_granted_pace_alone() -> None:
+    """A client that paused in its body for a twentieth of a second was refused before one of the crowd."""
+
+    async def scenario() -> None:
+        bench = await Bench(Server(), config=SMALL_LIMITS).start()
+        clients = [await bench.client() for _ in range(4)]
+        crowd = Crowd(bench.port)
+        writing = asyncio.gather(*(write_body_slowly(client) for client in clients))
+        await crowd.grow(1.2)
+        assert await writing == [200] * len(clients)
+        crowd.close()
+        assert bench.node.client_connections.counts["gave_way_headless"] > 50
+
+    run_scenario(scenario)
+
+
 def test_clients_that_may_not_read_give_way_beyond_the_clients_share() -> None:
     """Peers that never read must not hold the connections of others for as long as a client may take."""
 
