A long answer to a request that comes late after SIGTERM is begun only if it can end before SIGKILL

Cause: only the first bytes of a long answer had to meet the deadline that a shutdown limits; the rest lasted as long as the server sent. Evidence: eight `late client=N after=0.90` to `1.43`, the node alive until SIGKILL.

Change: Shutdown (a module of its own, out of Requests) tells which requests came late, more than 0.5 s after SIGTERM by their last byte, and whether a response has time at 64 kB a second. Otherwise 503, or 502 for what is not idempotent; the attempt counts as cancelled, not as the server's error. Short answers are served as before.

--- a/balancer/net/downstream/attempts.py
+++ b/balancer/net/downstream/attempts.py
@@ -191,7 +191,9 @@
             self.event_queue.post(self.attempts.balancer.upload, self.request.id, self.number, False)
 
     def on_stream(self, response: Response, source: ResponseSource) -> ClientResponseStream | None:
-        """Start to stream a long response to the client, or return None if the client has disconnected.
+        """Start to stream a long response to the client.
+
+        Return None if the client has disconnected, or if the process ends before the response does.
 
         Only the first byte of the response must meet the deadline. The rest may take longer, so that a server
         that sends a long response slowly is not mistaken for one that hangs; the exchange aborts the response
@@ -200,6 +202,10 @@
         request = self.request
         if request.client is None or request.exchange is None:
             return None
+        if not self.attempts.requests.may_stream(request, response.length):
+            self.attempts.requests.refuse_late(request)
+            request.exchange.abort(Outcome.CANCELLED)
+            return None
         first_byte_at = max(self.started_at, self.event_queue.now() - int(response.held_s * 1e6))
         request.stream = ClientResponseStream(self.attempts.requests, request, request.client, first_byte_at)
         if request.deadline_timer is not None:
--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -255,6 +255,7 @@
 
     def on_upload_complete(self, message: ClientRequest) -> None:
         """Let the deadline of the current request run, as its client has sent everything."""
+        message.received_at = self.read_at
         if message is self.current_request:
             self.connections.handler.set_waiting_for_client(self, False)
 
--- a/balancer/net/downstream/message.py
+++ b/balancer/net/downstream/message.py
@@ -87,7 +87,8 @@
         # Whether the client waits for `100 Continue` before it sends the body.
         self.expects_continue = False
         self.keep_alive = error_status == 0
-        # Loop time at which the last byte of the request, or of its head if the body is streamed, was read.
+        # Loop time at which the last byte of the request was read; that of its head until a streamed body is
+        # complete.
         self.received_at = 0.0
         # Bytes of the head and of the buffered body, with those of this object, for the memory budget.
         self.size = OBJECT_BYTES
--- a/balancer/net/downstream/requests.py
+++ b/balancer/net/downstream/requests.py
@@ -12,6 +12,7 @@
 from balancer.net.downstream.message import ClientRequest
 from balancer.net.downstream.pending_request import PendingRequest
 from balancer.net.downstream.request_validation import InvalidRequestError, RequestValidator
+from balancer.net.downstream.shutdown import Shutdown
 from balancer.net.downstream.stream_limit import StreamLimit
 from balancer.net.process.counters import Counters
 from balancer.net.process.descriptor_budget import DescriptorBudget
@@ -75,10 +76,7 @@
         self.stream_limit = StreamLimit(loop, descriptor_budget, self.by_client)
         self.last_id = 0
         self.abandoned = AbandonedRequests(shared_digests)
-        # Time by which a node that shuts down must have sent its last response, in microseconds.
-        self.last_response_at: int | None = None
-        # Time at which the shutdown began, in microseconds.
-        self.shutdown_at: int | None = None
+        self.shutdown = Shutdown()
         # Requests that the policy left open past their deadline.
         self.overdue_count = 0
         self.validator = RequestValidator(config)
@@ -128,9 +126,9 @@
         # process may have been suspended after reading it. `monotonic` is used because the loop's clock does
         # not advance within an iteration.
         waited = max(0, int((monotonic() - message.received_at) * 1e6))
-        remaining = self.remaining_before_shutdown(now, max(0, parameters.budget_us - waited))
-        if self.shutdown_at is not None:
-            self.events.came_late(client.number, (now - self.shutdown_at) / 1e6)
+        remaining = self.shutdown.limit(now, max(0, parameters.budget_us - waited))
+        if self.shutdown.began_at is not None:
+            self.events.came_late(client.number, message.received_at - self.shutdown.began_at)
         self.last_id += 1
         request = PendingRequest(self.last_id, client, message, request_class, now, remaining)
         self.pending[request.id] = self.by_client[client] = request
@@ -156,18 +154,6 @@
         else:
             client.respond(200 if self.lifecycle.is_serving else 503)
 
-    def remaining_before_shutdown(self, now: int, remaining: int) -> int:
-        """Return the time until a request's deadline in microseconds, limited while the node shuts down.
-
-        A request that arrives or is completed during the shutdown must have its response before the process
-        is killed.
-        """
-        return (
-            remaining
-            if self.last_response_at is None
-            else min(remaining, max(0, self.last_response_at - now))
-        )
-
     def reject_over_capacity(
         self, client: ClientConnection, message: ClientRequest, reason: RefusalReason
     ) -> None:
@@ -207,7 +193,7 @@
                 request.deadline_timer.cancel()
                 request.deadline_timer = None
         else:
-            request.remaining = self.remaining_before_shutdown(now, request.remaining)
+            request.remaining = self.shutdown.limit(now, request.remaining)
             request.deadline = now + request.remaining
             self.start_deadline_timer(request)
 
@@ -279,8 +265,7 @@
 
         A request with a longer deadline would still be open when the process is killed.
         """
-        self.shutdown_at = self.event_queue.now()
-        self.last_response_at = last_response_at
+        self.shutdown.begin(last_response_at)
         for request in self.pending.values():
             is_waiting = request.client is not None and request.stream is None
             if is_waiting and request.deadline_timer is not None and request.deadline > last_response_at:
@@ -289,6 +274,31 @@
                 delay = (last_response_at - self.event_queue.now()) / 1e6
                 request.deadline_timer = self.loop.call_later(delay, self.time_out, request)
 
+    def may_stream(self, request: PendingRequest, length: int | None) -> bool:
+        """Return whether a long response to this request may be begun.
+
+        A request that comes late in the shutdown would be lost with the process, in the middle of its
+        response.
+
+        Args:
+            request: The request.
+            length: The bytes of the response's body; None if their number is not known.
+        """
+        has_come = request.incoming_body() is None
+        is_late = self.shutdown.began_at is not None and not has_come
+        is_late = is_late or self.shutdown.is_late(request.message.received_at)
+        return not is_late or self.shutdown.has_time_for(self.event_queue.now(), length)
+
+    def refuse_late(self, request: PendingRequest) -> None:
+        """Refuse a request whose response cannot be complete before the process is killed.
+
+        It may have run, so a 503, after which the client may send it again, is only for idempotent ones.
+        """
+        if self.settings.classes[request.request_class].effect == Effect.IDEMPOTENT:
+            self.refuse(request.id, 503, RefusalReason.SHUTDOWN, self.over_capacity_headers())
+        else:
+            self.refuse(request.id, 502, RefusalReason.SHUTDOWN)
+
     def deadline_expired(self, request: PendingRequest) -> None:
         """Time out a request that the policy has left open past its deadline, and log it."""
         self.overdue_count += 1
--- a/balancer/net/process/traffic_events.py
+++ b/balancer/net/process/traffic_events.py
@@ -73,6 +73,7 @@
         MEMORY: Its bytes exceed the limit on buffered bytes.
         INPUT: It was malformed, too large, overdue or sent behind too many others.
         UPLOAD: Its streamed body broke off on the way to a server.
+        SHUTDOWN: It came late in the shutdown, and its response cannot end before the process is killed.
         INTERNAL: Its handling raised an exception.
     """
 
@@ -87,6 +88,7 @@
     MEMORY = "memory"
     INPUT = "input"
     UPLOAD = "upload"
+    SHUTDOWN = "shutdown"
     INTERNAL = "internal"
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -315,13 +315,13 @@
             client.send(b"x")
             await wait_until(lambda: len(server.requests) == 1 and request.deadline_timer is not None)
         drain = asyncio.create_task(node.drain())
-        await wait_until(lambda: node.requests.last_response_at is not None)
+        await wait_until(lambda: node.requests.shutdown.last_response_at is not None)
         if order == "drain first":
             client.send(b"x")
             await wait_until(lambda: len(server.requests) == 1 and request.deadline_timer is not None)
             assert (
-                node.requests.last_response_at is not None
-                and request.deadline <= node.requests.last_response_at
+                node.requests.shutdown.last_response_at is not None
+                and request.deadline <= node.requests.shutdown.last_response_at
             )
         client.writer.transport.abort()
         await asyncio.wait_for(drain, 20)
--- a/tests/test_crossings_ends.py
+++ b/tests/test_crossings_ends.py
@@ -84,7 +84,7 @@
         if arrival == "after SIGTERM":
             assert (await client.request(READY))[0] == 200
             drain = asyncio.create_task(bench.node.drain())
-            await wait_until(lambda: bench.node.requests.last_response_at is not None)
+            await wait_until(lambda: bench.node.requests.shutdown.last_response_at is not None)
         client.send(call(effect, budget=200))
         await wait_until(lambda: bool(bench.node.requests.by_client))
         drain = drain or asyncio.create_task(bench.node.drain())
@@ -112,7 +112,7 @@
         await wait_until(lambda: len(discovery.requests) == 2)
         client = await bench.client()
         drain = asyncio.create_task(bench.node.drain())
-        await wait_until(lambda: bench.node.requests.last_response_at is not None)
+        await wait_until(lambda: bench.node.requests.shutdown.last_response_at is not None)
         discovery.send_list(43, False, leaving.entry("s0", state), other.entry("s1"))
         await wait_until(lambda: bench.node.discovery.version == 43)
         release.set()
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -232,7 +232,7 @@
         client = await bench.client()
         assert (await client.request(READY))[0] == 200
         drain = asyncio.create_task(bench.node.drain())
-        await wait_until(lambda: bench.node.requests.last_response_at is not None)
+        await wait_until(lambda: bench.node.requests.shutdown.last_response_at is not None)
         assert (await operator_request(bench, "/control/in-service", "PUT"))[0] == 409
         client.send(call("invite", budget=19000))
         await wait_until(lambda: len(server.requests) == 1)
