Readers that have stopped give way beyond the clients' share of requests, also while nothing can be accepted

Cause: while the listener is paused at the limit, only clients that had used up their whole allowance were evicted, up to 10 s after they had stopped; and who might never read was told only until the first progress.

The kernel is asked once an iteration of the event loop for a connection, and evict_one asks for unread responses once.

--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -318,13 +318,13 @@
         is_sending = self.partial_request is not None and not self.reading_paused
         return self.last_active_at if is_sending and now - self.last_active_at >= STALL_S else None
 
-    def unproven_since(self, now: float) -> float | None:
-        """Return the loop time since which a client that may not read at all is waited for; None if it reads.
+    def overdue_since(self, now: float) -> float | None:
+        """Return the loop time since which a client has read nothing that may have stopped; None if it reads.
 
         Args:
             now: The loop time.
         """
-        return self.writer.unproven_since(now)
+        return self.writer.overdue_since(now)
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the client has stalled.
--- a/balancer/net/downstream/client_connections.py
+++ b/balancer/net/downstream/client_connections.py
@@ -172,16 +172,15 @@
         Returns:
             Whether a connection was closed.
         """
-        for rank, client in self.eviction_candidates():
-            if rank >= EvictionRank.IDLE and self.handler.end_unread():
-                return True
-            if rank == EvictionRank.WRITING and self.close_unused_server_connection():
-                return True
-            if client.has_unread_data():
-                continue
-            self.evict(client, rank, linger)
+        candidates = ((rank, c) for rank, c in self.eviction_candidates() if not c.has_unread_data())
+        rank, client = next(candidates, (EvictionRank.WRITING, None))
+        if rank >= EvictionRank.IDLE and self.handler.end_unread():
             return True
-        return self.handler.end_unread()
+        if rank == EvictionRank.WRITING and self.close_unused_server_connection():
+            return True
+        if client is not None:
+            self.evict(client, rank, linger)
+        return client is not None
 
     def eviction_candidates(self) -> list[tuple[EvictionRank, ClientConnection]]:
         """Return the connections that may be evicted, in the order of eviction."""
@@ -207,10 +206,14 @@
             for rank, client in self.eviction_candidates()
             if rank <= EvictionRank.STALLED or client.is_waiting_for_body()
         ]
-        for rank, client in stopped[: max(1, self.max_served() // MAX_STALLED_EVICTIONS_DIVISOR)]:
+        max_evictions = max(1, self.max_served() // MAX_STALLED_EVICTIONS_DIVISOR)
+        for rank, client in stopped[:max_evictions]:
             has_finished = client.finished_at and now - client.finished_at >= EVICTION_LINGER_S
             if has_finished or not client.has_unread_data():
                 self.evict(client, rank, linger=True)
+        for _ in range(max_evictions - len(stopped)):
+            if not self.handler.end_unread():
+                return
 
     def evict(self, client: ClientConnection, rank: EvictionRank, linger: bool) -> None:
         """Close a connection; a client that has stopped within a body first gets an error if `linger`."""
--- a/balancer/net/downstream/memory_relief.py
+++ b/balancer/net/downstream/memory_relief.py
@@ -21,8 +21,8 @@
 
     # The client reads a response, which would be cut off.
     READING = 0
-    # The client is not known to read its response.
-    UNPROVEN = 1
+    # The client may have stopped reading its response.
+    OVERDUE = 1
     # Only requests would be refused, which loses nothing.
     REQUESTING = 2
     # The client has stalled.
@@ -62,8 +62,8 @@
         return GiveWayOrder.STALLED
     if not connection.write_blocked:
         return GiveWayOrder.REQUESTING
-    is_unproven = connection.unproven_since(now) is not None
-    return GiveWayOrder.UNPROVEN if is_unproven else GiveWayOrder.READING
+    is_overdue = connection.overdue_since(now) is not None
+    return GiveWayOrder.OVERDUE if is_overdue else GiveWayOrder.READING
 
 
 class MemoryRelief:
--- a/balancer/net/downstream/read_pace.py
+++ b/balancer/net/downstream/read_pace.py
@@ -13,6 +13,8 @@
 # Time from when the node begins to wait in which the buffers of the client's machine fill up, whether the
 # client reads or not. Progress after it proves that the client reads.
 FILL_S = 0.3
+# A client that has read nothing for this many times its longest step is overdue.
+OVERDUE_FACTOR = 2
 
 
 class ReadPace:
@@ -28,6 +30,7 @@
     __slots__ = (
         "allowance_s",
         "has_read",
+        "longest_step_s",
         "observed_at",
         "progressed_at",
         "read_bytes",
@@ -46,6 +49,8 @@
         # The time at which the node began to wait for the client; None while it does not.
         self.waiting_since: float | None = None
         self.has_read = False  # Whether the client has read something while the node waited for it.
+        # The longest time that the client has taken to read more while the node waited for it, in seconds.
+        self.longest_step_s = FILL_S
 
     def observe(self, now: float, read_bytes: int, is_waiting: bool) -> bool:
         """Record how much the client has read.
@@ -60,9 +65,9 @@
         """
         progress_bytes = max(0, read_bytes - self.read_bytes)
         self.read_bytes += progress_bytes
+        self.observe_waiting(now, progress_bytes > 0, is_waiting)
         if progress_bytes:
             self.progressed_at = now
-        self.observe_waiting(progress_bytes > 0, is_waiting)
         waited_s = now - self.observed_at if is_waiting else 0.0
         self.observed_at = now
         allowance_s = self.allowance_s - waited_s + progress_bytes / MIN_READ_RATE
@@ -73,19 +78,31 @@
         self.allowance_s = min(max(0.0, allowance_s), MAX_ALLOWANCE_S)
         return progress_bytes > 0
 
-    def observe_waiting(self, has_progressed: bool, is_waiting: bool) -> None:
-        """Record whether the client has read something while the node waited for it."""
+    def observe_waiting(self, now: float, has_progressed: bool, is_waiting: bool) -> None:
+        """Record whether and in which steps the client reads while the node waits for it."""
         if not is_waiting:
             self.waiting_since = None
             return
         if self.waiting_since is None:
             self.waiting_since = self.observed_at
         is_filled = self.observed_at - self.waiting_since >= FILL_S
-        self.has_read = self.has_read or (has_progressed and is_filled)
+        if has_progressed and is_filled:
+            self.has_read = True
+            self.longest_step_s = max(self.longest_step_s, now - self.last_step_at(self.waiting_since))
 
-    def unproven_since(self) -> float | None:
-        """Return the time since which the node has waited for a client that may not read at all, if any.
+    def last_step_at(self, waiting_since: float) -> float:
+        """Return the time at which the client last read something, or the node began to wait for it."""
+        return max(self.progressed_at, waiting_since)
 
-        The result is None for a client that has read something while the node waited for it.
+    def overdue_since(self, now: float) -> float | None:
+        """Return the time since which the client has read nothing, if that is longer than its steps explain.
+
+        The result is None for a client that reads on. One that has read nothing since the node began to wait
+        for it may never read, so it is overdue from then on.
         """
-        return None if self.has_read else self.waiting_since
+        if self.waiting_since is None:
+            return None
+        if not self.has_read:
+            return self.waiting_since
+        last_step_at = self.last_step_at(self.waiting_since)
+        return last_step_at if now - last_step_at > OVERDUE_FACTOR * self.longest_step_s else None
--- a/balancer/net/downstream/response_writer.py
+++ b/balancer/net/downstream/response_writer.py
@@ -124,7 +124,7 @@
         Args:
             now: The loop time.
         """
-        if self.transport.is_closing():
+        if self.transport.is_closing() or now == self.pace.observed_at:
             return
         self.update_account()
         if self.pace.observe(now, self.read_bytes(), self.blocked) and self.source is not None:
@@ -141,8 +141,8 @@
         self.observe_reading(now)
         return self.pace.stalled_since
 
-    def unproven_since(self, now: float) -> float | None:
-        """Return the loop time since which a client that may not read at all is waited for; None if it reads.
+    def overdue_since(self, now: float) -> float | None:
+        """Return the loop time since which a client has read nothing that may have stopped; None if it reads.
 
         Args:
             now: The loop time.
@@ -150,7 +150,7 @@
         if not self.blocked:
             return None
         self.observe_reading(now)
-        return self.pace.unproven_since()
+        return self.pace.overdue_since(now)
 
     def update_account(self) -> None:
         """Count the bytes that the client has not read, while writing is paused."""
--- a/balancer/net/downstream/stream_limit.py
+++ b/balancer/net/downstream/stream_limit.py
@@ -22,9 +22,9 @@
     """Limits streamed bodies, and makes clients give way that do not send or read what the node waits for.
 
     Clients that have stalled, by the rule of `ClientConnection.stalled_since`, give way first. Clients that
-    keep their pace never do, since their responses would be lost. In between are those that are not known to
-    read: they give way while more responses are unread than clients may have requests, as some of them then
-    belong to others than the node's clients.
+    read on never do, since their responses would be lost. In between are those that have not read for longer
+    than they did before: they give way while the node has more requests than clients may have, as some of
+    them then belong to others than the node's clients.
 
     Args:
         loop: The event loop.
@@ -42,7 +42,7 @@
         self.descriptor_budget = descriptor_budget
         self.by_client = by_client
         # At a handover each process gets half of the descriptors, but the clients stay with the older one.
-        self.max_unread = descriptor_budget.max_request_clients
+        self.max_client_requests = descriptor_budget.max_request_clients
 
     def admit(self) -> bool:
         """Return whether another streamed body may start; at the limit, a stalled one gives way to it."""
@@ -67,16 +67,17 @@
 
     def end_excess_unread(self) -> None:
         """Make clients that do not read streamed responses give way, as many as exceed the limit."""
-        for _ in range(len(self.unread_clients()) - self.max_unread):
+        for _ in range(len(self.unread_clients()) - self.max_client_requests):
             if not self.end_unread(GiveWayCause.UNREAD_RESPONSES):
                 return
 
     def end_unread(self, cause: GiveWayCause) -> bool:
         """Make a client give way that does not read a streamed response, and return whether there is one."""
         unread = self.unread_clients()
-        return self.end_stalled(unread, cause) or (
-            len(unread) > self.max_unread and self.end_longest(unread, cause, ClientConnection.unproven_since)
-        )
+        if self.end_stalled(unread, cause):
+            return True
+        has_others = len(self.by_client) > self.max_client_requests
+        return has_others and self.end_longest(unread, cause, ClientConnection.overdue_since)
 
     def release_server_connection(self) -> bool:
         """Make a client give way that holds a connection to a server, and return whether there is one."""
--- a/tests/peer_load.py
+++ b/tests/peer_load.py
@@ -535,6 +535,16 @@
     await asyncio.sleep(3)
 
 
+async def stopped_reading(peer: Peer) -> None:
+    """Ask for an answer of 1 MB, read 50 kB of it at twice the pace that is granted, and then nothing."""
+    await peer.send(request_head("GET", "/view?size=1000000", peer.index) + b"\r\n")
+    for _ in range(4):
+        for _ in range(5):
+            await asyncio.get_running_loop().sock_recv(peer.socket, 2560)
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(3)
+
+
 async def input_behind_request(peer: Peer) -> None:
     """Send 30 kB of requests behind one whose server takes its time."""
     first = request_head("GET", "/view?delay=2", peer.index) + b"\r\n"
@@ -560,11 +570,12 @@
         unread_short_answer,
         unread_long_answer,
         unread_chunked_answer,
+        stopped_reading,
         input_behind_request,
         silent,
     )
 }
-READS_SLOWLY = frozenset({unread_short_answer, unread_long_answer, unread_chunked_answer})
+READS_SLOWLY = frozenset({unread_short_answer, unread_long_answer, unread_chunked_answer, stopped_reading})
 
 
 async def run_peer(port: int, index: int, script: PeerScript, seconds: float, report: PeerReport) -> None:
--- a/tests/test_memory_limit_responses.py
+++ b/tests/test_memory_limit_responses.py
@@ -9,7 +9,9 @@
 
 
 @pytest.mark.parametrize("sockets", [256, 1024])
-@pytest.mark.parametrize("script", ["unread_short_answer", "unread_long_answer", "unread_chunked_answer"])
+@pytest.mark.parametrize(
+    "script", ["unread_short_answer", "unread_long_answer", "unread_chunked_answer", "stopped_reading"]
+)
 def test_unread_responses_stay_within_memory_limit(tmp_path: Path, script: str, sockets: int) -> None:
     """Responses are kept in the process once the system's buffers are full, which are small here."""
     result = load_node(tmp_path, script, sockets, program="small_send_buffers")
--- a/tests/test_read_pace.py
+++ b/tests/test_read_pace.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from balancer.net.downstream.read_pace import FILL_S, MAX_ALLOWANCE_S, START_ALLOWANCE_S, ReadPace
+from balancer.net.downstream.read_pace import (
+    FILL_S,
+    MAX_ALLOWANCE_S,
+    OVERDUE_FACTOR,
+    START_ALLOWANCE_S,
+    ReadPace,
+)
 
 # The pace at which clients may read, in bytes a second.
 GRANTED_RATE = 64_000
@@ -87,15 +93,32 @@
     reader = Reader()
     reader.wait(OBSERVATION_INTERVAL_S)
     reader.read(1000)
-    assert reader.pace.unproven_since() is not None  # Its machine may have taken the bytes.
+    assert reader.pace.overdue_since(reader.now) is not None  # Its machine may have taken the bytes.
     reader.wait(FILL_S)
     reader.read(1000)
-    assert reader.pace.unproven_since() is None
+    assert reader.pace.overdue_since(reader.now) is None
+
+
+@pytest.mark.parametrize("step_s", [0.1, 0.5, 2.0])
+def test_client_is_overdue_after_twice_its_longest_step(step_s: float) -> None:
+    """A client that stops soon shows by its own pace, long before it has used up its allowance."""
+    reader = Reader(8 << 20)
+    for step in range(10):
+        reader.wait(step_s)
+        reader.read(int(step_s * GRANTED_RATE))
+        assert reader.pace.overdue_since(reader.now) is None or step * step_s <= FILL_S
+    last_read_at = reader.now
+    limit_s = OVERDUE_FACTOR * max(step_s, FILL_S)
+    reader.wait(limit_s - OBSERVATION_INTERVAL_S)
+    assert reader.pace.overdue_since(reader.now) is None
+    reader.wait(2 * OBSERVATION_INTERVAL_S)
+    assert reader.pace.overdue_since(reader.now) == last_read_at
+    assert reader.pace.stalled_since is None
 
 
-def test_client_that_is_not_waited_for_need_not_prove_that_it_reads() -> None:
+def test_client_that_is_not_waited_for_is_not_overdue() -> None:
     reader = Reader()
     reader.wait(FILL_S)
-    assert reader.pace.unproven_since() is not None
+    assert reader.pace.overdue_since(reader.now) is not None
     reader.wait(OBSERVATION_INTERVAL_S, is_waiting=False)
-    assert reader.pace.unproven_since() is None
+    assert reader.pace.overdue_since(reader.now) is None
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -19,7 +19,7 @@
 )
 
 from balancer.net.downstream.client_connection import ClientConnection
-from balancer.net.downstream.read_pace import FILL_S, MAX_ALLOWANCE_S
+from balancer.net.downstream.read_pace import FILL_S, MAX_ALLOWANCE_S, START_ALLOWANCE_S
 
 # Longer than the steps in which steady reading shows.
 OBSERVED_S = 7.0
@@ -74,7 +74,7 @@
 def end_all_stalled(bench: Bench) -> None:
     """Let all clients give way that have stalled and do not read their responses."""
     stream_limit = bench.node.requests.stream_limit
-    stream_limit.max_unread = 1 << 20
+    stream_limit.max_client_requests = 1 << 20
     while any(c.is_stalled(bench.node.loop.time()) for c in stream_limit.unread_clients()):
         assert bench.node.requests.end_unread()
 
@@ -239,6 +239,31 @@
     run_scenario(scenario)
 
 
+def test_waiting_client_is_accepted_where_clients_may_have_stopped_reading() -> None:
+    """At the limit nothing is accepted, and clients that never read kept others waiting for seconds."""
+
+    async def scenario() -> None:
+        server = long_response_server()
+        bench = await Bench(server, config=SMALL_LIMITS).start()
+        requests = bench.node.requests
+        async with slow_readers(bench, [NEVER] * 6):
+            server.read.clear()
+            waiting_for_server = [await bench.client() for _ in range(3)]
+            for client in waiting_for_server:
+                client.send(call())
+            await wait_until(lambda: len(requests.by_client) == 9)
+            requests.stream_limit.max_client_requests = 8
+            bench.node.descriptor_budget.max_clients = lambda: 9  # type: ignore[method-assign]
+            started_at = bench.node.loop.time()
+            bench.node.client_connections.listener.update()
+            accepted = await bench.client()
+            await wait_until(lambda: bench.node.events.closes["stalled"] > 0)
+            assert bench.node.loop.time() - started_at < START_ALLOWANCE_S / 2
+            accepted.writer.close()
+
+    run_scenario(scenario)
+
+
 def test_memory_relief_spares_responses_while_requests_can_be_refused() -> None:
     """A response at the granted pace was cut off for the bytes of requests, which lose nothing by a 503."""
 
