The pauses in reading from a client have a module of their own

Change: ReadThrottle (read_throttle.py) holds the pause for the server that takes a body and the pause after a burst; the connection asks it. A burst is counted by its own reads; before, an answer written in the same iteration of the event loop could continue one.

--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -10,6 +10,7 @@
 from balancer.net.downstream.protocols import ClientConnectionsProtocol
 from balancer.net.downstream.read_deadline import ReadDeadline
 from balancer.net.downstream.read_queue import ReadQueue
+from balancer.net.downstream.read_throttle import ReadThrottle
 from balancer.net.downstream.request_parser import RequestParser
 from balancer.net.downstream.response_writer import ResponseWriter
 from balancer.net.process.memory_budget import Holding, MemoryAccount
@@ -21,8 +22,6 @@
 # cost many times their bytes, so slices are shorter once much of the memory budget is used.
 PARSE_SLICE_BYTES = 8192
 SHORT_SLICE_BYTES = 512
-# Bytes read from one connection in an iteration of the event loop.
-MAX_BURST_BYTES = 16384
 # Complete requests that may wait on one connection while an earlier one is in flight.
 MAX_PIPELINED_REQUESTS = 8
 # Memory of unparsed bytes that may wait behind the pipelined requests. A client that sends more is rejected,
@@ -80,13 +79,7 @@
         self.pipelined: list[ClientRequest] = []
         self.current_request: ClientRequest | None = None
         self.input_state = InputState.OPEN
-        # Whether reading is paused because a server must take more of the upload first.
-        self.reading_paused = False
-        # Whether reading is paused until the event loop's next iteration.
-        self.has_yielded = False
-        self.transport_paused = False
-        # Bytes read in the event loop's current iteration.
-        self.burst_bytes = 0
+        self.throttle = ReadThrottle(connections.loop)
         # Whether the client has had at least one response.
         self.has_served = False
         # Calls `linger` once the last response is written.
@@ -113,6 +106,11 @@
         """The request that has been received in part, if any."""
         return self.parser.partial_request
 
+    @property
+    def reading_paused(self) -> bool:
+        """Whether reading is paused because a server must take more of the upload first."""
+        return self.throttle.is_paused
+
     @property
     def write_blocked(self) -> bool:
         """Whether writing is paused because the client does not read its responses."""
@@ -122,7 +120,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, and limit its write buffer."""
-        self.transport = self.writer.transport = cast(asyncio.Transport, transport)
+        self.transport = cast(asyncio.Transport, transport)
+        self.writer.transport = self.throttle.transport = self.transport
         self.transport.set_write_buffer_limits(high=self.connections.memory_budget.chunk_bytes)
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -131,7 +130,8 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Queue the bytes that were read, and parse them."""
-        self.yield_after_burst(nbytes)
+        self.last_active_at = self.connections.loop.time()
+        self.throttle.on_read(nbytes)
         if self.reading_stopped:
             return
         self.unparsed.append(
@@ -147,36 +147,6 @@
             self.update_account()
         self.connections.relieve_memory()
 
-    def yield_after_burst(self, nbytes: int) -> None:
-        """Record a read, and pause until the loop's next iteration once many bytes were read in this one.
-
-        The event loop otherwise reads on from a client that sends fast, and others wait meanwhile.
-        """
-        now = self.connections.loop.time()  # Constant within an iteration of the event loop.
-        self.burst_bytes = nbytes if now != self.last_active_at else self.burst_bytes + nbytes
-        self.last_active_at = now
-        if self.burst_bytes >= MAX_BURST_BYTES and not self.has_yielded:
-            self.has_yielded = True
-            self.connections.loop.call_soon(self.end_yield)
-            self.apply_reading()
-
-    def end_yield(self) -> None:
-        """Read again after a pause for other connections."""
-        self.has_yielded = False
-        self.burst_bytes = 0
-        self.apply_reading()
-
-    def apply_reading(self) -> None:
-        """Pause or resume the transport if the reasons to pause have changed."""
-        pause = self.reading_paused or self.has_yielded
-        if pause == self.transport_paused or self.transport is None or self.transport.is_closing():
-            return
-        self.transport_paused = pause
-        if pause:
-            self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
-
     def parse(self) -> None:
         """Parse the queued bytes until they end or parsing must wait, then pause or resume reading."""
         if self.parsing:
@@ -222,10 +192,9 @@
         partial = self.partial_request
         if partial is not None and partial is self.current_request:
             self.connections.handler.set_waiting_for_client(self, not stop)
-        if stop == self.reading_paused or self.transport is None or self.transport.is_closing():
+        if stop == self.reading_paused or not self.throttle.is_open():
             return
-        self.reading_paused = stop
-        self.apply_reading()
+        self.throttle.set_paused(stop)
         if self.partial_request is not None and self.partial_request.upload is not None:
             if stop:
                 self.read_deadline.suspend()
