--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -282,8 +282,9 @@
         Args:
             now: The loop time.
         """
-        if self.writer.blocked:
-            return self.writer.stalled_since(now)
+        pace = self.writer.observed_pace(now)
+        if pace is not None:
+            return pace.stalled_since
         is_sending = self.partial_request is not None and not self.reading_paused
         return self.last_active_at if is_sending and now - self.last_active_at >= STALL_S else None
 
@@ -293,7 +294,8 @@
         Args:
             now: The loop time.
         """
-        return self.writer.overdue_since(now)
+        pace = self.writer.observed_pace(now)
+        return pace.overdue_since(now) if pace is not None else None
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the client has stalled.
--- a/balancer/net/downstream/response_writer.py
+++ b/balancer/net/downstream/response_writer.py
@@ -130,8 +130,8 @@
         if self.pace.observe(now, self.read_bytes(), self.blocked) and self.source is not None:
             self.source.on_client_progress()
 
-    def stalled_since(self, now: float) -> float | None:
-        """Return the loop time since which the client reads too slowly; None if it does not.
+    def observed_pace(self, now: float) -> ReadPace | None:
+        """Return the pace of the client while the node waits for it; None while it does not.
 
         Args:
             now: The loop time.
@@ -139,18 +139,7 @@
         if not self.blocked:
             return None
         self.observe_reading(now)
-        return self.pace.stalled_since
-
-    def overdue_since(self, now: float) -> float | None:
-        """Return the loop time since which a client has read nothing that may have stopped; None if it reads.
-
-        Args:
-            now: The loop time.
-        """
-        if not self.blocked:
-            return None
-        self.observe_reading(now)
-        return self.pace.overdue_since(now)
+        return self.pace
 
     def update_account(self) -> None:
         """Count the bytes that the client has not read, while writing is paused."""
