A long response is not cut off by the pieces of a body that its server does not read

Cause: Connection.write_body and on_request_sent set the exchange's one timer anew to the attempt's time while the response was streamed; at the time-out the attempt was ended as one without a response.

Change: Exchange.set_timeout leaves the timer of a streamed response alone. The tests' slow server reads what is left of a request before it closes, as a close over unread bytes resets the connection.

--- a/balancer/net/upstream/exchange.py
+++ b/balancer/net/upstream/exchange.py
@@ -71,6 +71,7 @@
         # Loop time at which the beginning of a response without a length must be passed on.
         self.hold_until: float | None = None
         self.timer_ends_hold = False  # Whether the timer expires at `hold_until`.
+        self.is_streaming = False  # Whether the response is passed on as it comes.
         # The part of a buffered response that had come when the exchange was aborted: the bytes of its body,
         # and the length that its head states, if any.
         self.received_bytes = 0
@@ -182,8 +183,11 @@
     def set_timeout(self, seconds: float | None) -> None:
         """Restart the timer that aborts the exchange after this many seconds; None stops it.
 
-        A response that is held back is passed on by the same timer.
+        A response that is held back is passed on by the same timer. Once a response is streamed, only its own
+        progress counts, whatever becomes of the request's body.
         """
+        if self.is_streaming:
+            return
         if self.timer is not None:
             self.timer.cancel()
         self.timer_ends_hold = False
@@ -216,6 +220,7 @@
         if stream is not None:
             self.hold_until = None
             self.set_timeout(None)
+            self.is_streaming = True
             self.timer = self.pool.loop.call_later(SERVER_STALL_TIMEOUT_S, self.check_progress, connection)
         return stream
 
--- a/tests/slow_server.py
+++ b/tests/slow_server.py
@@ -53,4 +53,7 @@
             writer.write(b"%x\r\n%b\r\n" % (len(part), part) if is_chunked else part)
             await asyncio.sleep(0.1)
         writer.write(b"0\r\n\r\n" if is_chunked else b"")
+        writer.write_eof()
+        # A close over unread bytes of the request would reset the connection.
+        await reader.read()
         writer.close()
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -190,3 +190,21 @@
         assert (await receive(client))[1] == body
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_long_response_to_an_unread_body_is_not_cut_off(framing: bytes) -> None:
+    """A server that answers before it has read the body sends for longer than it may take for the body."""
+
+    async def scenario() -> None:
+        server = SlowServer(framing)
+        bench = await Bench(server).start()
+        client = await bench.client()
+        data = upload(bytes(16 << 20), b"Content-Length: %d" % (16 << 20)).replace(b"15000", b"1000")
+        client.send(data)
+        head = await asyncio.wait_for(client.reader.readuntil(b"\r\n\r\n"), 2.0)
+        assert head.startswith(b"HTTP/1.1 200 ")
+        client.reader._buffer[:0] = head  # type: ignore[attr-defined]
+        assert (await receive(client))[1] == LONG_BODY
+
+    run_scenario(scenario)
