--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 from collections.abc import AsyncIterator, Iterable
 
 import pytest
@@ -20,6 +21,7 @@
 
 from balancer.net.downstream.client_connection import ClientConnection
 from balancer.net.downstream.read_pace import FILL_S, MAX_ALLOWANCE_S, START_ALLOWANCE_S
+from balancer.net.process import sockets
 
 # Longer than the steps in which steady reading shows.
 OBSERVED_S = 7.0
@@ -294,3 +296,22 @@
     for task in pending:
         task.cancel()
     return done.pop().result()
+
+
+def test_node_serves_where_the_system_does_not_tell_what_is_unacknowledged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A socket that does not know the request must not fail; the write buffer is the measure then."""
+
+    def refuse(*arguments: object) -> bytes:
+        raise OSError(errno.ENOTTY, "not supported")
+
+    async def scenario() -> None:
+        monkeypatch.setattr("balancer.net.process.sockets.fcntl.ioctl", refuse)
+        bench = await Bench(long_response_server()).start()
+        async with slow_readers(bench, [PACE, NEVER]):
+            await asyncio.sleep(1.0)
+            assert not bench.node.events.closes
+            assert all(sockets.unacknowledged_bytes(c.transport) == 0 for c in blocked_connections(bench))
+
+    run_scenario(scenario)
