--- a/balancer/net/downstream/client_connection.py
+++ b/balancer/net/downstream/client_connection.py
@@ -329,6 +329,8 @@
         )
         self.mark_closing(CloseReason.MEMORY if cause is GiveWayCause.MEMORY else CloseReason.STALLED)
         if self.writer.blocked:
+            # Its place is free for another at once, before the event loop reports the close.
+            self.connections.connections.discard(self)
             if self.writer.source is not None:
                 self.abort_stream()
             else:
@@ -456,9 +458,8 @@
             self.closed_bytes = self.account.total
 
     def abort(self, reason: CloseReason) -> None:
-        """Close the connection at once, for this reason; it no longer counts among the open ones."""
+        """Close the connection at once, for this reason."""
         self.mark_closing(reason)
-        self.connections.connections.discard(self)
         self.transport.abort()
 
     def close_gracefully(self) -> None:
