--- a/tests/test_stream_limit.py
+++ b/tests/test_stream_limit.py
@@ -9,6 +9,7 @@
 from streaming_support import LONG, RawServer, receive, upload
 
 from balancer.net.downstream import client_connection, read_pace
+from balancer.net.downstream.client_connection import ClientConnection
 from balancer.net.downstream.read_deadline import HEAD_TIMEOUT_S
 
 HALF_UPLOAD = upload(LONG[:100_000], b"Content-Length: %d" % len(LONG))
@@ -30,6 +31,13 @@
     return clients
 
 
+def has_stalled_for(connection: ClientConnection, seconds: float) -> bool:
+    """Return whether a client has stalled for so long that its system's buffers have filled up."""
+    now = connection.connections.loop.time()
+    since = connection.stalled_since(now)
+    return since is not None and now - since > seconds
+
+
 def test_stalled_uploads_leave_server_connections_to_others(monkeypatch: pytest.MonkeyPatch) -> None:
     """Uploads that stopped held all connections to servers, and other requests failed for 3 s."""
     monkeypatch.setattr(client_connection, "STALL_S", 0.0)
@@ -80,6 +88,8 @@
         writer.write(call())
         connections = bench.node.client_connections.connections
         await wait_until(lambda: any(c.write_blocked for c in connections))
+        (connection,) = connections
+        await wait_until(lambda: has_stalled_for(connection, read_pace.FILL_S))
         server.answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
         assert (await bench.request_once(call()))[0] == 200
         with pytest.raises(asyncio.IncompleteReadError):
