--- a/balancer/net/discovery/call.py
+++ b/balancer/net/discovery/call.py
@@ -21,6 +21,20 @@
     COMPLETE = "complete"
 
 
+class CallEnd(Enum):
+    """Why a call has ended, as the log states it."""
+
+    ANSWERED = "answered"
+    NO_CONNECTION = "no connection"
+    CONNECTION_LOST = "connection lost"
+    MALFORMED = "malformed response"
+    TOO_LARGE = "response too large"
+    STATUS = "status other than 200"
+    UNUSABLE = "unusable list"
+    LATE = "late"
+    SUPERSEDED = "another call was answered"
+
+
 class DiscoveryCall(asyncio.Protocol):
     """A connection to discovery, which carries one call at a time.
 
@@ -46,6 +60,7 @@
         self.on_timeout = on_timeout
         self.transport: asyncio.Transport | None = None
         self.ended = False
+        self.failure = CallEnd.CONNECTION_LOST  # Why the call has failed, once it has.
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
@@ -60,11 +75,12 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body = b""
         self.received_bytes = 0
+        self.started_at = self.received_at = self.loop.time()  # The latter is when the last bytes arrived.
         self.extensions = 0
         self.stage = ResponseStage.HEAD
         self.has_length = False  # Whether the response has a Content-Length or Transfer-Encoding header.
         if self.transport is None:
-            self.set_timer(CONNECT_TIMEOUT_S, self.fail)
+            self.set_timer(CONNECT_TIMEOUT_S, self.fail, CallEnd.NO_CONNECTION)
             self.task = self.loop.create_task(self.connect())
         else:
             self.write()
@@ -74,7 +90,7 @@
         try:
             await self.loop.create_connection(lambda: self, *self.address)
         except OSError:
-            self.fail()
+            self.fail(CallEnd.NO_CONNECTION)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and send the pending request."""
@@ -109,10 +125,10 @@
         """Report that the response is incomplete at the timeout, or at the end of an extension."""
         self.on_timeout(self)
 
-    def set_timer(self, duration: float, on_expired: Callable[[], None]) -> None:
+    def set_timer(self, duration: float, on_expired: Callable[..., None], *args: CallEnd) -> None:
         """Replace the timer of the call by one of this many seconds."""
         self.cancel_timer()
-        self.timer = self.loop.call_later(duration, on_expired)
+        self.timer = self.loop.call_later(duration, on_expired, *args)
 
     def cancel_timer(self) -> None:
         """Cancel the timer of the call, if any."""
@@ -124,19 +140,20 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.fail()
+            self.fail(CallEnd.MALFORMED)
             return
         self.received_bytes += len(data)
+        self.received_at = self.loop.time()
         # The limit counts the response's head too, because the parser buffers each header line until its end.
         if self.received_bytes > MAX_RESPONSE_BYTES:
-            self.fail()
+            self.fail(CallEnd.TOO_LARGE)
         elif self.stage is ResponseStage.COMPLETE and not self.ended:
             self.on_response_complete()
 
     def on_response_complete(self) -> None:
         """Pass the body of a complete response to `on_response`; fail the call unless its status is 200."""
         if self.parser.get_status_code() != 200:
-            self.fail()
+            self.fail(CallEnd.STATUS)
             return
         self.cancel_timer()
         if not self.keep_alive:
@@ -183,7 +200,7 @@
         """Fail the call in flight, if any; this object makes no calls after that."""
         if self.transport is not None:
             self.transport = None
-            self.fail()
+            self.fail(CallEnd.CONNECTION_LOST)
 
     def disconnect(self) -> None:
         """Close the connection; the next call opens a new one."""
@@ -191,9 +208,10 @@
         if transport is not None:
             transport.abort()
 
-    def fail(self) -> None:
+    def fail(self, failure: CallEnd = CallEnd.CONNECTION_LOST) -> None:
         """End all calls on this object and report the failure to `on_response`, at most once."""
         if not self.ended:
+            self.failure = failure
             self.end()
             self.on_response(self, None)
 
--- a/balancer/net/discovery/hedged_call.py
+++ b/balancer/net/discovery/hedged_call.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Callable
 
-from balancer.net.discovery.call import DiscoveryCall
+from balancer.net.discovery.call import CallEnd, DiscoveryCall
 from balancer.net.process.log import Log
 
 # Time for which the oldest call in flight is waited for after its timeout, as a multiple of the timeout. If
@@ -94,20 +94,25 @@
         elif is_oldest and call.extensions == 1:
             call.extend(STALL_EXTENSION_S)
         else:
-            call.fail()
+            call.fail(CallEnd.LATE)
 
     def on_call_response(self, call: DiscoveryCall, body: bytes | None) -> None:
         """Pass on a response and end the other call; if this call has failed, wait for the other one."""
         if body is None:
+            self.log_end(call, call.failure)
             self.on_call_failed(call)
             return
         if self.has_alternative() and not self.is_usable(body):
             call.end()
+            self.log_end(call, CallEnd.UNUSABLE)
             self.on_call_failed(call)
             return
+        if self.has_alternative():
+            self.log_end(call, CallEnd.ANSWERED)
         for other in self.calls:
             if other is not call:
                 other.end()
+                self.log_end(other, CallEnd.SUPERSEDED)
         self.calls = [call]
         self.cancel_next_call()
         self.on_response(self, body)
@@ -127,8 +132,18 @@
             self.next_call_timer = self.loop.call_later(self.next_call_delay, self.add_call)
             self.next_call_delay = min(2 * self.next_call_delay, MAX_NEXT_CALL_DELAY_S)
 
+    def log_end(self, call: DiscoveryCall, end: CallEnd) -> None:
+        """Log how a call has ended, which tells a dead connection from a response that was given up."""
+        now = self.loop.time()
+        received = f"{call.received_bytes} bytes"
+        if call.received_bytes:
+            received += f", the last {now - call.received_at:.1f} s ago"
+        self.log.line(f"discovery: call ended after {now - call.started_at:.1f} s, {received}: {end.value}")
+
     def fail(self) -> None:
         """End all calls on this object, and report the failure to `on_response`."""
+        for call in self.calls:
+            self.log_end(call, CallEnd.LATE)
         self.end()
         self.on_response(self, None)
 
