Discovery: no call is given up for being late, and one is made each 2 s until one is answered

Cause: HedgedCall had two places for calls. The oldest call kept one for 33 s once its response had begun, so the next call could begin only when the newer one was ended, 0.7 s after its timeout: each call was given up to make room for a fresh one. Change: calls begin by the clock: the second 2.1 s after the first, then one each 2 s, whatever the others do. None ends for being late. Bounded are the calls in flight (six; the second oldest makes room after 10 s at least, the oldest after 30 s), the rate, and the bytes of incomplete responses (8 MiB, as before). Silence is reported from the third call on, with no call ended. From 256 descriptors on, eight are reserved for the further calls (222 connections in place of 230); lower limits keep theirs. Why it works: whichever call made within the time is answered brings the change, since no call depends on another one's end.

--- a/balancer/net/config.py
+++ b/balancer/net/config.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from balancer.net.discovery.hedged_call import MAX_CALLS_IN_FLIGHT
 from balancer.net.discovery.server_list import ServerList, parse_server_list
 from balancer.net.process import management
 from balancer.net.process.listener import Address
@@ -16,12 +17,16 @@
 if TYPE_CHECKING:
     from balancer.fleet.config import FleetConfig
 
-# Descriptors of the event loop (10), the listener, the UDP socket, the calls to discovery (4) and the
-# standard streams, plus a margin.
+# Descriptors of the event loop (10), the listener, the UDP socket, two calls to discovery each for a watch
+# and for the full list, and the standard streams, plus a margin.
 BASE_RESERVED_DESCRIPTORS = 26
+# Descriptors of the further calls to discovery. Under a lower limit than the platform grants, they take those
+# of the margin: connections need the others more.
+FURTHER_CALL_DESCRIPTORS = 2 * (MAX_CALLS_IN_FLIGHT - 2)
+LOWEST_GRANTED_LIMIT = 256
 MIN_CONNECTIONS = 8
 # Upper bound on the interval at which the policy polls the server list. The node must learn of a change
-# within 6 s, of which 2.4 s may pass until a watch without a response is followed by a second call.
+# within 6 s, of which 2.1 s may pass until a watch without a response is followed by a second call.
 MAX_LIST_POLL_INTERVAL_US = 4_000_000
 
 
@@ -233,6 +238,8 @@
     )
     if limit < reserved + MIN_CONNECTIONS:
         raise ConfigError(f"limits.sockets: {limit} is below the minimum of {reserved + MIN_CONNECTIONS}")
+    if limit >= LOWEST_GRANTED_LIMIT:
+        reserved += FURTHER_CALL_DESCRIPTORS
     return Descriptors(limit, reserved)
 
 
--- a/balancer/net/discovery/call.py
+++ b/balancer/net/discovery/call.py
@@ -43,8 +43,7 @@
         address: The host and port of discovery.
         on_response: Called with this object and the body of each response. Called once with None when a call
             has failed; no further call can be made then.
-        on_timeout: Called with this object when the response is incomplete at the call's timeout, and at the
-            end of each extension. It must call `extend` or `fail`, or end the call.
+        on_received: Called with this object when a part of a response has arrived.
     """
 
     def __init__(
@@ -52,31 +51,26 @@
         loop: asyncio.AbstractEventLoop,
         address: tuple[str, int],
         on_response: Callable[[DiscoveryCall, bytes | None], None],
-        on_timeout: Callable[[DiscoveryCall], None],
+        on_received: Callable[[DiscoveryCall], None],
     ) -> None:
         self.loop = loop
         self.address = address
         self.on_response = on_response
-        self.on_timeout = on_timeout
+        self.on_received = on_received
         self.transport: asyncio.Transport | None = None
         self.ended = False
         self.failure = CallEnd.CONNECTION_LOST  # Why the call has failed, once it has.
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
-    def get(self, path: str, timeout: float) -> None:
-        """Request a path of the discovery service with GET.
-
-        `on_timeout` is called unless the response is complete `timeout` seconds after the request is written.
-        """
+    def get(self, path: str) -> None:
+        """Request a path of the discovery service with GET."""
         host = f"{self.address[0]}:{self.address[1]}"
         self.request = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
-        self.timeout = timeout
         self.parser = httptools.HttpResponseParser(self)
         self.body = b""
         self.received_bytes = 0
         self.started_at = self.received_at = self.loop.time()  # The latter is when the last bytes arrived.
-        self.extensions = 0
         self.stage = ResponseStage.HEAD
         self.has_length = False  # Whether the response has a Content-Length or Transfer-Encoding header.
         if self.transport is None:
@@ -101,30 +95,11 @@
             self.write()
 
     def write(self) -> None:
-        """Send the pending request and start the timeout of its response."""
-        self.set_timer(self.timeout, self.expire)
+        """Send the pending request."""
+        self.cancel_timer()
         assert self.transport is not None
         self.transport.write(self.request)
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether a part of the response has arrived."""
-        return self.received_bytes > 0
-
-    @property
-    def is_late(self) -> bool:
-        """Whether the response was incomplete at the call's timeout."""
-        return self.extensions > 0
-
-    def extend(self, duration: float) -> None:
-        """Call `on_timeout` again unless the response is complete after this many seconds."""
-        self.extensions += 1
-        self.set_timer(duration, self.expire)
-
-    def expire(self) -> None:
-        """Report that the response is incomplete at the timeout, or at the end of an extension."""
-        self.on_timeout(self)
-
     def set_timer(self, duration: float, on_expired: Callable[..., None], *args: CallEnd) -> None:
         """Replace the timer of the call by one of this many seconds."""
         self.cancel_timer()
@@ -149,6 +124,8 @@
             self.fail(CallEnd.TOO_LARGE)
         elif self.stage is ResponseStage.COMPLETE and not self.ended:
             self.on_response_complete()
+        elif not self.ended:
+            self.on_received(self)
 
     def on_response_complete(self) -> None:
         """Pass the body of a complete response to `on_response`; fail the call unless its status is 200."""
--- a/balancer/net/discovery/client.py
+++ b/balancer/net/discovery/client.py
@@ -19,12 +19,11 @@
 MAX_WATCH_MS = 1_000  # The longest time that discovery lets a watch wait for a change.
 # The wait of each watch is shortened by up to this ratio, so that nodes do not poll in step.
 WATCH_JITTER_RATIO = 0.25
-# A second call is made if a watch has no complete response this long after the end of its wait. Three calls
-# fit in the 6 s in which the node must learn of a change. With a shorter time, a crowded discovery service
-# would be called again while it still handles the first call.
-RESPONSE_TIMEOUT_S = 1.4
-# Equal to the longest time that a watch may go without a response: its wait and RESPONSE_TIMEOUT_S.
-FETCH_TIMEOUT_S = 2.4
+# A second call is made if a watch has no complete response this long after the end of the longest wait. With
+# a shorter time, a crowded discovery service would be called again while it still handles the first call.
+RESPONSE_TIMEOUT_S = 1.1
+# Equal to the longest wait of a watch and RESPONSE_TIMEOUT_S.
+FETCH_TIMEOUT_S = 2.1
 # Discovery counts as restarted after this many consecutive responses older than the current list.
 RESTART_THRESHOLD_RESPONSES = 2
 
@@ -39,7 +38,7 @@
         address: The host and port of discovery.
         version: The version of the server list that the node starts with; 0 if it has none.
         on_list: Called with each full list or change of the list, before the watch is renewed. Called with
-            None when a watch or a fetch has failed.
+            None when a watch or a fetch has failed, and while discovery is silent.
         log: The log for responses that cannot be used or that stall.
         rng: The random number generator for the jitter of watches.
     """
@@ -81,7 +80,8 @@
         after it. Until then the node sends requests to servers that have been replaced.
         """
         wait = int(MAX_WATCH_MS * (1 - WATCH_JITTER_RATIO * self.rng.random()))
-        call.get(f"/v1/endpoints?since={self.version}&timeout_ms={wait}", wait / 1000 + RESPONSE_TIMEOUT_S)
+        patience = MAX_WATCH_MS / 1000 + RESPONSE_TIMEOUT_S
+        call.get(f"/v1/endpoints?since={self.version}&timeout_ms={wait}", patience)
 
     def on_watch_response(self, call: HedgedCall, body: bytes | None) -> None:
         """Pass the list of a watch's response to `on_list` and renew the watch.
@@ -129,7 +129,13 @@
 
     def new_call(self, on_response: Callable[[HedgedCall, bytes | None], None]) -> HedgedCall:
         """Return an object for calls to the current address."""
-        return HedgedCall(self.loop, self.address, on_response, self.is_usable, self.log)
+        return HedgedCall(
+            self.loop, lambda: self.address, on_response, self.is_usable, self.log, self.on_silence
+        )
+
+    def on_silence(self) -> None:
+        """Report to `on_list` that discovery does not respond, while the calls to it stay in flight."""
+        self.on_list(None)
 
     def is_usable(self, body: bytes) -> bool:
         """Return whether the body of a response states a valid list."""
--- a/balancer/net/discovery/hedged_call.py
+++ b/balancer/net/discovery/hedged_call.py
@@ -1,7 +1,7 @@
-"""Calls to discovery that are hedged: a late response is waited for beside a second call.
+"""Calls to discovery that are hedged: a late response is waited for beside further calls.
 
-A response may be late because its connection is dead, so another call must be made to learn of a change in
-time. However, every response may be late, so the first call must not be given up for it.
+A response may be late because its connection is dead, so other calls must be made to learn of a change in
+time. However, every response may be late, so no call is given up for it.
 """
 
 from __future__ import annotations
@@ -9,95 +9,121 @@
 import asyncio
 from collections.abc import Callable
 
-from balancer.net.discovery.call import CallEnd, DiscoveryCall
+from balancer.net.discovery.call import MAX_RESPONSE_BYTES, CallEnd, DiscoveryCall
 from balancer.net.process.log import Log
 
-# Time for which the oldest call in flight is waited for after its timeout, as a multiple of the timeout. If
-# nothing of its response has come by then, discovery counts as silent.
-SILENCE_EXTENSION_FACTOR = 2
-# Time that a response which has begun by then may still take on the oldest call.
-STALL_EXTENSION_S = 30.0
-# Time for which a newer call is waited for after its timeout. It is short, because discovery may respond at
-# once to the next call, and the node must learn of a change within 6 s.
-NEWER_CALL_EXTENSION_S = 0.7
-# Time between the failure of a second call and the next one. It doubles with each such failure, so that a
+# Time between a further call and the next one. The node must learn of a change within 6 s, by whichever of
+# the calls made in that time is answered.
+CALL_INTERVAL_S = 2.0
+# A call beside others may take 10 s at least until it must make room, longer than the 6 s.
+MAX_CALLS_IN_FLIGHT = 6
+# The oldest call in flight may take this long, for a discovery service that is slower than that at each call.
+MAX_OLDEST_CALL_S = 30.0
+# The bytes of incomplete responses that the calls may hold together.
+MAX_HELD_BYTES = 2 * MAX_RESPONSE_BYTES
+# Time between the failure of a further call and the next one. It doubles with each such failure, so that a
 # crowded discovery service is not kept busy by calls that fail at once.
 NEXT_CALL_DELAY_S = 0.25
 MAX_NEXT_CALL_DELAY_S = 1.0
 
 
 class HedgedCall:
-    """A call to discovery, made over a second connection too while the response on the first one is late.
+    """A call to discovery, made over further connections too while the response is late.
 
-    The first complete and usable response is passed on, and the other call is ended. A response is late if it
-    is incomplete at the call's timeout.
+    The first complete and usable response is passed on, and the other calls are ended.
 
     Args:
         loop: The event loop.
-        address: The host and port of discovery.
+        address: Returns the host and port of discovery for the next call.
         on_response: Called with this object and the body of each response. Called once with None when a call
-            has failed, and no other is in flight or due, or when discovery is silent; no further call can be
-            made then.
+            has failed, and no other is in flight or due; no further call can be made then.
         is_usable: Returns whether the body of a response is valid. An invalid one counts as a failure while
             another call is in flight or due.
         log: The log for responses that are late.
+        on_silence: Called at the third call for a response and at each later one, while no call in flight has
+            received a byte. The calls stay in flight.
     """
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        address: tuple[str, int],
+        address: Callable[[], tuple[str, int]],
         on_response: Callable[[HedgedCall, bytes | None], None],
         is_usable: Callable[[bytes], bool],
         log: Log,
+        on_silence: Callable[[], None] = lambda: None,
     ) -> None:
         self.loop = loop
         self.address = address
         self.on_response = on_response
+        self.on_silence = on_silence
         self.is_usable = is_usable
         self.log = log
-        self.calls: list[DiscoveryCall] = []  # The calls in flight, the oldest first; at most two.
+        self.calls: list[DiscoveryCall] = []  # The calls in flight, the oldest first.
+        self.call_count = 0  # The calls made for the response that is awaited.
         self.next_call_timer: asyncio.TimerHandle | None = None
+        self.next_call_at = 0.0  # The loop time for which the timer is set.
+        self.is_retry_due = False  # Whether the next call replaces a further call that has failed.
         self.next_call_delay = NEXT_CALL_DELAY_S
 
-    def get(self, path: str, timeout: float) -> None:
+    def get(self, path: str, patience: float) -> None:
         """Request a path of the discovery service with GET.
 
-        A second call is made if the response is incomplete `timeout` seconds after the request is written.
+        A further call is made if the response is incomplete after `patience` seconds, and then others at an
+        interval of CALL_INTERVAL_S.
         """
         self.path = path
-        self.timeout = timeout
         self.next_call_delay = NEXT_CALL_DELAY_S
+        self.call_count = len(self.calls)
         if self.calls:
-            self.calls[0].get(path, timeout)
+            self.calls[0].get(path)
         else:
             self.add_call()
+        self.schedule_next_call(patience)
 
     def add_call(self) -> None:
         """Make the call over a new connection."""
-        self.next_call_timer = None
-        call = DiscoveryCall(self.loop, self.address, self.on_call_response, self.on_call_timeout)
+        self.call_count += 1
+        call = DiscoveryCall(self.loop, self.address(), self.on_call_response, self.on_call_received)
         self.calls.append(call)
-        call.get(self.path, self.timeout)
-
-    def on_call_timeout(self, call: DiscoveryCall) -> None:
-        """Give a late response more time, and make a second call beside the oldest one."""
-        is_oldest = call is self.calls[0]
-        if is_oldest and not call.is_late:
-            self.log.line(f"discovery: no complete response after {self.timeout:.1f} s, second call made")
-            call.extend(SILENCE_EXTENSION_FACTOR * self.timeout)
-            self.add_call()
-        elif not call.is_late:
-            call.extend(NEWER_CALL_EXTENSION_S)
-        elif is_oldest and not call.has_begun:
-            self.fail()
-        elif is_oldest and call.extensions == 1:
-            call.extend(STALL_EXTENSION_S)
-        else:
-            call.fail(CallEnd.LATE)
+        call.get(self.path)
+
+    def schedule_next_call(self, delay: float) -> None:
+        """Make the next call after this many seconds, in place of the one that is due, if any."""
+        self.cancel_next_call()
+        self.next_call_at = self.loop.time() + delay
+        self.next_call_timer = self.loop.call_later(delay, self.make_next_call)
+
+    def make_next_call(self) -> None:
+        """Make a further call beside those in flight."""
+        self.cancel_next_call()
+        if self.calls:
+            age = self.loop.time() - self.calls[0].started_at
+            number = self.call_count + 1
+            self.log.line(f"discovery: no complete response after {age:.1f} s, call {number} made")
+        if len(self.calls) == MAX_CALLS_IN_FLIGHT:
+            self.make_room()
+        is_silent = not any(call.received_bytes for call in self.calls)
+        self.add_call()
+        self.schedule_next_call(CALL_INTERVAL_S)
+        if is_silent and self.call_count > 2:
+            self.on_silence()
+
+    def make_room(self) -> None:
+        """End the oldest call if it has had its time, and otherwise the one after it."""
+        oldest, second = self.calls[:2]
+        age = self.loop.time() - oldest.started_at
+        self.end_call(oldest if age >= MAX_OLDEST_CALL_S else second, CallEnd.LATE)
+
+    def on_call_received(self, call: DiscoveryCall) -> None:
+        """Bound the bytes held: the calls that have received nothing for longest make room for this one."""
+        others = [other for other in self.calls if other is not call]
+        others.sort(key=lambda other: other.received_at, reverse=True)
+        while others and sum(other.received_bytes for other in self.calls) > MAX_HELD_BYTES:
+            self.end_call(others.pop(), CallEnd.TOO_LARGE)
 
     def on_call_response(self, call: DiscoveryCall, body: bytes | None) -> None:
-        """Pass on a response and end the other call; if this call has failed, wait for the other one."""
+        """Pass on a response and end the other calls; if this call has failed, wait for the others."""
         if body is None:
             self.log_end(call, call.failure)
             self.on_call_failed(call)
@@ -107,30 +133,48 @@
             self.log_end(call, CallEnd.UNUSABLE)
             self.on_call_failed(call)
             return
-        if self.has_alternative():
+        if len(self.calls) > 1:
             self.log_end(call, CallEnd.ANSWERED)
-        for other in self.calls:
-            if other is not call:
-                other.end()
-                self.log_end(other, CallEnd.SUPERSEDED)
-        self.calls = [call]
+        for other in [other for other in self.calls if other is not call]:
+            self.end_call(other, CallEnd.SUPERSEDED)
         self.cancel_next_call()
         self.on_response(self, body)
 
     def has_alternative(self) -> bool:
-        """Return whether a response may still come on a second call."""
-        return len(self.calls) > 1 or self.next_call_timer is not None
+        """Return whether a response may still come on another call."""
+        return len(self.calls) > 1 or self.is_retry_due
 
     def on_call_failed(self, call: DiscoveryCall) -> None:
-        """Make another call soon if the one that remains is late; report the failure if none remains."""
+        """Make another call soon if the newest one has failed; report the failure if none remains."""
+        is_newest = call is self.calls[-1]
         self.calls.remove(call)
-        if self.next_call_timer is not None:
+        if self.is_retry_due:
             return
         if not self.calls:
+            self.cancel_next_call()
             self.on_response(self, None)
-        elif self.calls[0].is_late:
-            self.next_call_timer = self.loop.call_later(self.next_call_delay, self.add_call)
-            self.next_call_delay = min(2 * self.next_call_delay, MAX_NEXT_CALL_DELAY_S)
+        elif is_newest:
+            self.retry()
+
+    def retry(self) -> None:
+        """Make the next call after a delay that grows with each failure, unless one is due sooner."""
+        remaining = self.next_call_at - self.loop.time()
+        self.schedule_next_call(min(self.next_call_delay, max(0.0, remaining)))
+        self.is_retry_due = True
+        self.next_call_delay = min(2 * self.next_call_delay, MAX_NEXT_CALL_DELAY_S)
+
+    def cancel_next_call(self) -> None:
+        """Cancel the call that is due, if any."""
+        self.is_retry_due = False
+        if self.next_call_timer is not None:
+            self.next_call_timer.cancel()
+            self.next_call_timer = None
+
+    def end_call(self, call: DiscoveryCall, end: CallEnd) -> None:
+        """End one of the calls in flight."""
+        self.calls.remove(call)
+        call.end()
+        self.log_end(call, end)
 
     def log_end(self, call: DiscoveryCall, end: CallEnd) -> None:
         """Log how a call has ended, which tells a dead connection from a response that was given up."""
@@ -140,19 +184,6 @@
             received += f", the last {now - call.received_at:.1f} s ago"
         self.log.line(f"discovery: call ended after {now - call.started_at:.1f} s, {received}: {end.value}")
 
-    def fail(self) -> None:
-        """End all calls on this object, and report the failure to `on_response`."""
-        for call in self.calls:
-            self.log_end(call, CallEnd.LATE)
-        self.end()
-        self.on_response(self, None)
-
-    def cancel_next_call(self) -> None:
-        """Cancel the call that is due, if any."""
-        if self.next_call_timer is not None:
-            self.next_call_timer.cancel()
-            self.next_call_timer = None
-
     def end(self) -> None:
         """End all calls on this object, without a report to `on_response`, and close the connections."""
         self.cancel_next_call()
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -144,6 +144,7 @@
         monkeypatch.setattr("balancer.net.discovery.call.CONNECT_TIMEOUT_S", 0.2)
         monkeypatch.setattr("balancer.net.discovery.client.MAX_WATCH_MS", 200)
         monkeypatch.setattr("balancer.net.discovery.client.RESPONSE_TIMEOUT_S", 0.2)
+        monkeypatch.setattr("balancer.net.discovery.hedged_call.CALL_INTERVAL_S", 0.4)
         rules = settings()["rules"] | {"ask_within": SECOND_US}
         bench = await Bench(old := Server(), rules=rules).start()
         await Server.start(new := Server())
@@ -217,6 +218,51 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("mode", ["push", "ask"])
+def test_change_is_learned_beside_call_that_stalls_for_good(
+    mode: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against calls that are given up one after the other while the first one is dead (review/6).
+
+    The first response with the change stops in its middle for good, and each later one for 1.5 s.
+    """
+
+    async def scenario() -> None:
+        monkeypatch.setattr("balancer.net.discovery.client.MAX_WATCH_MS", 200)
+        monkeypatch.setattr("balancer.net.discovery.client.RESPONSE_TIMEOUT_S", 0.2)
+        bench = Bench(draining := Server(), remaining := Server(), discovery=mode)
+        discovery = bench.discovery
+        stalled_count = 0
+
+        async def respond_with_stall(request: Request, writer: asyncio.StreamWriter) -> bytes:
+            nonlocal stalled_count
+            if "since=42&" in request.target:
+                await asyncio.sleep(0.1)
+                discovery.send_list(42, False)
+            else:
+                discovery.send_list(42, False, draining.entry("s0", "draining"))
+            data = await discovery.answers.get()
+            assert data is not None
+            if b"draining" not in data:
+                return data
+            stalled_count += 1
+            writer.write(data[: len(data) // 2])
+            await (asyncio.Event().wait() if stalled_count == 1 else asyncio.sleep(1.5))
+            return data[len(data) // 2 :]
+
+        discovery.handle = respond_with_stall
+        await bench.start()
+        await wait_until(lambda: bench.node.discovery.version == 42)
+        watch_call = bench.node.discovery.watch_call
+        assert watch_call is not None and len(watch_call.calls) == 1  # The dead call is no longer needed.
+        for _ in range(10):
+            assert (await bench.request_once(call()))[0] == 200
+        assert len(remaining.requests) == 10
+        bench.node.discovery.close()
+
+    run_scenario(scenario)
+
+
 def test_watch_waits_are_short_and_jittered_per_node(
     monkeypatch: pytest.MonkeyPatch, production_max_watch_ms: int
 ) -> None:
