An attempt's timer counts from its own start, so that the deadline's timer does not overtake it

Cause: the attempt's duration was counted from Attempt.started_at and its timer started later; a hold-up of over 10 ms between the two puts its end behind the request's own timer, 10 ms after the deadline. Change: the duration is counted when the timer starts. Why it works: nothing can be between the count and the timer.

--- a/balancer/net/downstream/attempts.py
+++ b/balancer/net/downstream/attempts.py
@@ -159,7 +159,7 @@
         request.written_at = None
         if self.had_incoming_body:
             self.event_queue.post(self.attempts.balancer.upload, request.id, self.number, True)
-        request.exchange.start(max(0, self.expires_at - self.started_at) / 1e6)
+        request.exchange.start(max(0, self.expires_at - self.event_queue.now()) / 1e6)
 
     def is_last(self) -> bool:
         """Return whether the attempt may last until the request's deadline, so that no other can follow."""
--- a/tests/test_connection_faults.py
+++ b/tests/test_connection_faults.py
@@ -1,8 +1,11 @@
 """Server and client connections whose system calls fail, transfer few bytes or are interrupted."""
 
 import asyncio
+import errno
 import signal
 import socket
+import time
+from typing import Any
 
 import pytest
 from loopback import Bench, Request, Server, call, record_outcomes, respond_after, wait_until
@@ -26,6 +29,7 @@
 
 from balancer.net.downstream.client_connection import ClientConnection
 from balancer.net.upstream.connection import Connection
+from balancer.net.upstream.exchange import Exchange
 from balancer.policy.interface import Outcome
 
 pytestmark = pytest.mark.usefixtures("frequent_retries")
@@ -76,6 +80,33 @@
     run_scenario_on(run, scenario)
 
 
+@BOTH_LOOPS
+def test_process_held_up_before_attempt_keeps_the_policys_response(
+    run: LoopRunner, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a 504 of the node that overtakes the policy's 503 for a request that never ran.
+
+    The process is held up for 40 ms between the time from which an attempt counts and the start of its timer.
+    """
+
+    async def scenario() -> None:
+        bench = await Bench(server_a := Server(), server_b := Server()).start()
+        fail_connects(monkeypatch, Fault(errno.EMFILE), server_a.port, server_b.port)
+
+        def create_late(*args: Any) -> Exchange:
+            time.sleep(0.04)
+            return Exchange(*args)
+
+        monkeypatch.setattr("balancer.net.downstream.attempts.Exchange", create_late)
+        client = await bench.client()
+        started_at = time.monotonic()
+        status, _, _ = await client.request(call("invite", budget=100))
+        assert status == 503 and bench.node.requests.overdue_count == 0
+        assert time.monotonic() - started_at >= 0.09
+
+    run_scenario_on(run, scenario)
+
+
 @BOTH_LOOPS
 @pytest.mark.parametrize("request_class", ["view", "invite"])
 @for_each_error(REMOTE_CONNECT_ERRORS)
