Discovery: the only call that fails after its interval is repeated after a short delay, not at once

At the end of a test the calls in flight fail, and a new one reached a server of the test while the loop was closed; the collector met it in ast.parse. Change: at least 50 ms between the failure and the next call, as between the earliest repeats of a failed watch.

--- a/balancer/net/discovery/hedged_call.py
+++ b/balancer/net/discovery/hedged_call.py
@@ -25,6 +25,8 @@
 # crowded discovery service is not kept busy by calls that fail at once.
 NEXT_CALL_DELAY_S = 0.25
 MAX_NEXT_CALL_DELAY_S = 1.0
+# Least time between the failure of the only call and the next one.
+MIN_DELAY_AFTER_FAILURE_S = 0.05
 
 
 class HedgedCall:
@@ -172,8 +174,9 @@
             self.retry()
 
     def schedule_after_failure(self) -> None:
-        """Make the next call when it would be due if the last one had stalled instead."""
-        self.schedule_next_call(max(0.0, self.last_call_at + CALL_INTERVAL_S - self.loop.time()))
+        """Make the next call when it would be due if the last one had stalled instead, but not at once."""
+        remaining = self.last_call_at + CALL_INTERVAL_S - self.loop.time()
+        self.schedule_next_call(max(MIN_DELAY_AFTER_FAILURE_S, remaining))
 
     def retry(self) -> None:
         """Make the next call after a delay that grows with each failure, unless one is due sooner."""
--- a/tests/test_hedged_call.py
+++ b/tests/test_hedged_call.py
@@ -271,3 +271,23 @@
     config = read(table | {"management": "127.0.0.1:1"} if has_management else table)
     others = BASE_RESERVED_DESCRIPTORS - 4 + has_management * management.RESERVED_DESCRIPTORS
     assert config.max_connections() + 2 * MAX_CALLS_IN_FLIGHT + others <= 256
+
+
+def test_failure_of_late_call_is_not_followed_at_once() -> None:
+    """Guards against a call in the very moment in which the only one has failed after its interval."""
+    discovery = SilentDiscovery()
+    loop = VirtualTimeLoop({1: discovery})
+    responses: list[bytes | None] = []
+    call = HedgedCall(
+        loop, lambda: ADDRESS, lambda _, body: responses.append(body), lambda body: True, Log("n0", 0)
+    )
+    call.get("/v1/endpoints", 10.0)
+    loop.run_until_complete(asyncio.sleep(CALL_INTERVAL_S + 1))
+    discovery.connections[0].close()
+    loop.run_until_complete(asyncio.sleep(0.04))
+    assert responses == [None] and discovery.attempts == 1
+    loop.run_until_complete(asyncio.sleep(0.02))
+    assert discovery.attempts == 2
+    call.end()
+    loop.run_until_complete(asyncio.sleep(0))
+    loop.close()
