HedgedCall decodes the response itself, so that an invalid one fails like any other

Need: a response was decoded by `is_usable` and again by its owner, and an invalid one had two ways: inside HedgedCall where another call was in flight, and by its owner through `reject` where none was. Change: HedgedCall takes `decode` and passes on the decoded list; an invalid body is the failure CallEnd.UNUSABLE of its call. `reject`, `has_alternative`, `is_usable` and `DiscoveryClient.parse` go. Two tests that call the owner's handlers directly pass the decoded list; their assertions are as they were.

--- a/balancer/net/discovery/client.py
+++ b/balancer/net/discovery/client.py
@@ -60,8 +60,8 @@
         self.log = log
         self.watch_enabled = False  # Stays True between a failed watch and its reopening.
         self.outdated_responses = 0  # Consecutive responses older than the current list.
-        self.watch_call: HedgedCall | None = None
-        self.fetch_call: HedgedCall | None = None
+        self.watch_call: HedgedCall[ServerList] | None = None
+        self.fetch_call: HedgedCall[ServerList] | None = None
 
     def watch(self, enabled: bool) -> None:
         """Start the watch if `enabled`, or repeat a call that has failed; otherwise stop it."""
@@ -75,7 +75,7 @@
             self.watch_call.end()
             self.watch_call = None
 
-    def send_watch(self, call: HedgedCall) -> None:
+    def send_watch(self, call: HedgedCall[ServerList]) -> None:
         """Make the next call of a watch.
 
         The wait for a change is short, because a discovery service that does not respond is noticed only
@@ -85,19 +85,16 @@
         patience = MAX_WATCH_MS / 1000 + RESPONSE_TIMEOUT_S
         call.get(f"/v1/endpoints?since={self.version}&timeout_ms={wait}", patience)
 
-    def on_watch_response(self, call: HedgedCall, body: bytes | None) -> None:
+    def on_watch_response(self, call: HedgedCall[ServerList], server_list: ServerList | None) -> None:
         """Pass the list of a watch's response to `on_list` and renew the watch.
 
         After a failure `on_list` gets None. The call is then repeated by `watch`, or by itself when the next
         one is due.
         """
-        server_list = self.parse(body)
         if server_list is None:
-            if body is not None:
-                call.reject()
             self.on_list(None)
             return
-        self.on_list(server_list)
+        self.on_list(self.accept_version(server_list))
         if self.watch_call is call:
             self.send_watch(call)
 
@@ -125,35 +122,30 @@
         else:
             self.fetch_call.call_again()
 
-    def on_fetch_response(self, call: HedgedCall, body: bytes | None) -> None:
+    def on_fetch_response(self, call: HedgedCall[ServerList], server_list: ServerList | None) -> None:
         """Pass the full list, or None for a failure, to `on_list`.
 
         After a failure the call is repeated as long as discovery counts as restarted.
         """
-        server_list = None if body is None else self.decode(body)
         if server_list is None and self.outdated_responses >= RESTART_THRESHOLD_RESPONSES:
-            if body is not None:
-                call.reject()
             self.on_list(None)
             return
         call.end()
         self.fetch_call = None
         self.on_list(None if server_list is None else self.accept_version(server_list))
 
-    def new_call(self, on_response: Callable[[HedgedCall, bytes | None], None]) -> HedgedCall:
+    def new_call(
+        self, on_response: Callable[[HedgedCall[ServerList], ServerList | None], None]
+    ) -> HedgedCall[ServerList]:
         """Return an object for calls to the current address."""
         return HedgedCall(
-            self.loop, lambda: self.address, on_response, self.is_usable, self.log, self.on_silence
+            self.loop, lambda: self.address, on_response, self.decode, self.log, self.on_silence
         )
 
     def on_silence(self) -> None:
         """Report to `on_list` that discovery does not respond, while the calls to it stay in flight."""
         self.on_list(None)
 
-    def is_usable(self, body: bytes) -> bool:
-        """Return whether the body of a response states a valid list."""
-        return self.decode(body) is not None
-
     def decode(self, body: bytes) -> ServerList | None:
         """Return the list in the body of a response, or None if the body is invalid."""
         try:
@@ -162,11 +154,6 @@
             self.log.line(f"discovery: answer dropped: {e}")
             return None
 
-    def parse(self, body: bytes | None) -> ServerList | None:
-        """Return the list in the body of a response; None if the call failed or the body is invalid."""
-        server_list = None if body is None else self.decode(body)
-        return None if server_list is None else self.accept_version(server_list)
-
     def accept_version(self, server_list: ServerList) -> ServerList:
         """Return the received list, or an empty change if that list is older than the current one.
 
--- a/balancer/net/discovery/hedged_call.py
+++ b/balancer/net/discovery/hedged_call.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Generic, TypeVar
 
 from balancer.net.discovery.call import MAX_RESPONSE_BYTES, CallEnd, DiscoveryCall
 from balancer.net.process.log import Log
@@ -28,8 +29,10 @@
 # Least time between the failure of the only call and the next one.
 MIN_DELAY_AFTER_FAILURE_S = 0.05
 
+Response = TypeVar("Response")
 
-class HedgedCall:
+
+class HedgedCall(Generic[Response]):
     """A call to discovery, made over further connections too while the response is late.
 
     The first complete and usable response is passed on, and the other calls are ended.
@@ -37,12 +40,11 @@
     Args:
         loop: The event loop.
         address: Returns the host and port of discovery for the next call.
-        on_response: Called with this object and the body of each response. Called with None when a call has
+        on_response: Called with this object and each decoded response. Called with None when a call has
             failed and none is in flight. The next one then begins CALL_INTERVAL_S after the one that has
             failed, unless `call_again` makes it before.
-        is_usable: Returns whether the body of a response is valid. An invalid one counts as a failure while
-            another call is in flight or due.
-        log: The log for responses that are late.
+        decode: Decodes the body of a response, or returns None if it is invalid, which counts as a failure.
+        log: The log for calls that are late or have failed.
         on_silence: Called at the third call for a response and at each later one, while no call in flight has
             received a byte. The calls stay in flight.
     """
@@ -51,16 +53,16 @@
         self,
         loop: asyncio.AbstractEventLoop,
         address: Callable[[], tuple[str, int]],
-        on_response: Callable[[HedgedCall, bytes | None], None],
-        is_usable: Callable[[bytes], bool],
+        on_response: Callable[[HedgedCall[Response], Response | None], None],
+        decode: Callable[[bytes], Response | None],
         log: Log,
-        on_silence: Callable[[], None] = lambda: None,
+        on_silence: Callable[[], None],
     ) -> None:
         self.loop = loop
         self.address = address
         self.on_response = on_response
         self.on_silence = on_silence
-        self.is_usable = is_usable
+        self.decode = decode
         self.log = log
         self.calls: list[DiscoveryCall] = []  # The calls in flight, the oldest first.
         self.call_count = 0  # The calls made for the response that is awaited.
@@ -91,12 +93,6 @@
         if not self.calls:
             self.make_next_call()
 
-    def reject(self) -> None:
-        """Count the response that was passed on last as a failure, without a report to `on_response`."""
-        for call in list(self.calls):
-            self.end_call(call, CallEnd.UNUSABLE)
-        self.schedule_after_failure()
-
     def add_call(self) -> None:
         """Make the call over a new connection."""
         self.call_count += 1
@@ -145,21 +141,16 @@
             self.log_end(call, call.failure)
             self.on_call_failed(call)
             return
-        if self.has_alternative() and not self.is_usable(body):
-            call.end()
-            self.log_end(call, CallEnd.UNUSABLE)
-            self.on_call_failed(call)
+        response = self.decode(body)
+        if response is None:
+            call.fail(CallEnd.UNUSABLE)
             return
         if len(self.calls) > 1:
             self.log_end(call, CallEnd.ANSWERED)
         for other in [other for other in self.calls if other is not call]:
             self.end_call(other, CallEnd.SUPERSEDED)
         self.cancel_next_call()
-        self.on_response(self, body)
-
-    def has_alternative(self) -> bool:
-        """Return whether a response may still come on another call."""
-        return len(self.calls) > 1 or self.is_retry_due
+        self.on_response(self, response)
 
     def on_call_failed(self, call: DiscoveryCall) -> None:
         """Make another call soon if the newest one has failed; report the failure if none is in flight."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,6 +22,7 @@
 )
 
 from balancer.net import node as node_module
+from balancer.net.discovery.server_list import parse_server_list
 from balancer.net.downstream.client_connection import ClientConnection
 from balancer.net.upstream.body_streaming import MAX_BUFFERED_BYTES
 from balancer.policy.interface import Outcome
@@ -190,8 +191,8 @@
         await wait_until(
             lambda: node.discovery.fetch_call is not None and node.discovery.watch_call is not None
         )
-        full_list = json.dumps({"version": 2, "full": True, "servers": [remaining.entry("s1")]}).encode()
-        change = json.dumps({"version": 3, "full": False, "servers": []}).encode()
+        full_list = parse_server_list({"version": 2, "full": True, "servers": [remaining.entry("s1")]})
+        change = parse_server_list({"version": 3, "full": False, "servers": []})
         fetch_call_in_flight, watch_call_in_flight = node.discovery.fetch_call, node.discovery.watch_call
         assert fetch_call_in_flight is not None and watch_call_in_flight is not None
         if order == "change first":
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Sequence
 from random import Random
 from types import SimpleNamespace
@@ -25,6 +24,7 @@
 from unaccepting_listener import unaccepting_port
 
 from balancer.net.discovery import client as node_discovery
+from balancer.net.discovery.server_list import parse_server_list
 from balancer.policy.interface import ListKind, ServerEntry
 
 
@@ -86,7 +86,7 @@
             body = {"version": 43, "full": True, "servers": [remaining.entry("s1")]}
             watch_call = bench.node.discovery.watch_call
             assert watch_call is not None
-            bench.node.discovery.on_watch_response(watch_call, json.dumps(body).encode())
+            bench.node.discovery.on_watch_response(watch_call, parse_server_list(body))
 
         cast(Any, bench.node.balancer).request = request
         assert (await bench.request_once(call("invite")))[0] == 200
--- a/tests/test_hedged_call.py
+++ b/tests/test_hedged_call.py
@@ -27,6 +27,16 @@
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
 
 
+def decode_list(body: bytes) -> bytes | None:
+    """Return the only body that counts as a list, and None for another one."""
+    return body if body == b"list" else None
+
+
+def call_without_reports(loop: VirtualTimeLoop) -> HedgedCall[bytes]:
+    """Return a call whose responses, failures and silence go nowhere."""
+    return HedgedCall(loop, lambda: ADDRESS, lambda *_: None, decode_list, Log("n0", 0), lambda: None)
+
+
 class ManualDiscovery(FakeDiscovery):
     """Discovery that begins to respond to its first request, and may refuse the second connection.
 
@@ -67,8 +77,9 @@
             self.loop,
             lambda: ADDRESS,
             lambda call, body: self.responses.append(body),
-            lambda body: body == b"list",
+            decode_list,
             Log("n0", 0),
+            lambda: None,
         )
         self.call.get("/v1/endpoints", TIMEOUT_S)
         self.run(TIMEOUT_S + NEXT_CALL_DELAY_S / 2)
@@ -157,7 +168,7 @@
         loop,
         lambda: ADDRESS,
         lambda _, body: responses.append(body),
-        lambda body: True,
+        decode_list,
         Log("n0", 0),
         lambda: silences.append(loop.time()),
     )
@@ -198,7 +209,7 @@
     """Guards against a late response during which a crowded discovery service gets calls without a pause."""
     discovery = BusyDiscovery()
     loop = VirtualTimeLoop({1: discovery})
-    call = HedgedCall(loop, lambda: ADDRESS, lambda *_: None, lambda body: True, Log("n0", 0))
+    call = call_without_reports(loop)
     call.get("/v1/endpoints", TIMEOUT_S)
     loop.run_until_complete(asyncio.sleep(TIMEOUT_S + 10))
     # At 0.0, 0.25, 0.75 and 1.75 s after the timeout, and then each second.
@@ -226,7 +237,7 @@
     """
     discovery = SilentDiscovery()
     loop = VirtualTimeLoop({1: discovery})
-    call = HedgedCall(loop, lambda: ADDRESS, lambda *_: None, lambda body: True, Log("n0", 0))
+    call = call_without_reports(loop)
     call.get("/v1/endpoints", TIMEOUT_S)
     loop.run_until_complete(asyncio.sleep(TIMEOUT_S + CALL_INTERVAL_S * (MAX_CALLS_IN_FLIGHT - 2) + 0.1))
     assert discovery.open_numbers() == [0, 1, 2, 3, 4, 5]
@@ -249,7 +260,7 @@
     """
     discovery = SilentDiscovery()
     loop = VirtualTimeLoop({1: discovery})
-    call = HedgedCall(loop, lambda: ADDRESS, lambda *_: None, lambda body: True, Log("n0", 0))
+    call = call_without_reports(loop)
     call.get("/v1/endpoints", TIMEOUT_S)
     loop.run_until_complete(asyncio.sleep(TIMEOUT_S + 2 * CALL_INTERVAL_S + 0.1))
     assert discovery.open_numbers() == [0, 1, 2, 3]
@@ -279,7 +290,12 @@
     loop = VirtualTimeLoop({1: discovery})
     responses: list[bytes | None] = []
     call = HedgedCall(
-        loop, lambda: ADDRESS, lambda _, body: responses.append(body), lambda body: True, Log("n0", 0)
+        loop,
+        lambda: ADDRESS,
+        lambda _, body: responses.append(body),
+        decode_list,
+        Log("n0", 0),
+        lambda: None,
     )
     call.get("/v1/endpoints", 10.0)
     loop.run_until_complete(asyncio.sleep(CALL_INTERVAL_S + 1))
