HedgedCall derives when the next call is due from the call that has failed

Need: last_call_at and next_call_at stood beside DiscoveryCall.started_at, which has both; each piece of a response sorted the other calls, though their bytes hardly ever reach the bound; DiscoveryClient.watch asked the same question in each branch. Change: time_until_next counts from the newest call; the bound is looked at first; watch has one branch a case.

--- a/balancer/net/discovery/client.py
+++ b/balancer/net/discovery/client.py
@@ -66,12 +66,13 @@
     def watch(self, enabled: bool) -> None:
         """Start the watch if `enabled`, or repeat a call that has failed; otherwise stop it."""
         self.watch_enabled = enabled
-        if enabled and self.watch_call is None:
-            self.watch_call = self.new_call(self.on_watch_response)
-            self.send_watch(self.watch_call)
-        elif enabled and self.watch_call is not None:
+        if self.watch_call is None:
+            if enabled:
+                self.watch_call = self.new_call(self.on_watch_response)
+                self.send_watch(self.watch_call)
+        elif enabled:
             self.watch_call.call_again()
-        elif self.watch_call is not None:
+        else:
             self.watch_call.end()
             self.watch_call = None
 
--- a/balancer/net/discovery/hedged_call.py
+++ b/balancer/net/discovery/hedged_call.py
@@ -66,9 +66,7 @@
         self.log = log
         self.calls: list[DiscoveryCall] = []  # The calls in flight, the oldest first.
         self.call_count = 0  # The calls made for the response that is awaited.
-        self.last_call_at = 0.0  # The loop time at which the newest call began.
         self.next_call_timer: asyncio.TimerHandle | None = None
-        self.next_call_at = 0.0  # The loop time for which the timer is set.
         self.is_retry_due = False  # Whether the next call replaces a further call that has failed.
         self.next_call_delay = NEXT_CALL_DELAY_S
 
@@ -82,7 +80,6 @@
         self.next_call_delay = NEXT_CALL_DELAY_S
         self.call_count = len(self.calls)
         if self.calls:
-            self.last_call_at = self.loop.time()
             self.calls[0].get(path)
         else:
             self.add_call()
@@ -96,7 +93,6 @@
     def add_call(self) -> None:
         """Make the call over a new connection."""
         self.call_count += 1
-        self.last_call_at = self.loop.time()
         call = DiscoveryCall(self.loop, self.address(), self.on_call_response, self.on_call_received)
         self.calls.append(call)
         call.get(self.path)
@@ -104,7 +100,6 @@
     def schedule_next_call(self, delay: float) -> None:
         """Make the next call after this many seconds, in place of the one that is due, if any."""
         self.cancel_next_call()
-        self.next_call_at = self.loop.time() + delay
         self.next_call_timer = self.loop.call_later(delay, self.make_next_call)
 
     def make_next_call(self) -> None:
@@ -130,10 +125,9 @@
 
     def on_call_received(self, call: DiscoveryCall) -> None:
         """Bound the bytes held: the calls that have received nothing for longest make room for this one."""
-        others = [other for other in self.calls if other is not call]
-        others.sort(key=lambda other: other.received_at, reverse=True)
-        while others and sum(other.received_bytes for other in self.calls) > MAX_HELD_BYTES:
-            self.end_call(others.pop(), CallEnd.TOO_LARGE)
+        while sum(each.received_bytes for each in self.calls) > MAX_HELD_BYTES:
+            others = (other for other in self.calls if other is not call)
+            self.end_call(min(others, key=lambda other: other.received_at), CallEnd.TOO_LARGE)
 
     def on_call_response(self, call: DiscoveryCall, body: bytes | None) -> None:
         """Pass on a response and end the other calls; if this call has failed, wait for the others."""
@@ -159,20 +153,19 @@
         if self.is_retry_due:
             return
         if not self.calls:
-            self.schedule_after_failure()
+            # The next call is made when it would be due if this one had stalled, but not at once.
+            self.schedule_next_call(max(MIN_DELAY_AFTER_FAILURE_S, self.time_until_next(call)))
             self.on_response(self, None)
         elif is_newest:
-            self.retry()
+            self.retry(call)
 
-    def schedule_after_failure(self) -> None:
-        """Make the next call when it would be due if the last one had stalled instead, but not at once."""
-        remaining = self.last_call_at + CALL_INTERVAL_S - self.loop.time()
-        self.schedule_next_call(max(MIN_DELAY_AFTER_FAILURE_S, remaining))
+    def time_until_next(self, newest: DiscoveryCall) -> float:
+        """Return the seconds until an interval has passed since the newest call; 0 if that time is over."""
+        return max(0.0, newest.started_at + CALL_INTERVAL_S - self.loop.time())
 
-    def retry(self) -> None:
+    def retry(self, newest: DiscoveryCall) -> None:
         """Make the next call after a delay that grows with each failure, unless one is due sooner."""
-        remaining = self.next_call_at - self.loop.time()
-        self.schedule_next_call(min(self.next_call_delay, max(0.0, remaining)))
+        self.schedule_next_call(min(self.next_call_delay, self.time_until_next(newest)))
         self.is_retry_due = True
         self.next_call_delay = min(2 * self.next_call_delay, MAX_NEXT_CALL_DELAY_S)
 
