Tests of discovery share the watch time, the delivery of pieces and the stalling handler

Need: the fixture of the production watch time stood three times, the loop that delivers pieces three times, the handler whose responses stall in their middle twice. Change: one of each, in conftest.py, stalling_discovery.py and test_discovery_watch.py; the assertions, bounds and times are as they were.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,6 +24,12 @@
     return production_value
 
 
+@pytest.fixture
+def production_watch(monkeypatch: pytest.MonkeyPatch, production_max_watch_ms: int) -> None:
+    """Restore the production watch time."""
+    monkeypatch.setattr(client, "MAX_WATCH_MS", production_max_watch_ms)
+
+
 @pytest.fixture
 def full_subset(monkeypatch: pytest.MonkeyPatch) -> None:
     """Raise the minimum subset size so that every server of a small list is a member."""
--- a/tests/stalling_discovery.py
+++ b/tests/stalling_discovery.py
@@ -54,6 +54,12 @@
 DELIVERIES = [*STALLING_DELIVERIES, comes_late]
 
 
+def deliver_over(connection: FakeConnection, pieces: Pieces, duration_s: float) -> None:
+    """Schedule the delivery of pieces, whose times are fractions of this duration."""
+    for piece, fraction in pieces:
+        connection.loop.call_later(fraction * duration_s, connection.deliver, piece)
+
+
 class StallingDiscovery(FakeDiscovery):
     """Discovery with version 41 and then 42, whose responses with version 42 last for some time.
 
@@ -117,8 +123,7 @@
             return
         self.slow_requests -= 1
         remaining_s = max(0.0, requested_at + self.duration_s - loop.time())
-        for piece, fraction in self.deliver(response):
-            loop.call_later(fraction * remaining_s, connection.deliver, piece)
+        deliver_over(connection, self.deliver(response), remaining_s)
 
 
 def never_ends(data: bytes) -> Pieces:
--- a/tests/test_discovery_delays.py
+++ b/tests/test_discovery_delays.py
@@ -21,7 +21,6 @@
     start_node,
 )
 
-from balancer.net.discovery import client as node_discovery
 from balancer.net.node import Node
 
 # The time limit for a change, from when discovery has it and can be reached.
@@ -30,12 +29,6 @@
 MAX_DELAY_AFTER_RELOAD_S = 4.0
 
 
-@pytest.fixture
-def production_watch(monkeypatch: pytest.MonkeyPatch, production_max_watch_ms: int) -> None:
-    """Restore the production watch time, which `conftest.py` extends for the other tests."""
-    monkeypatch.setattr(node_discovery, "MAX_WATCH_MS", production_max_watch_ms)
-
-
 def time_of_version(loop: VirtualTimeLoop, node: Node, version: int, limit: float) -> float:
     """Return the loop time at which the node has this version and serves; fail at the limit."""
 
--- a/tests/test_discovery_plans.py
+++ b/tests/test_discovery_plans.py
@@ -20,6 +20,7 @@
     ENDLESS_S,
     Pieces,
     StallingDiscovery,
+    deliver_over,
     never_ends,
 )
 from virtual_time import (
@@ -31,7 +32,6 @@
     start_node,
 )
 
-from balancer.net.discovery import client as node_discovery
 from balancer.net.node import Node
 
 CALL_INTERVAL_S = 2.0
@@ -46,10 +46,7 @@
 MODES = ["push", "ask"]
 
 
-@pytest.fixture(autouse=True)
-def production_watch(monkeypatch: pytest.MonkeyPatch, production_max_watch_ms: int) -> None:
-    """Restore the production watch time, which `conftest.py` extends for the other tests."""
-    monkeypatch.setattr(node_discovery, "MAX_WATCH_MS", production_max_watch_ms)
+pytestmark = pytest.mark.usefixtures("production_watch")
 
 
 def never_begins(data: bytes) -> Pieces:
@@ -94,12 +91,9 @@
 
     def respond(self, connection: FakeConnection, data: bytes) -> None:
         """Begin the response."""
-        loop = connection.loop
         if self.breaks_after_s < ENDLESS_S:
-            loop.call_later(self.breaks_after_s, connection.close)
-        duration_s = min(self.duration_s, ENDLESS_S)
-        for piece, fraction in self.deliver(data):
-            loop.call_later(fraction * duration_s, connection.deliver, piece)
+            connection.loop.call_later(self.breaks_after_s, connection.close)
+        deliver_over(connection, self.deliver(data), min(self.duration_s, ENDLESS_S))
 
 
 AT_ONCE = PlannedCall(DELIVERIES[-1], 0.0)
@@ -187,6 +181,7 @@
         self.unplanned_connections = unplanned_connections
         self.planned_times: list[float] = []
         self.planned_calls: dict[FakeConnection, PlannedCall] = {}
+        self.connecting: PlannedCall | None = None  # The call whose connection is being established.
 
     def next_call(self, now: float) -> PlannedCall:
         """Return the plan of the call that begins now."""
@@ -211,8 +206,6 @@
             self.planned_calls[connection] = connecting or self.next_call(connection.loop.time())
         return self.planned_calls[connection]
 
-    connecting: PlannedCall | None = None
-
     def respond(self, connection: FakeConnection, requested_at: float) -> None:
         """Begin the response that the plan has for this call."""
         self.call_on(connection).respond(connection, list_response(42))
--- a/tests/test_discovery_stalls.py
+++ b/tests/test_discovery_stalls.py
@@ -15,6 +15,7 @@
     STALLING_DELIVERIES,
     Pieces,
     StallingDiscovery,
+    deliver_over,
     never_ends,
 )
 from virtual_time import (
@@ -26,7 +27,6 @@
     start_node,
 )
 
-from balancer.net.discovery import client as node_discovery
 from balancer.net.discovery.hedged_call import MAX_CALLS_IN_FLIGHT
 from balancer.net.node import Node
 
@@ -41,10 +41,7 @@
 MODES = ["push", "ask"]
 
 
-@pytest.fixture(autouse=True)
-def production_watch(monkeypatch: pytest.MonkeyPatch, production_max_watch_ms: int) -> None:
-    """Restore the production watch time, which `conftest.py` extends for the other tests."""
-    monkeypatch.setattr(node_discovery, "MAX_WATCH_MS", production_max_watch_ms)
+pytestmark = pytest.mark.usefixtures("production_watch")
 
 
 def run_until(loop: VirtualTimeLoop, condition: Callable[[], bool], deadline: float) -> None:
@@ -252,8 +249,7 @@
 
     def full_list_requested(self, connection: FakeConnection) -> None:
         """Begin the response."""
-        for piece, fraction in self.deliver(list_response(2)):
-            connection.loop.call_later(fraction * 3.5, connection.deliver, piece)
+        deliver_over(connection, self.deliver(list_response(2)), 3.5)
 
 
 @pytest.mark.parametrize("mode", MODES)
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+import itertools
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
@@ -175,6 +176,35 @@
     run_scenario(scenario)
 
 
+def stalling_handler(
+    discovery: Discovery, draining: Server, stall: Callable[[int], Awaitable[object]]
+) -> Callable[[Request, asyncio.StreamWriter], Awaitable[bytes]]:
+    """Return a handler of requests whose responses with version 42 stop in their middle.
+
+    Args:
+        discovery: The discovery service that sends the responses.
+        draining: The server that drains in version 42.
+        stall: Waits in the middle of a response with version 42, which is given by its number from 1.
+    """
+    numbers = itertools.count(1)
+
+    async def respond(request: Request, writer: asyncio.StreamWriter) -> bytes:
+        if "since=42&" in request.target:
+            await asyncio.sleep(0.1)
+            discovery.send_list(42, False)
+        else:
+            discovery.send_list(42, False, draining.entry("s0", "draining"))
+        data = await discovery.answers.get()
+        assert data is not None
+        if b"draining" in data:
+            writer.write(data[: len(data) // 2])
+            data = data[len(data) // 2 :]
+            await stall(next(numbers))
+        return data
+
+    return respond
+
+
 @pytest.mark.parametrize("mode", ["push", "ask"])
 def test_change_in_stalled_responses_is_learned_over_sockets(
     mode: str, monkeypatch: pytest.MonkeyPatch
@@ -190,21 +220,7 @@
         bench = Bench(draining := Server(), remaining := Server(), discovery=mode)
         discovery = bench.discovery
 
-        async def respond_with_stall(request: Request, writer: asyncio.StreamWriter) -> bytes:
-            if "since=42&" in request.target:
-                await asyncio.sleep(0.1)
-                discovery.send_list(42, False)
-            else:
-                discovery.send_list(42, False, draining.entry("s0", "draining"))
-            data = await discovery.answers.get()
-            assert data is not None
-            if b"draining" in data:
-                writer.write(data[: len(data) // 2])
-                data = data[len(data) // 2 :]
-                await asyncio.sleep(0.8)
-            return data
-
-        discovery.handle = respond_with_stall
+        discovery.handle = stalling_handler(discovery, draining, lambda number: asyncio.sleep(0.8))
         await bench.start()
         await wait_until(lambda: bench.node.discovery.version == 42)
         assert discovery.connections == 2
@@ -231,25 +247,11 @@
         monkeypatch.setattr("balancer.net.discovery.client.RESPONSE_TIMEOUT_S", 0.2)
         bench = Bench(draining := Server(), remaining := Server(), discovery=mode)
         discovery = bench.discovery
-        stalled_count = 0
-
-        async def respond_with_stall(request: Request, writer: asyncio.StreamWriter) -> bytes:
-            nonlocal stalled_count
-            if "since=42&" in request.target:
-                await asyncio.sleep(0.1)
-                discovery.send_list(42, False)
-            else:
-                discovery.send_list(42, False, draining.entry("s0", "draining"))
-            data = await discovery.answers.get()
-            assert data is not None
-            if b"draining" not in data:
-                return data
-            stalled_count += 1
-            writer.write(data[: len(data) // 2])
-            await (asyncio.Event().wait() if stalled_count == 1 else asyncio.sleep(1.5))
-            return data[len(data) // 2 :]
 
-        discovery.handle = respond_with_stall
+        async def stall(number: int) -> None:
+            await (asyncio.Event().wait() if number == 1 else asyncio.sleep(1.5))
+
+        discovery.handle = stalling_handler(discovery, draining, stall)
         await bench.start()
         await wait_until(lambda: bench.node.discovery.version == 42)
         watch_call = bench.node.discovery.watch_call
